--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# The two commands of the README are `make demo` and `make test`.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core document runtime entry sidecar daemon cli emulator
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p))
+STAMP := $(VENV)/.installed
+SEED ?= 1
+STEPS ?= 2000
+
+.PHONY: install demo test lint soak bench capacity format clean
+
+install: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt setuptools wheel
+	$(BIN)/python -m pip install -q -c constraints.txt --no-build-isolation \
+	    $(EDITABLE) -r requirements-dev.txt
+	touch $(STAMP)
+
+demo: install
+	$(BIN)/python -m kcr_emulator.demo --seed $(SEED)
+
+lint: install
+	$(BIN)/ruff format --check --quiet packages tests
+	$(BIN)/flake8 packages tests
+	$(BIN)/mypy packages tests
+	$(BIN)/lint-imports
+
+test: lint
+	$(BIN)/pytest
+
+soak: install
+	$(BIN)/python -m kcr_emulator.soak --seed $(SEED) --steps $(STEPS)
+
+bench: install
+	$(BIN)/python -m kcr_emulator.bench --seed $(SEED)
+
+capacity: install
+	$(BIN)/python -m kcr_emulator.capacity
+
+format: install
+	$(BIN)/ruff format packages tests
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/cli/src/kcr_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
--- /dev/null
+++ b/packages/core/src/kcr_core/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the pure decisions, data classes and messages of the scheduler."""
--- /dev/null
+++ b/packages/core/src/kcr_core/membership.py
@@ -0,0 +1,104 @@
+"""Keep an entry's view of the endpoints that announce themselves."""
+
+import dataclasses
+import typing
+
+from kcr_core import messages
+from kcr_core import types
+
+# Heartbeat intervals of silence after which an endpoint is suspect.
+SUSPECT_INTERVALS = 3.0
+
+Phase = typing.Literal['up', 'suspect', 'draining', 'gone']
+
+
+@dataclasses.dataclass(slots=True)
+class Endpoint:
+    """Hold what an entry knows of one endpoint."""
+
+    # Address of the session that leads to its sidecar.
+    session: str
+    # Where the instance is.
+    place: types.Place
+    # Incarnation of the sidecar.
+    incarnation: str
+    # Full state of the connection; none before it arrives.
+    state: messages.EndpointState | None
+    # Last heartbeat; none before the first.
+    beat: messages.Heartbeat | None
+    # Monotonic time of the last message.
+    heard_at: float
+    # Whether the connection is open.
+    connected: bool = True
+    # Whether the sidecar said that it leaves.
+    leaving: bool = False
+    # Attempts of this entry that have no answer yet.
+    in_flight: int = 0
+
+
+class View:
+    """Decide which endpoints may get new work."""
+
+    def __init__(self, heartbeat_s: float) -> None:
+        # Expected time between heartbeats.
+        self.heartbeat_s = heartbeat_s
+        # Instances that the document takes out of use.
+        self.drained: frozenset[str] = frozenset()
+        # Endpoints by instance; the newest session of each.
+        self.endpoints: dict[str, Endpoint] = {}
+
+    def opened(self, session: str, hello: messages.Hello, now: float) -> None:
+        """Note a new session; it replaces an older one of the instance."""
+        held = self.endpoints.get(hello.place.instance)
+        in_flight = 0
+        if held is not None and held.incarnation == hello.incarnation:
+            in_flight = held.in_flight
+        self.endpoints[hello.place.instance] = Endpoint(
+            session=session,
+            place=hello.place,
+            incarnation=hello.incarnation,
+            state=None,
+            beat=None,
+            heard_at=now,
+            in_flight=in_flight,
+        )
+
+    def closed(self, session: str) -> None:
+        """Note the end of a session."""
+        for endpoint in self.endpoints.values():
+            if endpoint.session == session:
+                endpoint.connected = False
+
+    def find(self, session: str, instance: str) -> Endpoint | None:
+        """Return the endpoint if the session is its newest."""
+        endpoint = self.endpoints.get(instance)
+        if endpoint is None or endpoint.session != session:
+            return None
+        return endpoint
+
+    def phase(self, endpoint: Endpoint, now: float) -> Phase:
+        """Return the phase of an endpoint at `now`."""
+        silent = now - endpoint.heard_at
+        if not endpoint.connected:
+            return 'gone'
+        if endpoint.leaving or endpoint.place.instance in self.drained:
+            return 'draining'
+        if endpoint.beat is not None and endpoint.beat.draining:
+            return 'draining'
+        if silent > SUSPECT_INTERVALS * self.heartbeat_s:
+            return 'suspect'
+        return 'up'
+
+    def candidates(self, service: str, now: float) -> list[Endpoint]:
+        """Return the endpoints of a service that may get a request."""
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.state is not None
+            and endpoint.state.service == service
+            and self.phase(endpoint, now) == 'up'
+        ]
+
+    def forget(self, instance: str) -> None:
+        """Drop an instance that will not come back."""
+        self.endpoints.pop(instance, None)
--- /dev/null
+++ b/packages/core/src/kcr_core/slots.py
@@ -0,0 +1,142 @@
+"""Admit attempts into the slots of one runner; the sidecar is the authority.
+
+An attempt waits at most until its deadline for a slot; what is refused never
+runs.
+"""
+
+import collections
+import dataclasses
+
+# Ended attempts that are remembered, so that a repeat is not run again.
+REMEMBERED = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """Ask for the attempt to be run now."""
+
+    # Attempt to run.
+    attempt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """State that the attempt is refused for good."""
+
+    # Attempt that is refused.
+    attempt: str
+    # Why.
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queued:
+    """State that the attempt waits for a slot."""
+
+    # Attempt that waits.
+    attempt: str
+
+
+Decision = Run | Refuse | Queued
+
+
+class Slots:
+    """Own the slots and connections of one runner."""
+
+    def __init__(self, slots: int, connections: int) -> None:
+        # Requests that run at the same time.
+        self.slots = slots
+        # Requests that run or wait at the same time.
+        self.connections = connections
+        # Calls that the runner still serves and nobody waits for: those of
+        # an older incarnation and those that ended without an answer.
+        self.foreign: set[str] = set()
+        # Whether new attempts are refused.
+        self.draining = False
+        # Attempts that run.
+        self.active: set[str] = set()
+        # Waiting attempts with their deadlines, oldest first.
+        self.waiting: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._ended: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    def used(self) -> int:
+        """Return the slots in use."""
+        return len(self.active) + len(self.foreign)
+
+    def admit(self, attempt: str, deadline: float, now: float) -> Decision:
+        """Decide about a new attempt."""
+        if self._is_known(attempt):
+            return Refuse(attempt, 'attempt was received twice')
+        if self.draining:
+            return self._refuse(attempt, 'endpoint is leaving')
+        if now >= deadline:
+            return self._refuse(attempt, 'deadline passed')
+        if self.used() < self.slots and not self.waiting:
+            return self._run(attempt)
+        if self.used() + len(self.waiting) >= self.connections:
+            return self._refuse(attempt, 'endpoint is full')
+        self.waiting[attempt] = deadline
+        return Queued(attempt)
+
+    def finish(self, attempt: str, now: float) -> list[Decision]:
+        """Free the slot of an attempt and admit waiting ones."""
+        assert attempt in self.active, 'finished attempt was not running'
+        self.active.remove(attempt)
+        self._remember(attempt)
+        return self.advance(now)
+
+    def abandon(self, attempt: str, now: float) -> list[Decision]:
+        """Keep the slot of an attempt that may still run at the runner."""
+        self.foreign.add(attempt)
+        return self.finish(attempt, now)
+
+    def observe(self, served: set[str], now: float) -> list[Decision]:
+        """Take the runner's list of calls; free slots that it has ended."""
+        self.foreign = served - self.active
+        return self.advance(now)
+
+    def advance(self, now: float) -> list[Decision]:
+        """Run waiting attempts that fit; refuse those past the deadline."""
+        decisions: list[Decision] = []
+        late = [a for a, deadline in self.waiting.items() if now >= deadline]
+        for attempt in late:
+            del self.waiting[attempt]
+            decisions.append(
+                self._refuse(attempt, 'deadline passed in the queue')
+            )
+        while self.waiting and self.used() < self.slots:
+            attempt, _ = self.waiting.popitem(last=False)
+            decisions.append(self._run(attempt))
+        return decisions
+
+    def drain(self) -> list[Decision]:
+        """Refuse all new and waiting attempts."""
+        self.draining = True
+        waiting = list(self.waiting)
+        self.waiting.clear()
+        return [self._refuse(a, 'endpoint is leaving') for a in waiting]
+
+    def _is_known(self, attempt: str) -> bool:
+        return (
+            attempt in self.active
+            or attempt in self.waiting
+            or attempt in self._ended
+        )
+
+    def _run(self, attempt: str) -> Run:
+        self.active.add(attempt)
+        assert self.used() <= self.slots, 'slots are overcommitted'
+        return Run(attempt)
+
+    def _refuse(self, attempt: str, reason: str) -> Refuse:
+        self._remember(attempt)
+        return Refuse(attempt, reason)
+
+    def _remember(self, attempt: str) -> None:
+        self._ended[attempt] = None
+        if len(self._ended) > REMEMBERED:
+            self._ended.popitem(last=False)
--- /dev/null
+++ b/packages/daemon/src/kcr_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the daemon binary."""
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/runner.py
@@ -0,0 +1,101 @@
+"""Emulate a runner: a service that answers calls after a service time.
+
+It counts what the promises are about: calls above its slots, and requests
+that ran more than once.
+"""
+
+import collections
+import json
+import random
+import typing
+
+import klein
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.web import iweb
+from twisted.web import server
+
+
+class RunnerEmulator:
+    """Serve one emulated runner over HTTP."""
+
+    def __init__(
+        self, reactor: typing.Any, slots: int, service_ms: float, seed: int
+    ) -> None:
+        # Reactor of the process.
+        self.reactor = reactor
+        # Calls that it can serve at the same time.
+        self.slots = slots
+        # Mean service time in ms.
+        self.service_ms = service_ms
+        # Factor on the service time, to emulate a slow runner.
+        self.slowdown = 1.0
+        # Share of calls that fail at once.
+        self.failing = 0.0
+        # Whether calls are held until the runner resumes.
+        self.paused = False
+        # Attempts served now.
+        self.active: set[str] = set()
+        # Times that each request ran.
+        self.runs: collections.Counter[str] = collections.Counter()
+        # Calls that arrived above the number of slots.
+        self.overcommitted = 0
+        self._rng = random.Random(seed)
+        self._app = klein.Klein()
+        route = self._app.route
+        route('/v1/execute', methods=['POST'])(self._execute)
+        route('/v1/status', methods=['GET'])(self._status)
+        route('/control', methods=['POST'])(self._control)
+        route('/counts', methods=['GET'])(self._counts)
+
+    def site(self) -> server.Site:
+        """Return the HTTP site to listen with."""
+        return server.Site(self._app.resource(), timeout=60)
+
+    async def _execute(self, req: iweb.IRequest) -> bytes:
+        headers = req.requestHeaders
+        attempt = (headers.getRawHeaders('x-attempt') or [''])[0]
+        request = (headers.getRawHeaders('x-request') or [''])[0]
+        body = bytes(typing.cast(typing.Any, req).content.read())
+        self.active.add(attempt)
+        self.runs[request] += 1
+        if len(self.active) > self.slots:
+            self.overcommitted += 1
+        try:
+            if self._rng.random() < self.failing:
+                req.setResponseCode(500)
+                return b'failed'
+            await self._work()
+        finally:
+            self.active.discard(attempt)
+        return f'{request}:'.encode() + body
+
+    async def _work(self) -> None:
+        mean_s = self.service_ms / 1000.0 * self.slowdown
+        delay = self._rng.expovariate(1.0 / mean_s) if mean_s else 0.0
+        await _sleep(self.reactor, delay)
+        while self.paused:
+            await _sleep(self.reactor, 0.02)
+
+    def _status(self, req: iweb.IRequest) -> bytes:
+        return _json({'attempts': sorted(self.active), 'slots': self.slots})
+
+    def _control(self, req: iweb.IRequest) -> bytes:
+        wanted = json.load(typing.cast(typing.Any, req).content)
+        for name in ('slowdown', 'failing', 'paused', 'service_ms'):
+            if name in wanted:
+                setattr(self, name, wanted[name])
+        return _json({})
+
+    def _counts(self, req: iweb.IRequest) -> bytes:
+        return _json(
+            {'runs': dict(self.runs), 'overcommitted': self.overcommitted}
+        )
+
+
+def _sleep(reactor: typing.Any, delay: float) -> defer.Deferred[None]:
+    return task.deferLater(reactor, delay, lambda: None)
+
+
+def _json(value: typing.Any) -> bytes:
+    return json.dumps(value).encode()
--- /dev/null
+++ b/packages/entry/src/kcr_entry/events.py
@@ -0,0 +1,79 @@
+"""Define the messages between the parts of an entry."""
+
+import dataclasses
+import typing
+
+from kcr_core import outcomes
+from kcr_core import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Append:
+    """Ask the appender to make items durable in a stream."""
+
+    # Token that the answer repeats.
+    token: str
+    # Address of the asking task.
+    sender: str
+    # Stream of the log.
+    stream: str
+    # Records of `kcr_core.records`, applied in this order.
+    items: tuple[typing.Any, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendEnded:
+    """Report what came of an append."""
+
+    # Token of the request.
+    token: str
+    # What is known of the record.
+    outcome: outcomes.AppendOutcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogItem:
+    """Carry one item that was read from the log."""
+
+    # Offset of its record.
+    offset: int
+    # Incarnation of the writer.
+    writer: str
+    # Record of `kcr_core.records`.
+    item: typing.Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogRead:
+    """Deliver the items of one read, first occurrences only, in order."""
+
+    # Stream of the log.
+    stream: str
+    # Items that were read; empty when the end was reached.
+    items: tuple[LogItem, ...]
+    # Whether the read reached the end of the stream.
+    caught_up: bool
+    # Monotonic time at which the read was sent to the log.
+    asked_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogGap:
+    """Report that records were trimmed before they were read."""
+
+    # Stream of the log.
+    stream: str
+    # First offset that the log still holds.
+    first: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsInForce:
+    """Deliver the settings of the document in force."""
+
+    # Revision of the document.
+    revision: int
+    # Settings of that revision.
+    settings: types.ControlSettings
+    # Names and shares that the entry needs: quota of processors by team.
+    quotas: tuple[tuple[str, types.Demand], ...] = ()
--- /dev/null
+++ b/packages/entry/src/kcr_entry/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the connections of an entry and its view of the endpoints."""
--- /dev/null
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -0,0 +1,174 @@
+"""Own the view of the endpoints and choose one for each attempt."""
+
+import dataclasses
+import typing
+
+from kcr_core import endpoint_choice
+from kcr_core import membership
+from kcr_core import messages
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_runtime import task
+from kcr_runtime.wire import session
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Ask for an attempt to be sent to an endpoint."""
+
+    # The attempt.
+    msg: messages.Execute
+    # Instances that should not be chosen if another can be.
+    avoid: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dispatched:
+    """Report where an attempt was sent."""
+
+    # Id of the attempt.
+    attempt: str
+    # Instance that was chosen.
+    instance: str
+    # Session that leads to it.
+    session: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotDispatched:
+    """Report that an attempt was not sent to any endpoint."""
+
+    # Id of the attempt.
+    attempt: str
+    # Why.
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """Report that an attempt needs its endpoint no longer."""
+
+    # Instance of the attempt.
+    instance: str
+
+
+class Membership(task.Task):
+    """Own the view of the endpoints."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        # Settings of the document in force.
+        self.settings = types.ControlSettings()
+        self._view = membership.View(self.settings.heartbeat_s)
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return what is known of each endpoint."""
+        now = self.now()
+        return {
+            **super().dump(),
+            'endpoints': {
+                name: {
+                    'phase': self._view.phase(endpoint, now),
+                    'zone': endpoint.place.zone,
+                    'incarnation': endpoint.incarnation,
+                    'in_flight': endpoint.in_flight,
+                    'active': endpoint.beat.active if endpoint.beat else 0,
+                    'silent_s': round(now - endpoint.heard_at, 3),
+                }
+                for name, endpoint in self._view.endpoints.items()
+            },
+        }
+
+    @task.handles(session.Opened)
+    def _on_opened(self, event: session.Opened) -> None:
+        if event.hello.role == 'sidecar':
+            self._view.opened(event.session, event.hello, self.now())
+            self.log.info(
+                'endpoint connected', instance=event.hello.place.instance
+            )
+
+    @task.handles(session.Closed)
+    def _on_closed(self, event: session.Closed) -> None:
+        self._view.closed(event.session)
+        if event.hello.role == 'sidecar':
+            self.log.info(
+                'endpoint disconnected',
+                instance=event.hello.place.instance,
+                reason=event.reason,
+            )
+
+    @task.handles(session.SendRefused)
+    def _on_send_refused(self, event: session.SendRefused) -> None:
+        """Ignore it; the sender of the message handles it."""
+
+    @task.handles(session.Received)
+    def _on_received(self, event: session.Received) -> None:
+        instance = event.hello.place.instance
+        endpoint = self._view.find(event.session, instance)
+        if endpoint is None:
+            return
+        endpoint.heard_at = self.now()
+        msg = event.msg
+        if isinstance(msg, messages.EndpointState):
+            endpoint.state = msg
+        elif isinstance(msg, messages.Heartbeat):
+            endpoint.beat = msg
+            self._acknowledge(event.session, msg)
+        elif isinstance(msg, messages.Leaving):
+            endpoint.leaving = True
+            self.log.info('endpoint leaving', instance=instance)
+
+    def _acknowledge(self, name: str, beat: messages.Heartbeat) -> None:
+        ack = messages.HeartbeatAck(
+            seq=beat.seq, revision=0, log_age_ms=-1, fenced=False
+        )
+        self.send(name, session.Send(ack))
+
+    @task.handles(Dispatch)
+    def _on_dispatch(self, req: Dispatch) -> None:
+        attempt = req.msg.attempt
+        found = self._view.candidates(req.msg.service, self.now())
+        if not found:
+            self._not_dispatched(attempt, 'no endpoint serves this now')
+            return
+        fresh = [e for e in found if e.place.instance not in req.avoid]
+        policy = endpoint_choice.POLICIES.get(self.settings.endpoint_policy)
+        options = [infer_candidate(e) for e in fresh or found]
+        choice = policy(options, self.ctx.rng)
+        if choice is None:
+            self._not_dispatched(attempt, 'no endpoint has room')
+            return
+        endpoint = self._view.endpoints[choice.instance]
+        if not self.send(endpoint.session, session.Send(req.msg)):
+            self._not_dispatched(attempt, 'session has ended')
+            return
+        endpoint.in_flight += 1
+        self.send(
+            addresses.REQUESTS,
+            Dispatched(attempt, choice.instance, endpoint.session),
+        )
+
+    def _not_dispatched(self, attempt: str, reason: str) -> None:
+        self.send(addresses.REQUESTS, NotDispatched(attempt, reason))
+
+    @task.handles(AttemptEnded)
+    def _on_attempt_ended(self, event: AttemptEnded) -> None:
+        endpoint = self._view.endpoints.get(event.instance)
+        if endpoint is not None and endpoint.in_flight > 0:
+            endpoint.in_flight -= 1
+
+
+def infer_candidate(
+    endpoint: membership.Endpoint,
+) -> endpoint_choice.Candidate:
+    """Return what a policy may know of an endpoint."""
+    assert endpoint.state is not None, 'candidate without full state'
+    beat = endpoint.beat
+    return endpoint_choice.Candidate(
+        instance=endpoint.place.instance,
+        slots=endpoint.state.capacity.slots,
+        active=beat.active if beat else 0,
+        in_flight=endpoint.in_flight,
+        granted=beat.granted if beat else 0,
+        latency_ms=beat.latency_ms if beat else 0.0,
+    )
--- /dev/null
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -0,0 +1,73 @@
+"""Supervise the connections of an entry and its view of the endpoints."""
+
+from collections import abc
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry.fleet import membership
+from kcr_runtime import supervisor
+from kcr_runtime import task
+from kcr_runtime.wire import session
+
+# Task that handles each message from the wire.
+ROUTES = {
+    messages.EndpointState: addresses.MEMBERSHIP,
+    messages.Heartbeat: addresses.MEMBERSHIP,
+    messages.Leaving: addresses.MEMBERSHIP,
+    messages.Executed: addresses.REQUESTS,
+    messages.Refused: addresses.REQUESTS,
+    messages.Failed: addresses.REQUESTS,
+}
+
+
+class Sessions(supervisor.Supervisor):
+    """Hold one session per connection."""
+
+
+class Fleet(supervisor.Supervisor):
+    """Run the listener, its sessions and the membership view."""
+
+    def children(self) -> abc.Sequence[supervisor.ChildSpec]:
+        """Return the tasks of the fleet."""
+        return (
+            supervisor.ChildSpec('membership', membership.Membership),
+            supervisor.ChildSpec('sessions', Sessions),
+            supervisor.ChildSpec('listener', make_listener),
+        )
+
+
+def make_listener(ctx: task.Context, address: str) -> session.Listener:
+    """Return the listener for sidecars and other entries."""
+    host, port = ctx.cfg.listen.rsplit(':', 1)
+    return session.Listener(
+        ctx,
+        address,
+        make_routes(ctx),
+        host,
+        int(port),
+        addresses.SESSIONS,
+        ctx.cfg.max_connections,
+    )
+
+
+def make_routes(ctx: task.Context) -> session.Routes:
+    """Return the routes of an entry's sessions."""
+    cfg = ctx.cfg
+    place = types.Place(cfg.region, cfg.zone, cfg.rack, cfg.process)
+
+    def hello() -> messages.Hello:
+        return messages.Hello(
+            version=messages.PROTOCOL_VERSION,
+            role='entry',
+            process=cfg.process,
+            incarnation=ctx.incarnation,
+            place=place,
+            address=cfg.listen,
+        )
+
+    return session.Routes(
+        tasks=ROUTES,
+        subscribers=(addresses.MEMBERSHIP, addresses.REQUESTS),
+        hello=hello,
+    )
--- /dev/null
+++ b/packages/entry/src/kcr_entry/front/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the HTTP front end of an entry."""
--- /dev/null
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -0,0 +1,193 @@
+"""Serve callers, operators and the load balancer over HTTP.
+
+The task owns the listening port. It validates bodies, asks the owner of the
+state by message, and turns the answer into a response.
+"""
+
+import json
+import typing
+
+import klein
+import pydantic
+from twisted.internet import defer
+from twisted.web import http
+from twisted.web import iweb
+from twisted.web import server
+
+from kcr_core import messages
+from kcr_core import outcomes
+from kcr_entry import addresses
+from kcr_entry.front import models
+from kcr_entry.work import requests
+from kcr_runtime import ask
+from kcr_runtime import process
+from kcr_runtime import task
+from kcr_runtime.wire import codec
+
+# Time that the load balancer gets to see the failing health check.
+BALANCER_S = 0.5
+# How often a draining entry looks whether requests are left.
+DRAIN_POLL_S = 0.1
+# Time that a question within the process may take.
+ASK_LIMIT_S = 310.0
+
+
+class Drain:
+    """Ask the front end to finish and report to the process."""
+
+
+class _CloseListener:
+    pass
+
+
+class _CheckIdle:
+    pass
+
+
+class Http(task.Task):
+    """Own the HTTP port of an entry."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        self._app = klein.Klein()
+        self._port: typing.Any = None
+        self._questions: dict[str, defer.Deferred[typing.Any]] = {}
+        self._asked = 0
+        self._open_requests = 0
+        self._draining = False
+        self._add_routes()
+
+    def started(self) -> None:
+        """Bind the port."""
+        host, port = self.ctx.cfg.http.rsplit(':', 1)
+        site = server.Site(self._app.resource(), timeout=60)
+        self._port = self.ctx.reactor.listenTCP(
+            int(port), site, interface=host
+        )
+
+    def stopped(self) -> defer.Deferred[None]:
+        """Close the port."""
+        return defer.maybeDeferred(self._port.stopListening)
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the requests in the front end."""
+        return {
+            **super().dump(),
+            'open_requests': self._open_requests,
+            'draining': self._draining,
+        }
+
+    def _add_routes(self) -> None:
+        route = self._app.route
+        route('/healthz', methods=['GET'])(self._get_health)
+        route('/v1/dump', methods=['GET'])(self._get_dump)
+        route('/v1/requests', methods=['POST'])(self._post_request)
+
+    @task.handles(Drain)
+    def _on_drain(self, msg: Drain) -> None:
+        self._draining = True
+        self.after(BALANCER_S, _CloseListener())
+
+    @task.handles(_CloseListener)
+    def _on_close_listener(self, msg: _CloseListener) -> None:
+        self._port.stopListening()
+        self.post(_CheckIdle())
+
+    @task.handles(_CheckIdle)
+    def _on_check_idle(self, msg: _CheckIdle) -> None:
+        if self._open_requests == 0:
+            self.send(process.PROCESS_ADDRESS, process.Drained())
+            return
+        self.after(DRAIN_POLL_S, _CheckIdle())
+
+    @task.handles(ask.Answer)
+    def _on_answer(self, msg: ask.Answer) -> None:
+        fut = self._questions.pop(msg.token, None)
+        if fut is not None:
+            fut.callback(msg.value)
+
+    def _ask(
+        self, address: str, body: typing.Any
+    ) -> defer.Deferred[typing.Any]:
+        self._asked += 1
+        token = str(self._asked)
+        fut: defer.Deferred[typing.Any] = defer.Deferred()
+        self._questions[token] = fut
+        if not self.send(address, ask.Ask(token, self.address, body)):
+            del self._questions[token]
+            return defer.succeed(outcomes.NotRun('entry is not ready'))
+        return fut
+
+    def _get_health(self, req: iweb.IRequest) -> bytes:
+        if self._draining:
+            return _respond(req, 503, {'status': 'draining'})
+        return _respond(req, 200, {'status': 'ok'})
+
+    def _get_dump(self, req: iweb.IRequest) -> bytes:
+        return _respond(req, 200, self.ctx.directory.dump())
+
+    async def _post_request(self, req: iweb.IRequest) -> bytes:
+        model = _read(req, models.RequestModel)
+        if isinstance(model, bytes):
+            return model
+        self._open_requests += 1
+        try:
+            submit = model.to_submit()
+            value = await self._ask(addresses.REQUESTS, submit)
+        finally:
+            self._open_requests -= 1
+        if self._draining:
+            req.setHeader(b'connection', b'close')
+        return _respond_outcome(req, value)
+
+
+M = typing.TypeVar('M', bound=pydantic.BaseModel)
+
+
+def _read(req: iweb.IRequest, model: type[M]) -> M | bytes:
+    content = typing.cast(typing.Any, req).content
+    body = content.read(messages.MAX_BODY_BYTES + 1)
+    if len(body) > messages.MAX_BODY_BYTES:
+        limit = messages.MAX_BODY_BYTES
+        return _respond(req, 413, {'error': f'body exceeds {limit} bytes'})
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as exc:
+        return _respond(req, 400, {'error': codec.describe(exc)})
+
+
+def _respond(req: iweb.IRequest, status: int, value: typing.Any) -> bytes:
+    req.setResponseCode(status)
+    req.setHeader(b'content-type', b'application/json')
+    return json.dumps(value, default=str).encode()
+
+
+def _respond_outcome(req: iweb.IRequest, value: typing.Any) -> bytes:
+    if isinstance(value, outcomes.Done):
+        body = value.body.decode('utf-8', 'replace')
+        return _respond(
+            req,
+            http.OK,
+            {'outcome': 'done', 'status': value.status, 'body': body},
+        )
+    if isinstance(value, outcomes.NotRun):
+        return _respond(
+            req,
+            http.SERVICE_UNAVAILABLE,
+            {'outcome': 'not_run', 'reason': value.reason},
+        )
+    if isinstance(value, requests.Conflict):
+        return _respond(
+            req,
+            http.CONFLICT,
+            {
+                'outcome': 'conflict',
+                'reason': f'id {value.key} was used with other content; '
+                'choose a new id',
+            },
+        )
+    return _respond(
+        req,
+        http.GATEWAY_TIMEOUT,
+        {'outcome': 'unknown', 'reason': value.reason},
+    )
--- /dev/null
+++ b/packages/entry/src/kcr_entry/settings.py
@@ -0,0 +1,27 @@
+"""Define the options of an entry."""
+
+import pydantic
+
+from kcr_runtime import settings
+
+
+class EntryOptions(settings.Options):
+    """Hold what an entry is told at start."""
+
+    listen: settings.Address = pydantic.Field(
+        description='IP:PORT for sidecars and other entries'
+    )
+    http: settings.Address = pydantic.Field(
+        description='IP:PORT for callers, operators and the load balancer'
+    )
+    peers: list[settings.Address] = pydantic.Field(
+        default_factory=list,
+        description='IP:PORT of other entries to connect to',
+        max_length=64,
+    )
+    log: settings.Address = pydantic.Field(
+        description='IP:PORT of the log service'
+    )
+    max_connections: int = pydantic.Field(
+        4096, description='connections accepted at the same time', ge=1
+    )
--- /dev/null
+++ b/packages/entry/src/kcr_entry/supervisor.py
@@ -0,0 +1,20 @@
+"""Supervise the parts of an entry."""
+
+from collections import abc
+
+from kcr_entry.fleet import supervisor as fleet
+from kcr_entry.front import supervisor as front
+from kcr_entry.work import supervisor as work
+from kcr_runtime import supervisor
+
+
+class Root(supervisor.Supervisor):
+    """Start the parts of an entry in the order in which they depend."""
+
+    def children(self) -> abc.Sequence[supervisor.ChildSpec]:
+        """Return the parts of an entry."""
+        return (
+            supervisor.ChildSpec('work', work.Work),
+            supervisor.ChildSpec('fleet', fleet.Fleet),
+            supervisor.ChildSpec('front', front.Front),
+        )
--- /dev/null
+++ b/packages/entry/src/kcr_entry/work/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the requests and the durable tasks of an entry."""
--- /dev/null
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -0,0 +1,288 @@
+"""Own the requests in flight: attempts, retries, deadlines, answers."""
+
+import collections
+import dataclasses
+import hashlib
+import typing
+
+from kcr_core import messages
+from kcr_core import outcomes
+from kcr_core import request_state
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry.fleet import membership
+from kcr_runtime import ask
+from kcr_runtime import task
+from kcr_runtime.wire import session
+
+# Outcomes that are kept for repeats of the same request.
+REMEMBERED = 2000
+# Requests in flight at one entry before new ones are refused.
+IN_FLIGHT_LIMIT = 5000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """Ask for a request to be run."""
+
+    # Id chosen by the caller, unique per caller.
+    request_id: str
+    # Who asks.
+    caller: str
+    # Service that is asked for.
+    service: str
+    # Time left for the answer, in seconds.
+    budget_s: float
+    # Whether it may run more than once.
+    idempotent: bool
+    # Unix time at which the caller issued it, in ms.
+    issued_at_ms: int
+    # Body of the request.
+    body: bytes
+
+    @property
+    def key(self) -> str:
+        """Return the name that is unique across callers."""
+        return f'{self.caller}/{self.request_id}'
+
+    def digest(self) -> str:
+        """Return a digest of the content, to detect a changed repeat."""
+        head = f'{self.service}|{self.idempotent}|'.encode()
+        return hashlib.sha256(head + self.body).hexdigest()[:32]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """State that the id was used before with other content."""
+
+    # Key of the request.
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Deadline:
+    key: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Active:
+    submit: Submit
+    state: request_state.RequestState
+    # Questions that wait for the outcome.
+    waiters: list[ask.Ask]
+    # Session of each attempt.
+    sessions: dict[str, str]
+    # Monotonic time of arrival.
+    since: float
+
+
+class Requests(task.Task):
+    """Own the requests in flight at this entry."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        # Settings of the document in force.
+        self.settings = types.ControlSettings()
+        self._active: dict[str, _Active] = {}
+        self._by_attempt: dict[str, str] = {}
+        self._attempts = 0
+        self._kept: collections.OrderedDict[
+            str, tuple[str, outcomes.Outcome]
+        ] = collections.OrderedDict()
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the requests in flight and their attempts."""
+        return {
+            **super().dump(),
+            'in_flight': len(self._active),
+            'kept': len(self._kept),
+            'oldest': [
+                {
+                    'request': key,
+                    'age_s': round(self.now() - active.since, 3),
+                    'attempts': {
+                        attempt: state.value
+                        for attempt, state in active.state.attempts.items()
+                    },
+                }
+                for key, active in list(self._active.items())[:20]
+            ],
+        }
+
+    @task.handles(ask.Ask)
+    def _on_submit(self, question: ask.Ask) -> None:
+        submit = question.body
+        assert isinstance(submit, Submit)
+        digest = submit.digest()
+        active = self._active.get(submit.key)
+        if active is not None:
+            if active.submit.digest() != digest:
+                self._reply(question, Conflict(submit.key))
+            else:
+                active.waiters.append(question)
+            return
+        kept = self._kept.get(submit.key)
+        if kept is not None:
+            same = kept[0] == digest
+            self._reply(question, kept[1] if same else Conflict(submit.key))
+            return
+        if len(self._active) >= IN_FLIGHT_LIMIT:
+            self._reply(question, outcomes.NotRun('entry is full'))
+            return
+        self._begin(question, submit)
+
+    def _begin(self, question: ask.Ask, submit: Submit) -> None:
+        now = self.now()
+        state = request_state.RequestState(
+            key=submit.key,
+            idempotent=submit.idempotent,
+            deadline=now + submit.budget_s,
+            max_attempts=self.settings.max_attempts,
+        )
+        self._active[submit.key] = _Active(
+            submit, state, [question], {}, since=now
+        )
+        self.after(submit.budget_s, _Deadline(submit.key))
+        if not submit.idempotent:
+            refusal = outcomes.NotRun('non-idempotent requests need the log')
+            self._finish(submit.key, refusal)
+            return
+        self._attempt(submit.key, frozenset())
+
+    def _attempt(self, key: str, avoid: frozenset[str]) -> None:
+        active = self._active[key]
+        self._attempts += 1
+        attempt = f'{self.ctx.incarnation}:{self._attempts}'
+        self._by_attempt[attempt] = key
+        active.state.begin(attempt)
+        left = active.state.deadline - self.now()
+        msg = messages.Execute(
+            attempt=attempt,
+            request=key,
+            service=active.submit.service,
+            budget_ms=max(0, int(left * 1000)),
+            idempotent=active.submit.idempotent,
+            body=active.submit.body,
+        )
+        self.ctx.metrics.count('attempt')
+        if not self.send(
+            addresses.MEMBERSHIP, membership.Dispatch(msg, avoid)
+        ):
+            self._apply(
+                key, active.state.not_sent(attempt, 'entry is overloaded')
+            )
+
+    @task.handles(membership.Dispatched)
+    def _on_dispatched(self, event: membership.Dispatched) -> None:
+        active = self._find(event.attempt)
+        if active is None or active.state.outcome is not None:
+            self.send(
+                addresses.MEMBERSHIP, membership.AttemptEnded(event.instance)
+            )
+            return
+        active.state.placed(event.attempt, event.instance)
+        active.sessions[event.attempt] = event.session
+
+    @task.handles(membership.NotDispatched)
+    def _on_not_dispatched(self, event: membership.NotDispatched) -> None:
+        active = self._find(event.attempt)
+        if active is not None:
+            self._apply(
+                active.submit.key,
+                active.state.not_sent(event.attempt, event.reason),
+            )
+
+    @task.handles(session.Received)
+    def _on_received(self, event: session.Received) -> None:
+        msg = event.msg
+        active = self._find(msg.attempt)
+        if active is None or msg.attempt not in active.sessions:
+            self.ctx.metrics.count('answer_late')
+            return
+        self._release(active, msg.attempt)
+        key, state = active.submit.key, active.state
+        if isinstance(msg, messages.Refused):
+            self._apply(
+                key, state.refused(msg.attempt, msg.reason, self.now())
+            )
+        elif isinstance(msg, messages.Failed):
+            self._apply(key, state.lost(msg.attempt, msg.reason, self.now()))
+        elif msg.length != len(msg.body):
+            reason = f'answer has {len(msg.body)} of {msg.length} bytes'
+            self._apply(key, state.lost(msg.attempt, reason, self.now()))
+        else:
+            self._apply(key, state.executed(msg.attempt, msg.status, msg.body))
+
+    @task.handles(session.SendRefused)
+    def _on_send_refused(self, event: session.SendRefused) -> None:
+        if not isinstance(event.msg, messages.Execute):
+            return
+        attempt = event.msg.attempt
+        active = self._find(attempt)
+        if active is None:
+            return
+        self._release(active, attempt)
+        self._apply(
+            active.submit.key,
+            active.state.refused(attempt, 'was not sent', self.now()),
+        )
+
+    @task.handles(session.Opened)
+    def _on_opened(self, event: session.Opened) -> None:
+        """Ignore it; membership follows new sessions."""
+
+    @task.handles(session.Closed)
+    def _on_closed(self, event: session.Closed) -> None:
+        for active in list(self._active.values()):
+            for attempt, name in list(active.sessions.items()):
+                if name == event.session:
+                    self._release(active, attempt)
+                    reason = f'connection to the endpoint: {event.reason}'
+                    self._apply(
+                        active.submit.key,
+                        active.state.lost(attempt, reason, self.now()),
+                    )
+
+    @task.handles(_Deadline)
+    def _on_deadline(self, event: _Deadline) -> None:
+        active = self._active.get(event.key)
+        if active is not None:
+            self._apply(event.key, active.state.expired())
+
+    def _find(self, attempt: str) -> _Active | None:
+        key = self._by_attempt.get(attempt)
+        return None if key is None else self._active.get(key)
+
+    def _release(self, active: _Active, attempt: str) -> None:
+        if active.sessions.pop(attempt, None) is not None:
+            instance = active.state.instances[attempt]
+            self.send(addresses.MEMBERSHIP, membership.AttemptEnded(instance))
+
+    def _apply(self, key: str, step: request_state.Step) -> None:
+        if isinstance(step, request_state.Wait):
+            return
+        if isinstance(step, request_state.TryAgain):
+            self.ctx.metrics.count('retry')
+            self._attempt(key, step.avoid)
+            return
+        self._finish(key, step)
+
+    def _finish(self, key: str, outcome: outcomes.Outcome) -> None:
+        active = self._active.pop(key)
+        for attempt in list(active.sessions):
+            self._release(active, attempt)
+        for attempt in list(active.state.attempts):
+            self._by_attempt.pop(attempt, None)
+        if not isinstance(outcome, outcomes.NotRun):
+            self._kept[key] = (active.submit.digest(), outcome)
+            if len(self._kept) > REMEMBERED:
+                self._kept.popitem(last=False)
+        self.ctx.metrics.count('request', outcome=type(outcome).__name__)
+        self.ctx.metrics.record_ms(
+            'request_ms', (self.now() - active.since) * 1000
+        )
+        for question in active.waiters:
+            self._reply(question, outcome)
+
+    def _reply(self, question: ask.Ask, value: typing.Any) -> None:
+        self.send(question.sender, ask.Answer(question.token, value))
--- /dev/null
+++ b/packages/entry/src/kcr_entry/work/supervisor.py
@@ -0,0 +1,14 @@
+"""Supervise the requests and the durable tasks of an entry."""
+
+from collections import abc
+
+from kcr_entry.work import requests
+from kcr_runtime import supervisor
+
+
+class Work(supervisor.Supervisor):
+    """Run the owners of requests and durable tasks."""
+
+    def children(self) -> abc.Sequence[supervisor.ChildSpec]:
+        """Return the tasks of the work part."""
+        return (supervisor.ChildSpec('requests', requests.Requests),)
--- /dev/null
+++ b/packages/runtime/src/kcr_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Run the roles: tasks, supervisors, connections, settings and metrics."""
--- /dev/null
+++ b/packages/runtime/src/kcr_runtime/ask.py
@@ -0,0 +1,26 @@
+"""Define a question between tasks and its answer."""
+
+import dataclasses
+import typing
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """Carry a question to the task that can answer it."""
+
+    # Token that the answer repeats.
+    token: str
+    # Address of the asking task.
+    sender: str
+    # The question.
+    body: typing.Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Carry the answer to a question."""
+
+    # Token of the question.
+    token: str
+    # The answer.
+    value: typing.Any
--- /dev/null
+++ b/packages/runtime/src/kcr_runtime/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between processes over websockets with CBOR."""
--- /dev/null
+++ b/packages/runtime/src/kcr_runtime/wire/codec.py
@@ -0,0 +1,101 @@
+"""Encode messages as CBOR and validate what comes in.
+
+The data classes of `kcr_core.messages` are the schema; pydantic checks every
+field, so that a decoded message is safe to hand to a task.
+"""
+
+import dataclasses
+import typing
+
+import cbor2
+import pydantic
+
+from kcr_core import messages
+from kcr_core import registry
+
+# Errors named in the text of an exception.
+MAX_ERRORS = 5
+
+
+class BadFrame(Exception):
+    """Report a frame that is no valid message."""
+
+
+# Validator and field names of each message class, made on first use.
+_ADAPTERS: dict[type[typing.Any], pydantic.TypeAdapter[typing.Any]] = {}
+_NAMES: dict[type[typing.Any], tuple[str, ...]] = {}
+
+
+def _adapter(cls: type[typing.Any]) -> pydantic.TypeAdapter[typing.Any]:
+    if cls not in _ADAPTERS:
+        _ADAPTERS[cls] = pydantic.TypeAdapter(cls)
+    return _ADAPTERS[cls]
+
+
+def _field_names(cls: type[typing.Any]) -> tuple[str, ...]:
+    if cls not in _NAMES:
+        fields = dataclasses.fields(cls)
+        _NAMES[cls] = tuple(field.name for field in fields)
+    return _NAMES[cls]
+
+
+def _plain(value: typing.Any) -> typing.Any:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return {
+            name: _plain(getattr(value, name))
+            for name in _field_names(type(value))
+        }
+    if isinstance(value, (tuple, list)):
+        return [_plain(item) for item in value]
+    return value
+
+
+def to_plain(value: typing.Any) -> typing.Any:
+    """Return a data class as nested dicts and lists."""
+    return _plain(value)
+
+
+def from_plain(cls: type[typing.Any], value: typing.Any) -> typing.Any:
+    """Validate plain data as `cls`; raise BadFrame naming each field."""
+    if isinstance(value, dict):
+        unknown = set(value) - set(_field_names(cls))
+        if unknown:
+            raise BadFrame(f'unknown fields: {sorted(map(str, unknown))}')
+    try:
+        return _adapter(cls).validate_python(value)
+    except pydantic.ValidationError as exc:
+        raise BadFrame(describe(exc)) from exc
+
+
+def describe(exc: pydantic.ValidationError) -> str:
+    """Return the first errors with field, value and cause."""
+    parts = []
+    for error in exc.errors(include_url=False)[:MAX_ERRORS]:
+        path = '.'.join(str(item) for item in error['loc'])
+        value = repr(error.get('input'))[:80]
+        parts.append(f'{path}: {error["msg"]} (value {value})')
+    return '; '.join(parts)
+
+
+def encode(msg: messages.Message) -> bytes:
+    """Encode a message as one frame; raise BadFrame when it is too large."""
+    frame = cbor2.dumps([messages.TAGS[type(msg)], _plain(msg)])
+    if len(frame) > messages.MAX_FRAME_BYTES:
+        raise BadFrame(f'frame of {len(frame)} bytes is too large')
+    return frame
+
+
+def decode(frame: bytes) -> messages.Message:
+    """Decode and validate one frame; raise BadFrame when it is invalid."""
+    try:
+        parts = cbor2.loads(frame)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as exc:
+        raise BadFrame(f'frame is no CBOR: {exc}') from exc
+    if not isinstance(parts, list) or len(parts) != 2:
+        raise BadFrame('frame is no pair of tag and fields')
+    tag, fields = parts
+    try:
+        cls = messages.MESSAGES.get(str(tag))
+    except registry.UnknownName as exc:
+        raise BadFrame(f'unknown message tag {str(tag)[:40]!r}') from exc
+    return from_plain(cls, fields)
--- /dev/null
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -0,0 +1,412 @@
+"""Own one connection to another process: hello, routing, close.
+
+A session accepts or dials, exchanges hellos, hands each message to the task
+that the role's routes name, and sends what other tasks post to it. Its life
+cycle is an automat machine.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+import automat
+from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import error
+
+from kcr_core import messages
+from kcr_runtime import supervisor
+from kcr_runtime import task
+from kcr_runtime.wire import connection
+
+# Time in which the peer must send its hello, in seconds.
+HELLO_LIMIT_S = 5.0
+# Time in which a dialed connection must be made, in seconds.
+CONNECT_LIMIT_S = 3.0
+# Bounds of the wait before dialing again, in seconds.
+MIN_REDIAL_S = 0.1
+MAX_REDIAL_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """Tell subscribers that a session has exchanged hellos."""
+
+    # Address of the session task.
+    session: str
+    # Hello of the peer.
+    hello: messages.Hello
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Closed:
+    """Tell subscribers that a session has ended."""
+
+    # Address of the session task.
+    session: str
+    # Hello of the peer.
+    hello: messages.Hello
+    # Why it ended.
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DialFailed:
+    """Tell subscribers that an address could not be reached."""
+
+    # Address that was dialed.
+    target: str
+    # Whether the peer's kernel refused: no process listens there.
+    refused: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """Deliver a message of a peer to the task that handles it."""
+
+    # Address of the session task, for replies.
+    session: str
+    # Hello of the peer.
+    hello: messages.Hello
+    # The message.
+    msg: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Ask a session to send a message."""
+
+    # The message.
+    msg: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendRefused:
+    """Tell the sender that a message was not sent."""
+
+    # Address of the session.
+    session: str
+    # The message.
+    msg: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Close:
+    """Ask a session to close."""
+
+    # Why.
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Routes:
+    """Say where a role's messages and session events go."""
+
+    # Address of the handling task by message class.
+    tasks: abc.Mapping[type[typing.Any], str]
+    # Tasks that hear of opened and closed sessions.
+    subscribers: tuple[str, ...]
+    # Makes the hello of this process.
+    hello: abc.Callable[[], messages.Hello]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Made:
+    conn: connection.Connection
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Incoming:
+    msg: messages.Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Lost:
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Dial:
+    pass
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DialError:
+    refused: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _HelloLimit:
+    conn: connection.Connection
+
+
+class Life(typing.Protocol):
+    """List the inputs of a session's life cycle."""
+
+    def made(self) -> None:
+        """Note that the websocket handshake is done."""
+
+    def greeted(self) -> None:
+        """Note that the peer's hello is valid."""
+
+    def lost(self) -> None:
+        """Note that the connection has ended."""
+
+
+def _build_life() -> typing.Any:
+    builder = automat.TypeMachineBuilder(Life, list)
+    idle = builder.state('idle')
+    greeting = builder.state('greeting')
+    ready = builder.state('open')
+
+    @idle.upon(Life.made).to(greeting)
+    def on_made(life: Life, trail: list[str]) -> None:
+        trail[:] = ['greeting']
+
+    @greeting.upon(Life.greeted).to(ready)
+    def on_greeted(life: Life, trail: list[str]) -> None:
+        trail[:] = ['open']
+
+    @greeting.upon(Life.lost).to(idle)
+    def on_lost_early(life: Life, trail: list[str]) -> None:
+        trail[:] = ['idle']
+
+    @ready.upon(Life.lost).to(idle)
+    def on_lost(life: Life, trail: list[str]) -> None:
+        trail[:] = ['idle']
+
+    @idle.upon(Life.lost).to(idle)
+    def on_lost_again(life: Life, trail: list[str]) -> None:
+        trail[:] = ['idle']
+
+    return builder.build()
+
+
+LIFE = _build_life()
+
+
+class Session(task.Task):
+    """Own one connection, accepted or dialed."""
+
+    def __init__(
+        self,
+        ctx: task.Context,
+        address: str,
+        routes: Routes,
+        target: str | None = None,
+    ) -> None:
+        super().__init__(ctx, address)
+        # Where messages go.
+        self.routes = routes
+        # Address to dial; none for an accepted connection.
+        self.target = target
+        self._conn: connection.Connection | None = None
+        self._hello: messages.Hello | None = None
+        self._phase: list[str] = ['idle']
+        self._life = LIFE(self._phase)
+        self._redial_s = MIN_REDIAL_S
+
+    def started(self) -> None:
+        """Dial, or wait for the accepted connection."""
+        if self.target is not None:
+            self.post(_Dial())
+
+    def stopped(self) -> None:
+        """Close the connection."""
+        if self._conn is not None:
+            self._conn.close('shutting down')
+        self._notify_closed('stopped')
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the phase, the peer and the traffic."""
+        peer = self._hello.process if self._hello else None
+        conn = self._conn
+        return {
+            **super().dump(),
+            'phase': self._phase[0],
+            'peer': peer,
+            'bytes_in': conn.bytes_in if conn else 0,
+            'bytes_out': conn.bytes_out if conn else 0,
+        }
+
+    def adopt(self) -> connection.Connection:
+        """Return a protocol whose events come to this task."""
+        conn = connection.Connection(
+            self.target,
+            on_open=lambda made: self._inject(_Made(made)),
+            on_message=lambda msg: self._inject(_Incoming(msg)),
+            on_close=lambda reason: self._inject(_Lost(reason)),
+        )
+        self._conn = conn
+        return conn
+
+    def _inject(self, event: typing.Any) -> None:
+        if not self.post(event) and self._running and self._conn:
+            self._conn.abort()
+
+    @task.handles(_Dial)
+    def _on_dial(self, msg: _Dial) -> None:
+        assert self.target is not None
+        host, port = self.target.rsplit(':', 1)
+        point = endpoints.TCP4ClientEndpoint(
+            self.ctx.reactor, host, int(port), timeout=CONNECT_LIMIT_S
+        )
+        fut = point.connect(connection.ConnectionFactory(self.adopt))
+        fut.addErrback(
+            lambda fail: self._inject(
+                _DialError(
+                    fail.check(error.ConnectionRefusedError) is not None
+                )
+            )
+        )
+
+    @task.handles(_DialError)
+    def _on_dial_error(self, msg: _DialError) -> None:
+        self._conn = None
+        event = DialFailed(self.target or '', msg.refused)
+        for subscriber in self.routes.subscribers:
+            self.send(subscriber, event)
+        self._redial()
+
+    def _redial(self) -> None:
+        delay = self._redial_s * self.ctx.rng.uniform(0.5, 1.5)
+        self._redial_s = min(MAX_REDIAL_S, self._redial_s * 2)
+        self.after(delay, _Dial())
+
+    @task.handles(_Made)
+    def _on_made(self, msg: _Made) -> None:
+        self._life.made()
+        msg.conn.send(self.routes.hello())
+        self.after(HELLO_LIMIT_S, _HelloLimit(msg.conn))
+
+    @task.handles(_HelloLimit)
+    def _on_hello_limit(self, msg: _HelloLimit) -> None:
+        if self._conn is msg.conn and self._hello is None:
+            msg.conn.close('no hello in time')
+
+    @task.handles(_Incoming)
+    def _on_incoming(self, event: _Incoming) -> None:
+        msg = event.msg
+        if isinstance(msg, messages.Hello):
+            self._greet(msg)
+            return
+        if isinstance(msg, messages.Goodbye):
+            return
+        if self._hello is None:
+            self._close('the first message must be hello')
+            return
+        self.ctx.metrics.count('message_in', kind=messages.TAGS[type(msg)])
+        route = self.routes.tasks.get(type(msg))
+        if route is None:
+            self._close(f'{messages.TAGS[type(msg)]} is not accepted here')
+            return
+        self.send(route, Received(self.address, self._hello, msg))
+
+    def _greet(self, hello: messages.Hello) -> None:
+        if hello.version != messages.PROTOCOL_VERSION:
+            self._close(
+                f'protocol version {hello.version} is not supported; '
+                f'this process speaks {messages.PROTOCOL_VERSION}'
+            )
+            return
+        if self._hello is not None:
+            self._close('hello was sent twice')
+            return
+        self._hello = hello
+        self._life.greeted()
+        self._redial_s = MIN_REDIAL_S
+        for subscriber in self.routes.subscribers:
+            self.send(subscriber, Opened(self.address, hello))
+
+    @task.handles(Send)
+    def _on_send(self, msg: Send) -> None:
+        conn = self._conn
+        if conn is not None and self._hello is not None:
+            if conn.send(msg.msg):
+                return
+        self.ctx.metrics.count('send_refused')
+        for subscriber in self.routes.subscribers:
+            self.send(subscriber, SendRefused(self.address, msg.msg))
+
+    @task.handles(Close)
+    def _on_close(self, msg: Close) -> None:
+        self._close(msg.reason)
+
+    def _close(self, reason: str) -> None:
+        if self._conn is not None:
+            self._conn.close(reason)
+
+    @task.handles(_Lost)
+    def _on_lost(self, msg: _Lost) -> None:
+        self._life.lost()
+        self._conn = None
+        self._notify_closed(msg.reason)
+        if self.target is not None:
+            self._redial()
+        else:
+            parent, _, name = self.address.rpartition('/')
+            self.send(parent, supervisor.StopChild(name))
+
+    def _notify_closed(self, reason: str) -> None:
+        hello, self._hello = self._hello, None
+        if hello is None:
+            return
+        for subscriber in self.routes.subscribers:
+            self.send(subscriber, Closed(self.address, hello, reason))
+
+
+class Listener(task.Task):
+    """Own a listening port and start a session for each connection."""
+
+    def __init__(
+        self,
+        ctx: task.Context,
+        address: str,
+        routes: Routes,
+        host: str,
+        port: int,
+        sessions: str,
+        limit: int,
+    ) -> None:
+        super().__init__(ctx, address)
+        # Where the messages of the sessions go.
+        self.routes = routes
+        # Address to bind.
+        self.host = host
+        # Port to bind; 0 for any.
+        self.port = port
+        # Address of the supervisor of the sessions.
+        self.sessions = sessions
+        # Connections accepted at the same time.
+        self.limit = limit
+        self._listening: typing.Any = None
+        self._accepted = 0
+
+    def started(self) -> None:
+        """Bind the port."""
+        factory = connection.ConnectionFactory(self._accept)
+        self._listening = self.ctx.reactor.listenTCP(
+            self.port, factory, interface=self.host
+        )
+        self.log.info('listening', port=self._listening.getHost().port)
+
+    def stopped(self) -> defer.Deferred[None]:
+        """Close the port."""
+        return defer.maybeDeferred(self._listening.stopListening)
+
+    def _accept(self) -> connection.Connection:
+        held = self.ctx.directory.addresses()
+        open_now = sum(a.startswith(self.sessions + '/') for a in held)
+        if open_now >= self.limit:
+            self.ctx.metrics.count('connection_refused')
+            return typing.cast(connection.Connection, None)
+        self._accepted += 1
+        made: list[Session] = []
+
+        def factory(ctx: task.Context, address: str) -> Session:
+            made.append(Session(ctx, address, self.routes))
+            return made[0]
+
+        spec = supervisor.ChildSpec(f'{self._accepted}', factory, True)
+        self.send(self.sessions, supervisor.StartChild(spec))
+        return made[0].adopt()
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the sidecar role: the authority over one instance."""
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/addresses.py
@@ -0,0 +1,6 @@
+"""Name the tasks of a sidecar that other tasks send to."""
+
+ADMISSION = 'capacity/admission'
+RUNNER = 'platform/runner'
+ANNOUNCER = 'links/announcer'
+SESSIONS = 'links/sessions'
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -0,0 +1,212 @@
+"""Own the slots of the runner: admit attempts, run them, answer them.
+
+Nothing is admitted before the runner has listed the calls of an older
+incarnation that it still serves; those keep their slots until they end.
+"""
+
+import dataclasses
+import typing
+
+from kcr_core import messages
+from kcr_core import slots
+from kcr_runtime import http_client
+from kcr_runtime import process
+from kcr_runtime import task
+from kcr_runtime.wire import session
+from kcr_sidecar import addresses
+from kcr_sidecar.platform import runner
+
+# Time between questions about calls of an older incarnation, in seconds.
+FOREIGN_POLL_S = 0.2
+# Time between looks at waiting attempts' deadlines, in seconds.
+ADVANCE_S = 0.05
+# Share of a new service time in the running mean.
+LATENCY_SHARE = 0.2
+
+
+class Drain:
+    """Ask for all new attempts to be refused, and report when idle."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotsLoad:
+    """Report the use of the slots to the announcer."""
+
+    # Requests in the runner.
+    active: int
+    # Requests that wait for a slot.
+    waiting: int
+    # Running mean of the service time in ms.
+    latency_ms: float
+    # Whether new requests are refused.
+    draining: bool
+
+
+class _Advance:
+    pass
+
+
+class _AskForeign:
+    pass
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    msg: messages.Execute
+    session: str
+    deadline: float
+    started: float
+
+
+class Admission(task.Task):
+    """Own the slots of the runner."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        cfg = ctx.cfg
+        self._slots = slots.Slots(cfg.slots, cfg.connections)
+        self._attempts: dict[str, _Attempt] = {}
+        self._ready = False
+        self._latency_ms = 0.0
+        self._draining = False
+
+    def started(self) -> None:
+        """Ask the runner for calls of an older incarnation."""
+        self.post(_AskForeign())
+        self.post(_Advance())
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the use of the slots."""
+        return {
+            **super().dump(),
+            'ready': self._ready,
+            'active': len(self._slots.active),
+            'foreign': len(self._slots.foreign),
+            'waiting': len(self._slots.waiting),
+            'latency_ms': round(self._latency_ms, 3),
+            'draining': self._draining,
+        }
+
+    @task.handles(_AskForeign)
+    def _on_ask_foreign(self, msg: _AskForeign) -> None:
+        self.send(addresses.RUNNER, runner.AskStatus(self.address))
+
+    @task.handles(runner.Status)
+    def _on_status(self, status: runner.Status) -> None:
+        if status.attempts is None:
+            self.after(FOREIGN_POLL_S, _AskForeign())
+            return
+        decisions = self._slots.observe(set(status.attempts), self.now())
+        if not self._ready:
+            self.log.info('slots rebuilt', foreign=len(self._slots.foreign))
+        self._ready = True
+        if self._slots.foreign:
+            self.after(FOREIGN_POLL_S, _AskForeign())
+        self._run(decisions)
+
+    @task.handles(session.Received)
+    def _on_received(self, event: session.Received) -> None:
+        msg = event.msg
+        assert isinstance(msg, messages.Execute)
+        now = self.now()
+        deadline = now + msg.budget_ms / 1000.0
+        if msg.service != self.ctx.cfg.service:
+            reason = f'service {msg.service!r} is not served here'
+            self._answer(event.session, messages.Refused(msg.attempt, reason))
+            return
+        if not self._ready:
+            reason = 'slots are not rebuilt yet'
+            self._answer(event.session, messages.Refused(msg.attempt, reason))
+            return
+        if msg.attempt not in self._attempts:
+            self._attempts[msg.attempt] = _Attempt(
+                msg, event.session, deadline, now
+            )
+        self._run([self._slots.admit(msg.attempt, deadline, now)])
+
+    def _run(self, decisions: list[slots.Decision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, slots.Run):
+                self._call(decision.attempt)
+            elif isinstance(decision, slots.Refuse):
+                self._refuse(decision)
+        self._report()
+
+    def _call(self, attempt: str) -> None:
+        held = self._attempts[attempt]
+        held.started = self.now()
+        call = runner.Call(
+            attempt,
+            held.msg.request,
+            max(0.001, held.deadline - held.started),
+            held.msg.body,
+            self.address,
+        )
+        assert self.send(addresses.RUNNER, call), 'runner task is not there'
+
+    def _refuse(self, refusal: slots.Refuse) -> None:
+        if refusal.attempt in self._slots.active:
+            return
+        held = self._attempts.pop(refusal.attempt, None)
+        if held is None:
+            return
+        self.ctx.metrics.count('attempt_refused')
+        self._answer(
+            held.session, messages.Refused(refusal.attempt, refusal.reason)
+        )
+
+    @task.handles(runner.CallEnded)
+    def _on_call_ended(self, event: runner.CallEnded) -> None:
+        held = self._attempts.pop(event.attempt)
+        took_ms = (self.now() - held.started) * 1000
+        self._latency_ms += LATENCY_SHARE * (took_ms - self._latency_ms)
+        self.ctx.metrics.record_ms('service_ms', took_ms)
+        self._answer(held.session, infer_answer(event))
+        if isinstance(event.outcome, http_client.NoAnswer):
+            self._run(self._slots.abandon(event.attempt, self.now()))
+            self.after(FOREIGN_POLL_S, _AskForeign())
+            return
+        self._run(self._slots.finish(event.attempt, self.now()))
+
+    def _answer(self, name: str, msg: messages.Message) -> None:
+        self.send(name, session.Send(msg))
+
+    @task.handles(_Advance)
+    def _on_advance(self, msg: _Advance) -> None:
+        if self._slots.waiting:
+            self._run(self._slots.advance(self.now()))
+        self.after(ADVANCE_S, _Advance())
+        if self._draining and not self._attempts:
+            self.send(process.PROCESS_ADDRESS, process.Drained())
+
+    @task.handles(Drain)
+    def _on_drain(self, msg: Drain) -> None:
+        self._draining = True
+        self._run(self._slots.drain())
+
+    def _report(self) -> None:
+        self.send(
+            addresses.ANNOUNCER,
+            SlotsLoad(
+                self._slots.used(),
+                len(self._slots.waiting),
+                self._latency_ms,
+                self._draining,
+            ),
+        )
+
+
+def infer_answer(event: runner.CallEnded) -> messages.Message:
+    """Return the message that tells the entry how a call ended."""
+    outcome = event.outcome
+    if isinstance(outcome, http_client.Reply):
+        if len(outcome.body) > messages.MAX_BODY_BYTES:
+            return messages.Failed(event.attempt, 'answer is too large')
+        if outcome.status == 503:
+            return messages.Refused(event.attempt, 'runner refused')
+        return messages.Executed(
+            event.attempt, outcome.status, len(outcome.body), outcome.body
+        )
+    if isinstance(outcome, http_client.NotSent):
+        return messages.Refused(event.attempt, outcome.reason)
+    return messages.Failed(event.attempt, outcome.reason)
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/capacity/supervisor.py
@@ -0,0 +1,14 @@
+"""Supervise the authority over slots and resources."""
+
+from collections import abc
+
+from kcr_runtime import supervisor
+from kcr_sidecar.capacity import admission
+
+
+class Capacity(supervisor.Supervisor):
+    """Run the owners of slots and resources."""
+
+    def children(self) -> abc.Sequence[supervisor.ChildSpec]:
+        """Return the owners."""
+        return (supervisor.ChildSpec('admission', admission.Admission),)
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/links/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the connections of a sidecar to the entries."""
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the adapters to the runner and the worker of the instance."""
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/role.py
@@ -0,0 +1,16 @@
+"""Register the sidecar role with the daemon."""
+
+from kcr_runtime import roles
+from kcr_sidecar import addresses
+from kcr_sidecar.capacity import admission
+from kcr_sidecar import settings
+from kcr_sidecar import supervisor
+
+roles.ROLES.register('sidecar')(
+    roles.Role(
+        options=settings.SidecarOptions,
+        root=supervisor.Root,
+        drain_task=addresses.ADMISSION,
+        drain=admission.Drain,
+    )
+)
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/supervisor.py
@@ -0,0 +1,22 @@
+"""Supervise the parts of a sidecar."""
+
+from collections import abc
+
+from kcr_runtime import supervisor
+from kcr_sidecar.capacity import supervisor as capacity
+from kcr_sidecar.links import supervisor as links
+from kcr_sidecar.platform import supervisor as platform
+
+
+class Root(supervisor.Supervisor):
+    """Start the parts of a sidecar in the order in which they depend."""
+
+    strategy = supervisor.Strategy.REST_FOR_ONE
+
+    def children(self) -> abc.Sequence[supervisor.ChildSpec]:
+        """Return the parts of a sidecar."""
+        return (
+            supervisor.ChildSpec('platform', platform.Platform),
+            supervisor.ChildSpec('capacity', capacity.Capacity),
+            supervisor.ChildSpec('links', links.Links),
+        )
--- /dev/null
+++ b/tests/core/test_request_state.py
@@ -0,0 +1,55 @@
+"""Check that the outcome of a request is true to its attempts."""
+
+import pytest
+
+from kcr_core import outcomes
+from kcr_core import request_state
+
+
+def make_state(idempotent: bool) -> request_state.RequestState:
+    """Return a request that may use two attempts."""
+    return request_state.RequestState('c/1', idempotent, 10.0, 2)
+
+
+def test_lost_attempt_is_never_reported_as_not_run() -> None:
+    """Guard against "not run" after an attempt that may have run."""
+    state = make_state(idempotent=True)
+    state.begin('a')
+    step = state.lost('a', 'connection closed', 1.0)
+    assert isinstance(step, request_state.TryAgain)
+    state.begin('b')
+    step = state.refused('b', 'endpoint is full', 2.0)
+    assert isinstance(step, outcomes.Unknown)
+
+
+def test_deadline_with_pending_attempt_is_unknown() -> None:
+    """Guard against "not run" while an attempt is under way."""
+    state = make_state(idempotent=True)
+    state.begin('a')
+    assert isinstance(state.expired(), outcomes.Unknown)
+
+
+def test_refused_attempts_are_not_run() -> None:
+    """Guard against "unknown" where every endpoint refused."""
+    state = make_state(idempotent=False)
+    state.begin('a')
+    assert isinstance(state.refused('a', 'full', 1.0), request_state.TryAgain)
+    state.begin('b')
+    assert state.refused('b', 'full', 2.0) == outcomes.NotRun('full')
+
+
+def test_non_idempotent_is_not_sent_again_after_a_loss() -> None:
+    """Guard against running a non-idempotent request twice."""
+    state = make_state(idempotent=False)
+    state.begin('a')
+    assert isinstance(state.lost('a', 'closed', 1.0), outcomes.Unknown)
+    with pytest.raises(AssertionError):
+        state.begin('b')
+
+
+def test_crossed_answer_is_ignored() -> None:
+    """Guard against giving a caller the answer to another request."""
+    state = make_state(idempotent=True)
+    state.begin('a')
+    step = state.executed('other', 200, b'x')
+    assert isinstance(step, request_state.Wait)
--- /dev/null
+++ b/tests/core/test_slots.py
@@ -0,0 +1,54 @@
+"""Check that the runner's slots are never given out twice."""
+
+from hypothesis import given
+from hypothesis import strategies
+
+from kcr_core import slots
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(['admit', 'finish', 'abandon', 'late']),
+            strategies.integers(0, 9),
+        ),
+        max_size=80,
+    )
+)
+def test_slots_never_overcommitted(
+    steps: list[tuple[str, int]],
+) -> None:
+    """Guard against admitting more attempts than the runner has slots."""
+    owner = slots.Slots(slots=3, connections=5)
+    now = 0.0
+    for number, (action, pick) in enumerate(steps):
+        now += 1.0
+        if action == 'admit':
+            owner.admit(f'a{number}', now + pick, now)
+        elif action == 'late':
+            owner.advance(now)
+        elif owner.active:
+            attempt = sorted(owner.active)[pick % len(owner.active)]
+            if action == 'finish':
+                owner.finish(attempt, now)
+            else:
+                owner.abandon(attempt, now)
+        assert owner.used() <= 3
+        assert owner.used() + len(owner.waiting) <= 5
+
+
+def test_refused_attempt_never_runs() -> None:
+    """Guard against running an attempt after its refusal was sent."""
+    owner = slots.Slots(slots=1, connections=1)
+    assert isinstance(owner.admit('a', 10.0, 0.0), slots.Run)
+    assert isinstance(owner.admit('b', 10.0, 0.0), slots.Refuse)
+    owner.finish('a', 1.0)
+    assert isinstance(owner.admit('b', 10.0, 1.0), slots.Refuse)
+
+
+def test_foreign_calls_hold_their_slots() -> None:
+    """Guard against overcommitting while an older life's calls run on."""
+    owner = slots.Slots(slots=2, connections=8)
+    owner.observe({'old-1', 'old-2'}, 0.0)
+    assert isinstance(owner.admit('a', 10.0, 0.0), slots.Queued)
+    assert owner.observe({'old-2'}, 1.0) == [slots.Run('a')]
