Read and append the log in the entry, against an emulated log

The entry needs the log for at-most-once execution, durable tasks and the document.

A reader delivers to every subscriber before it reads on, and LogReplay lets a restarted subscriber get the stream again. LogRead has two new fields with defaults, `after` and `position`.

Until configuration/in_force, work/tasks and work/claims exist, the reader of each of these streams waits after its first read.

--- a/packages/emulator/src/kcr_emulator/serve.py
+++ b/packages/emulator/src/kcr_emulator/serve.py
@@ -5,6 +5,7 @@
 import defopt
 from twisted.internet import reactor as default_reactor
 
+from kcr_emulator import log as log_emulator
 from kcr_emulator import runner as runner_emulator
 
 
@@ -24,9 +25,32 @@
     reactor.run()
 
 
+def log(
+    *,
+    port: int,
+    appends_per_s: int = 300,
+    retention_s: float = 3600.0,
+    seed: int = 1,
+) -> None:
+    """Serve an emulated log.
+
+    :param port: port on the loopback address
+    :param appends_per_s: appends accepted in any second
+    :param retention_s: age in seconds at which records are trimmed
+    :param seed: seed of the choice of lost answers
+    """
+    reactor: typing.Any = default_reactor
+    emulator = log_emulator.LogEmulator(
+        reactor, appends_per_s, retention_s, seed
+    )
+    reactor.listenTCP(port, emulator.site(), interface='127.0.0.1')
+    reactor.run()
+
+
 def main() -> None:
     """Run the command line."""
-    defopt.run([runner])
+    commands: list[typing.Any] = [runner, log]
+    defopt.run(commands)
 
 
 if __name__ == '__main__':
--- a/packages/entry/src/kcr_entry/addresses.py
+++ b/packages/entry/src/kcr_entry/addresses.py
@@ -4,3 +4,12 @@
 REQUESTS = 'work/requests'
 MEMBERSHIP = 'fleet/membership'
 SESSIONS = 'fleet/sessions'
+APPENDER = 'log/appender'
+IN_FORCE = 'configuration/in_force'
+TASKS = 'work/tasks'
+CLAIMS = 'work/claims'
+READERS = {
+    'config': 'log/reader_config',
+    'tasks': 'log/reader_tasks',
+    'claims': 'log/reader_claims',
+}
--- a/packages/entry/src/kcr_entry/events.py
+++ b/packages/entry/src/kcr_entry/events.py
@@ -55,6 +55,10 @@
     caught_up: bool
     # Monotonic time at which the read was sent to the log.
     asked_at: float
+    # Offset after which the read began.
+    after: int = 0
+    # Offset of the last record that is covered, with or without items.
+    position: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +71,27 @@
     first: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogReplay:
+    """Ask a reader to deliver its stream from the start.
+
+    A subscriber sends it when it starts, because a task that was restarted
+    has lost what it folded. Other subscribers get the items again as well.
+    """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordSeen:
+    """Tell the appender that a record of this process was read."""
+
+    # Stream of the log.
+    stream: str
+    # Id of the record.
+    record_id: str
+    # Offset of its first occurrence.
+    offset: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SettingsInForce:
     """Deliver the settings of the document in force."""
--- /dev/null
+++ b/packages/entry/src/kcr_entry/log/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the connection of an entry to the log."""
--- a/packages/entry/src/kcr_entry/supervisor.py
+++ b/packages/entry/src/kcr_entry/supervisor.py
@@ -4,6 +4,7 @@
 
 from kcr_entry.fleet import supervisor as fleet
 from kcr_entry.front import supervisor as front
+from kcr_entry.log import supervisor as log
 from kcr_entry.work import supervisor as work
 from kcr_runtime import supervisor
 
@@ -14,6 +15,7 @@
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the parts of an entry."""
         return (
+            supervisor.ChildSpec('log', log.Log),
             supervisor.ChildSpec('work', work.Work),
             supervisor.ChildSpec('fleet', fleet.Fleet),
             supervisor.ChildSpec('front', front.Front),
--- /dev/null
+++ b/tests/entry/log_world.py
@@ -0,0 +1,73 @@
+"""Run the entry's log tasks against the emulated log on one fake clock."""
+
+import random
+import types
+import typing
+
+from treq import testing
+from twisted.internet import task as twisted_task
+
+from kcr_emulator import log as log_emulator
+from kcr_runtime import log_client
+from kcr_runtime import metrics
+from kcr_runtime import task
+
+
+class Probe(task.Task):
+    """Collect every message that is sent to an address."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        # Messages in the order of arrival.
+        self.got: list[typing.Any] = []
+
+    def post(self, msg: typing.Any) -> bool:
+        """Keep a message."""
+        self.got.append(msg)
+        return True
+
+    def of(self, cls: type[typing.Any]) -> list[typing.Any]:
+        """Return the messages of one class."""
+        return [msg for msg in self.got if isinstance(msg, cls)]
+
+
+class World:
+    """Hold the clock, the emulated log and the tasks of several entries."""
+
+    def __init__(self, **options: typing.Any) -> None:
+        # Clock of all tasks and of the log.
+        self.clock = twisted_task.Clock()
+        # The emulated log.
+        self.log = log_emulator.LogEmulator(self.clock, **options)
+        self._agents: list[typing.Any] = []
+
+    def make_context(self, incarnation: str) -> task.Context:
+        """Return the context of one entry process."""
+        cfg = types.SimpleNamespace(
+            log='127.0.0.1:1', region='r1', log_retention_s=3600.0
+        )
+        return task.Context(
+            reactor=self.clock,
+            directory=task.Directory(),
+            rng=random.Random(incarnation),
+            cfg=cfg,
+            metrics=metrics.Metrics(incarnation),
+            incarnation=incarnation,
+        )
+
+    def start(self, node: typing.Any) -> None:
+        """Connect a task to the emulated log, if it uses it, and start it."""
+        client = getattr(node, '_client', None)
+        if isinstance(client, log_client.LogClient):
+            make_agent: typing.Any = testing.RequestTraversalAgent
+            agent = make_agent(self.log.site().resource)
+            typing.cast(typing.Any, client)._http._agent = agent
+            self._agents.append(agent)
+        node.begin()
+
+    def run(self, seconds: float) -> None:
+        """Let time pass in steps of 5 ms."""
+        for _ in range(max(1, round(seconds / 0.005))):
+            for agent in self._agents:
+                agent.flush()
+            self.clock.advance(0.005)
