Run non-idempotent requests at most once by claims in the log

Non-idempotent requests were refused because nothing kept two entries from running the same id. An entry now appends a claim, waits until it is read back as the first one in force, and only then sends the request.

Claimed has the new fields `token` and `hold_ms`, Released `token` and `until_ms`. Without a token, a late repeat of a released claim would hold again, and a release could free a later claim of the same entry. With the dedupe window in the record, all readers decide alike when the document changes the window. A claim is kept until no acceptable request can lose to it; dropping one earlier because the table is full, or missing records after a trim, raises a floor below which nothing is won.

When the deadline passes first, the requests task cancels, the claims task appends a release and repeats it until it is read back, and a right that arrives later is given back. A loser asks the winner for the outcome where a session exists; while the winner's release is not durable it waits for the release and claims again.

--- a/packages/core/src/kcr_core/records.py
+++ b/packages/core/src/kcr_core/records.py
@@ -146,6 +146,11 @@
     entry: types.Id
     # Unix time at which the caller issued the request, in ms.
     issued_at_ms: types.Count
+    # Name of this claim, never used again; a release names it.
+    token: str = ''
+    # Time after `issued_at_ms` for which the claim holds, in ms. It is in
+    # the record so that all readers decide alike when the document changes.
+    hold_ms: types.Count = 600_000
 
 
 @record('released')
@@ -157,6 +162,10 @@
     request: str
     # Incarnation of the entry that held the claim.
     entry: types.Id
+    # Name of the claim that is given back.
+    token: str = ''
+    # Unix time until which the claim would have held, in ms.
+    until_ms: types.Count = 0
 
 
 @record('tried')
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -18,6 +18,8 @@
     messages.Executed: addresses.REQUESTS,
     messages.Refused: addresses.REQUESTS,
     messages.Failed: addresses.REQUESTS,
+    messages.OutcomeQuery: addresses.CLAIMS,
+    messages.OutcomeReply: addresses.CLAIMS,
 }
 
 
@@ -68,6 +70,10 @@
 
     return session.Routes(
         tasks=ROUTES,
-        subscribers=(addresses.MEMBERSHIP, addresses.REQUESTS),
+        subscribers=(
+            addresses.MEMBERSHIP,
+            addresses.REQUESTS,
+            addresses.CLAIMS,
+        ),
         hello=hello,
     )
--- a/packages/entry/src/kcr_entry/settings.py
+++ b/packages/entry/src/kcr_entry/settings.py
@@ -22,6 +22,12 @@
     log: settings.Address = pydantic.Field(
         description='IP:PORT of the log service'
     )
+    log_retention_s: float = pydantic.Field(
+        3600.0,
+        description='time for which the log keeps a record, in seconds; at '
+        'least twice the dedupe window',
+        ge=60.0,
+    )
     max_connections: int = pydantic.Field(
         4096, description='connections accepted at the same time', ge=1
     )
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -5,12 +5,15 @@
 import hashlib
 import typing
 
+from kcr_core import claimant
 from kcr_core import messages
 from kcr_core import outcomes
 from kcr_core import request_state
 from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry.fleet import membership
+from kcr_entry.work import claim_path
+from kcr_entry.work import claims
 from kcr_runtime import ask
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -86,6 +89,7 @@
         self._active: dict[str, _Active] = {}
         self._by_attempt: dict[str, str] = {}
         self._attempts = 0
+        self._claims = claim_path.ClaimPath(self)
         self._kept: collections.OrderedDict[
             str, tuple[str, outcomes.Outcome]
         ] = collections.OrderedDict()
@@ -144,11 +148,40 @@
         )
         self.after(submit.budget_s, _Deadline(submit.key))
         if not submit.idempotent:
-            refusal = outcomes.NotRun('non-idempotent requests need the log')
-            self._finish(submit.key, refusal)
+            self._claim(submit)
             return
         self._attempt(submit.key, frozenset())
 
+    def _claim(self, submit: Submit) -> None:
+        if not self._claims.ask(
+            submit.key, submit.digest(), submit.issued_at_ms
+        ):
+            refusal = outcomes.NotRun('claims are not ready')
+            self._finish(submit.key, refusal)
+
+    @task.handles(claims.Ended)
+    def _on_claim_ended(self, event: claims.Ended) -> None:
+        taken = self._claims.take(event)
+        if taken is None:
+            return
+        key, value = taken
+        if not isinstance(value, claimant.Won):
+            changed = isinstance(value, claimant.Changed)
+            self._finish(key, Conflict(key) if changed else value)
+            return
+        state = self._active[key].state
+        assert not state.attempts, 'request was sent before it was claimed'
+        self.ctx.metrics.count('claim_used')
+        self._attempt(key, frozenset())
+
+    def _on_outcome_query(self, event: session.Received) -> None:
+        key, token = event.msg.request, event.msg.token
+        if key in self._active:
+            self._claims.hold(event)
+            return
+        kept = self._kept.get(key)
+        self._claims.reply(event.session, token, kept[1] if kept else None)
+
     def _attempt(self, key: str, avoid: frozenset[str]) -> None:
         active = self._active[key]
         self._attempts += 1
@@ -195,6 +228,9 @@
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
+        if isinstance(msg, messages.OutcomeQuery):
+            self._on_outcome_query(event)
+            return
         active = self._find(msg.attempt)
         if active is None or msg.attempt not in active.sessions:
             self.ctx.metrics.count('answer_late')
@@ -246,7 +282,11 @@
     @task.handles(_Deadline)
     def _on_deadline(self, event: _Deadline) -> None:
         active = self._active.get(event.key)
-        if active is not None:
+        if active is None or self.now() < active.state.deadline:
+            return  # The timer belongs to an earlier submission of the id.
+        if self._claims.cancel(event.key):
+            self.after(claim_path.CANCEL_LIMIT_S, event)
+        else:
             self._apply(event.key, active.state.expired())
 
     def _find(self, attempt: str) -> _Active | None:
@@ -267,13 +307,17 @@
             return
         self._finish(key, step)
 
-    def _finish(self, key: str, outcome: outcomes.Outcome) -> None:
+    def _finish(self, key: str, outcome: outcomes.Outcome | Conflict) -> None:
         active = self._active.pop(key)
+        self._claims.finish(key, outcome)
         for attempt in list(active.sessions):
             self._release(active, attempt)
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
-        if not isinstance(outcome, outcomes.NotRun):
+        # A submission that lost its claim keeps nothing: the winner does.
+        if isinstance(outcome, outcomes.Done) or (
+            isinstance(outcome, outcomes.Unknown) and active.state.attempts
+        ):
             self._kept[key] = (active.submit.digest(), outcome)
             if len(self._kept) > REMEMBERED:
                 self._kept.popitem(last=False)
--- a/packages/entry/src/kcr_entry/work/supervisor.py
+++ b/packages/entry/src/kcr_entry/work/supervisor.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from kcr_entry.work import claims
 from kcr_entry.work import requests
 from kcr_runtime import supervisor
 
@@ -11,4 +12,7 @@
 
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the tasks of the work part."""
-        return (supervisor.ChildSpec('requests', requests.Requests),)
+        return (
+            supervisor.ChildSpec('claims', claims.Claims),
+            supervisor.ChildSpec('requests', requests.Requests),
+        )
--- a/tests/entry/log_world.py
+++ b/tests/entry/log_world.py
@@ -71,3 +71,7 @@
             for agent in self._agents:
                 agent.flush()
             self.clock.advance(0.005)
+
+    def wall(self) -> float:
+        """Return the Unix time."""
+        return 1_700_000_000.0 + float(self.clock.seconds())
