Add the process harness, the load tool and tests of the runtime

Cause: supervisors, sessions and settings had no tests of their own, and the demo needs a way to start, kill and stop whole deployments.

Ruled out: starting processes from the daemons; the harness starts them from outside and ends them by pid, also after an error.

--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/harness.py
@@ -0,0 +1,305 @@
+"""Start and stop the processes of a whole deployment on loopback.
+
+The demo, the tests and the benchmarks start every process from here, and end
+them by pid, also when something goes wrong.
+"""
+
+import dataclasses
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import types
+import typing
+
+# Time that a process may take to end after SIGTERM, in seconds.
+STOP_LIMIT_S = 40.0
+LOOPBACK = '127.0.0.1'
+
+
+def choose_ports(count: int) -> list[int]:
+    """Return free TCP ports on the loopback address."""
+    held = [socket.socket() for _ in range(count)]
+    try:
+        for sock in held:
+            sock.bind((LOOPBACK, 0))
+        return [sock.getsockname()[1] for sock in held]
+    finally:
+        for sock in held:
+            sock.close()
+
+
+@dataclasses.dataclass
+class Managed:
+    """Run one process and keep its log in a file."""
+
+    # Name of the process.
+    name: str
+    # Command line.
+    command: list[str]
+    # File that takes standard error and output.
+    log_path: pathlib.Path
+    # The running process, if any.
+    popen: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        assert not self.is_running(), f'{self.name} runs already'
+        with open(self.log_path, 'ab') as out:
+            self.popen = subprocess.Popen(
+                self.command,
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=out,
+                start_new_session=True,
+            )
+
+    def is_running(self) -> bool:
+        """Tell whether the process runs."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def signal(self, signum: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.popen is not None, f'{self.name} was never started'
+        self.popen.send_signal(signum)
+
+    def kill(self) -> None:
+        """End the process with SIGKILL."""
+        if self.is_running():
+            self.signal(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait(STOP_LIMIT_S)
+
+    def resident_kb(self) -> int:
+        """Return the resident memory in KiB; 0 if it does not run."""
+        if self.popen is None or not self.is_running():
+            return 0
+        path = f'/proc/{self.popen.pid}/smaps_rollup'
+        try:
+            with open(path, encoding='ascii') as lines:
+                for line in lines:
+                    if line.startswith('Rss:'):
+                        return int(line.split()[1])
+        except OSError:
+            return 0
+        return 0
+
+    def cpu_seconds(self) -> float:
+        """Return the processor time used so far, in seconds."""
+        if self.popen is None or not self.is_running():
+            return 0.0
+        path = pathlib.Path(f'/proc/{self.popen.pid}/stat')
+        fields = path.read_text().rpartition(')')[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryPorts:
+    """Hold the ports of one entry."""
+
+    # Port for sidecars and entries.
+    wire: int
+    # Port for callers.
+    http: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancePorts:
+    """Hold the ports of one emulated instance."""
+
+    # Port of the runner.
+    runner: int
+    # Port of the worker.
+    worker: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Say what a deployment consists of."""
+
+    # Number of entries.
+    entries: int = 2
+    # Number of instances, each with runner, worker and sidecar.
+    instances: int = 3
+    # Number of availability zones, filled in turn.
+    zones: int = 2
+    # Mean service time of the runners, in ms.
+    service_ms: float = 5.0
+    # Slots of each runner.
+    slots: int = 8
+    # Cores of each worker for tasks.
+    processors: float = 16.0
+    # Memory of each worker for tasks, in MiB.
+    memory_mb: float = 60_000.0
+    # Seed of every random choice.
+    seed: int = 1
+
+
+class Deployment:
+    """Own every process of one deployment; use it in a `with` block."""
+
+    def __init__(self, shape: Shape) -> None:
+        # What the deployment consists of.
+        self.shape = shape
+        # Folder of the log files.
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='kcr-'))
+        # Processes by name.
+        self.processes: dict[str, Managed] = {}
+        ports = choose_ports(1 + 2 * shape.entries + 2 * shape.instances)
+        # Port of the emulated log.
+        self.log_port = ports.pop()
+        # Ports of the entries by name.
+        self.entries = {
+            f'entry-{n}': EntryPorts(ports.pop(), ports.pop())
+            for n in range(shape.entries)
+        }
+        # Ports of the instances by name.
+        self.instances = {
+            f'instance-{n}': InstancePorts(ports.pop(), ports.pop())
+            for n in range(shape.instances)
+        }
+
+    def __enter__(self) -> 'Deployment':
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        for process in self.processes.values():
+            process.kill()
+
+    def start(self) -> None:
+        """Start every process, the platform first."""
+        self._add('log', self._emulator('log', self.log_port))
+        for name, ports in self.instances.items():
+            self._add(f'runner/{name}', self._runner(ports))
+            self._add(f'worker/{name}', self._worker(ports))
+        for number, name in enumerate(self.entries):
+            self._add(name, self._entry(name, number))
+        for number, name in enumerate(self.instances):
+            self._add(f'sidecar/{name}', self._sidecar(name, number))
+
+    def stop(self) -> dict[str, int | None]:
+        """End the system's processes with SIGTERM; return exit statuses."""
+        own = [
+            p
+            for name, p in self.processes.items()
+            if name in self.entries or name.startswith('sidecar/')
+        ]
+        for process in own:
+            if process.is_running():
+                process.signal(signal.SIGTERM)
+        deadline = time.monotonic() + STOP_LIMIT_S
+        for process in own:
+            assert process.popen is not None
+            try:
+                process.popen.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+        return {p.name: p.popen.returncode for p in own if p.popen}
+
+    def entry_urls(self) -> list[str]:
+        """Return the base URL of each entry."""
+        return [f'http://{LOOPBACK}:{p.http}' for p in self.entries.values()]
+
+    def log_url(self) -> str:
+        """Return the base URL of the emulated log."""
+        return f'http://{LOOPBACK}:{self.log_port}'
+
+    def runner_urls(self) -> list[str]:
+        """Return the base URL of each emulated runner."""
+        ports = self.instances.values()
+        return [f'http://{LOOPBACK}:{p.runner}' for p in ports]
+
+    def worker_urls(self) -> list[str]:
+        """Return the base URL of each emulated worker."""
+        ports = self.instances.values()
+        return [f'http://{LOOPBACK}:{p.worker}' for p in ports]
+
+    def _add(self, name: str, command: list[str]) -> None:
+        path = self.folder / f'{name.replace("/", "-")}.log'
+        self.processes[name] = Managed(name, command, path)
+        self.processes[name].start()
+
+    def _emulator(self, kind: str, port: int, *more: str) -> list[str]:
+        module = 'kcr_emulator.serve'
+        head = [sys.executable, '-m', module, kind, '--port', str(port)]
+        return [*head, '--seed', str(self.shape.seed), *more]
+
+    def _runner(self, ports: InstancePorts) -> list[str]:
+        shape = self.shape
+        return self._emulator(
+            'runner',
+            ports.runner,
+            '--slots',
+            str(shape.slots),
+            '--service-ms',
+            str(shape.service_ms),
+        )
+
+    def _worker(self, ports: InstancePorts) -> list[str]:
+        shape = self.shape
+        return self._emulator(
+            'worker',
+            ports.worker,
+            '--processors',
+            str(shape.processors),
+            '--memory-mb',
+            str(shape.memory_mb),
+        )
+
+    def _daemon(self, role: str, process: str, number: int) -> list[str]:
+        zone = f'zone-{number % self.shape.zones}'
+        flags = {
+            '--process': process,
+            '--region': 'region-0',
+            '--zone': zone,
+            '--rack': f'{zone}-rack-{number // 3}',
+            '--seed': str(self.shape.seed + number),
+        }
+        pairs = [part for pair in flags.items() for part in pair]
+        return [sys.executable, '-m', 'kcr_daemon.main', role, *pairs]
+
+    def _entry(self, name: str, number: int) -> list[str]:
+        ports = self.entries[name]
+        others = [p.wire for n, p in self.entries.items() if n != name]
+        command = self._daemon('entry', name, number)
+        command += ['--listen', f'{LOOPBACK}:{ports.wire}']
+        command += ['--http', f'{LOOPBACK}:{ports.http}']
+        command += ['--log', f'{LOOPBACK}:{self.log_port}']
+        for port in others:
+            command += ['--peers', f'{LOOPBACK}:{port}']
+        return command
+
+    def _sidecar(self, name: str, number: int) -> list[str]:
+        ports = self.instances[name]
+        shape = self.shape
+        command = self._daemon('sidecar', f'sidecar-{name}', number)
+        command += ['--instance', name, '--service', 'web']
+        command += ['--runner', f'{LOOPBACK}:{ports.runner}']
+        command += ['--worker', f'{LOOPBACK}:{ports.worker}']
+        command += ['--slots', str(shape.slots)]
+        command += ['--processors', str(shape.processors)]
+        command += ['--memory-mb', str(shape.memory_mb)]
+        for entry in self.entries.values():
+            command += ['--entries', f'{LOOPBACK}:{entry.wire}']
+        return command
+
+
+def wait_for(
+    check: typing.Callable[[], bool], limit_s: float, what: str
+) -> None:
+    """Poll until `check` holds; raise TimeoutError after the limit."""
+    deadline = time.monotonic() + limit_s
+    while not check():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f'{what}: not within {limit_s:.0f} s')
+        time.sleep(0.05)
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/http.py
@@ -0,0 +1,33 @@
+"""Call JSON interfaces over HTTP, blocking, for tests and the demo."""
+
+import http.client
+import json
+import typing
+import urllib.error
+import urllib.request
+
+# Time that a call may take, in seconds.
+LIMIT_S = 10.0
+
+
+def call(
+    method: str, url: str, value: typing.Any = None, limit_s: float = LIMIT_S
+) -> tuple[int, typing.Any]:
+    """Return status and JSON answer; status 0 if there is no answer."""
+    body = None if value is None else json.dumps(value).encode()
+    req = urllib.request.Request(url, data=body, method=method)
+    req.add_header('Content-Type', 'application/json')
+    try:
+        with urllib.request.urlopen(req, timeout=limit_s) as answer:
+            return answer.status, json.load(answer)
+    except urllib.error.HTTPError as exc:
+        return exc.code, _read(exc)
+    except (OSError, http.client.HTTPException, ValueError) as exc:
+        return 0, {'error': str(exc)}
+
+
+def _read(exc: urllib.error.HTTPError) -> typing.Any:
+    try:
+        return json.load(exc)
+    except ValueError:
+        return {}
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/load.py
@@ -0,0 +1,220 @@
+"""Send an open-loop load of requests to the entries, as callers do.
+
+A caller that gets no answer asks again at another entry with the same id and
+says so. The load tool keeps every final outcome for the tally.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import random
+import typing
+
+from hdrh import histogram
+import treq
+from twisted.internet import defer
+from twisted.internet import error
+from twisted.internet import task
+from twisted.web import client
+from twisted.web import http_headers
+
+# Entries that a caller asks before it gives up.
+MAX_ASKS = 4
+# Time between two questions of one caller, in seconds.
+ASK_AGAIN_S = 0.1
+# Largest latency that the histogram holds, in microseconds.
+MAX_LATENCY_US = 60_000_000
+
+JSON_HEADERS = http_headers.Headers({'Content-Type': ['application/json']})
+
+# What a broken connection or a missing answer raises.
+NO_ANSWER = (
+    error.ConnectError,
+    error.ConnectionLost,
+    error.ConnectionDone,
+    defer.TimeoutError,
+    defer.CancelledError,
+    asyncio.CancelledError,
+    client.ResponseFailed,
+    client.RequestTransmissionFailed,
+    client.ResponseNeverReceived,
+    client.PartialDownloadError,
+    ValueError,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Profile:
+    """Say what load is sent."""
+
+    # Idempotent requests a second.
+    idempotent_per_s: float
+    # Non-idempotent requests a second.
+    single_per_s: float
+    # Deadline of each request, in ms.
+    deadline_ms: int = 2000
+    # Share of non-idempotent requests that two entries get at once.
+    twin_share: float = 0.1
+    # Seed of the arrivals.
+    seed: int = 1
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """Hold the final outcome of one request."""
+
+    # Key of the request, `caller/id`.
+    key: str
+    # Whether it may run more than once.
+    idempotent: bool
+    # Final outcome: `done`, `not_run` or `unknown`.
+    outcome: str = 'unknown'
+    # Whether the answer was the expected one, complete.
+    whole: bool = False
+    # Time until the outcome, in ms.
+    latency_ms: float = 0.0
+    # Text of the last reason.
+    reason: str = ''
+
+
+class Load:
+    """Send the load of one profile and collect the results."""
+
+    def __init__(
+        self, reactor: typing.Any, urls: list[str], profile: Profile
+    ) -> None:
+        # Reactor of the process.
+        self.reactor = reactor
+        # Base URLs of the entries.
+        self.urls = urls
+        # What is sent.
+        self.profile = profile
+        # Results of ended requests.
+        self.results: list[Result] = []
+        # Requests without an outcome yet.
+        self.open = 0
+        # Requests sent in all.
+        self.sent = 0
+        self._rng = random.Random(profile.seed)
+        self._stopping = False
+        pool = client.HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = 64
+        pool.retryAutomatically = False
+        self._pool = pool
+        self._agent = client.Agent(reactor, pool=pool, connectTimeout=2.0)
+
+    def start(self) -> None:
+        """Begin sending."""
+        profile = self.profile
+        self._arrive(True, profile.idempotent_per_s)
+        self._arrive(False, profile.single_per_s)
+
+    async def finish(self) -> None:
+        """Stop sending and wait until every request has an outcome."""
+        self._stopping = True
+        while self.open:
+            await task.deferLater(self.reactor, 0.05, lambda: None)
+        await self._pool.closeCachedConnections()
+
+    def percentiles(self) -> dict[str, float]:
+        """Return percentiles of the latency of whole answers, in ms."""
+        hist = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
+        for result in self.results:
+            if result.outcome == 'done':
+                hist.record_value(int(result.latency_ms * 1000))
+        return {
+            f'p{share}': hist.get_value_at_percentile(share) / 1000.0
+            for share in (50, 99, 99.9)
+        }
+
+    def tally(self) -> collections.Counter[str]:
+        """Return the number of requests by outcome."""
+        return collections.Counter(r.outcome for r in self.results)
+
+    def _arrive(self, idempotent: bool, rate: float) -> None:
+        if self._stopping or rate <= 0:
+            return
+        self.sent += 1
+        result = Result(f'load/r{self.sent}', idempotent)
+        defer.ensureDeferred(self._follow(result))
+        delay = self._rng.expovariate(rate)
+        self.reactor.callLater(delay, self._arrive, idempotent, rate)
+
+    async def _follow(self, result: Result) -> None:
+        self.open += 1
+        began = self.reactor.seconds()
+        twin = (
+            not result.idempotent
+            and len(self.urls) > 1
+            and self._rng.random() < self.profile.twin_share
+        )
+        first = self._rng.randrange(len(self.urls))
+        try:
+            if twin:
+                await self._ask_twice(result, first)
+            else:
+                await self._ask_until_answered(result, first)
+        finally:
+            self.open -= 1
+        result.latency_ms = (self.reactor.seconds() - began) * 1000
+        self.results.append(result)
+
+    async def _ask_twice(self, result: Result, first: int) -> None:
+        other = Result(result.key, result.idempotent)
+        both = defer.gatherResults(
+            [
+                defer.ensureDeferred(self._ask(result, first, False)),
+                defer.ensureDeferred(self._ask(other, first + 1, True)),
+            ]
+        )
+        await both
+        if other.outcome == 'done' or result.outcome == 'not_run':
+            result.outcome, result.whole = other.outcome, other.whole
+            result.reason = other.reason
+
+    async def _ask_until_answered(self, result: Result, first: int) -> None:
+        for number in range(MAX_ASKS):
+            answered = await self._ask(result, first + number, number > 0)
+            if answered:
+                return
+            await task.deferLater(self.reactor, ASK_AGAIN_S, lambda: None)
+
+    async def _ask(
+        self, result: Result, number: int, resubmitted: bool
+    ) -> bool:
+        url = self.urls[number % len(self.urls)]
+        caller, _, ident = result.key.partition('/')
+        body = {
+            'id': ident,
+            'caller': caller,
+            'service': 'web',
+            'deadline_ms': self.profile.deadline_ms,
+            'idempotent': result.idempotent,
+            'body': f'body of {result.key}',
+            'resubmitted': resubmitted,
+        }
+        try:
+            answer = await self._post(f'{url}/v1/requests', body)
+        except NO_ANSWER as exc:
+            result.outcome, result.reason = 'unknown', type(exc).__name__
+            return False
+        result.outcome = answer.get('outcome', 'unknown')
+        result.reason = answer.get('reason', '')
+        if result.outcome == 'done':
+            expected = f'{result.key}:body of {result.key}'
+            result.whole = answer['body'] == expected
+        return not (result.outcome == 'unknown' and result.idempotent)
+
+    async def _post(
+        self, url: str, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any]:
+        response = await treq.post(
+            url,
+            data=json.dumps(body).encode(),
+            headers=JSON_HEADERS,
+            agent=self._agent,
+            timeout=self.profile.deadline_ms / 1000 + 2,
+        )
+        text = await treq.content(response)
+        return typing.cast('dict[str, typing.Any]', json.loads(text))
--- /dev/null
+++ b/tests/runtime/test_imports.py
@@ -0,0 +1,42 @@
+"""Check what each role of the daemon imports, which sets its memory."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+# Libraries that would take a daemon over its 64 MB.
+HEAVY = {'OpenSSL', 'treq', 'defopt', 'docutils', 'rich', 'requests'}
+PROBE = """
+import importlib, json, sys
+from kcr_daemon import main
+main.disable_unused_libraries()
+importlib.import_module(main.MODULES[sys.argv[1]])
+importlib.import_module('kcr_daemon.launch')
+loaded = [n for n, m in sys.modules.items() if m is not None and '.' not in n]
+print(json.dumps(loaded))
+"""
+
+
+@pytest.mark.parametrize(
+    ('role', 'foreign'),
+    [
+        ('entry', {'kcr_sidecar', 'kcr_cli', 'kcr_emulator'}),
+        (
+            'sidecar',
+            {'kcr_entry', 'kcr_cli', 'kcr_emulator', 'klein', 'yaml'},
+        ),
+    ],
+)
+def test_role_imports_only_what_it_needs(role: str, foreign: set[str]) -> None:
+    """Guard against an import that takes a daemon over its memory."""
+    out = subprocess.run(
+        [sys.executable, '-c', PROBE, role],
+        capture_output=True,
+        check=True,
+        text=True,
+        timeout=60,
+    )
+    loaded = set(json.loads(out.stdout))
+    assert not loaded & (HEAVY | foreign)
--- /dev/null
+++ b/tests/runtime/test_session.py
@@ -0,0 +1,189 @@
+"""Check connections and sessions against peers that misbehave."""
+
+import dataclasses
+import random
+import typing
+
+from twisted.internet import task as twisted_task
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_runtime import metrics
+from kcr_runtime import task
+from kcr_runtime.wire import connection
+from kcr_runtime.wire import session
+
+PLACE = types.Place('r', 'z', 'k', 'i')
+HELLO = messages.Hello(
+    messages.PROTOCOL_VERSION, 'sidecar', 's1', 'inc-1', PLACE
+)
+
+
+class Recorder(task.Task):
+    """Keep every message that the session delivers."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        self.seen: list[typing.Any] = []
+
+    @task.handles(session.Opened)
+    @task.handles(session.Closed)
+    @task.handles(session.Received)
+    @task.handles(session.SendRefused)
+    def _on_any(self, msg: typing.Any) -> None:
+        self.seen.append(msg)
+
+
+class FakeTransport:
+    """Record what a connection writes."""
+
+    def __init__(self) -> None:
+        self.written = b''
+
+    def write(self, data: bytes) -> None:
+        """Keep the bytes."""
+        self.written += data
+
+    def take(self) -> bytes:
+        """Return and drop what was written."""
+        data, self.written = self.written, b''
+        return data
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Accept the option."""
+
+    def registerProducer(  # noqa: N802
+        self, producer: typing.Any, streaming: bool
+    ) -> None:
+        """Accept the producer."""
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Accept the end."""
+
+
+class Pair:
+    """Connect a session under test to a bare connection."""
+
+    def __init__(self) -> None:
+        self.clock = twisted_task.Clock()
+        ctx = task.Context(
+            reactor=self.clock,
+            directory=task.Directory(),
+            rng=random.Random(1),
+            cfg=None,
+            metrics=metrics.Metrics('test'),
+            incarnation='inc-0',
+        )
+        self.recorder = Recorder(ctx, 'recorder')
+        self.recorder.begin()
+        routes = session.Routes(
+            {messages.Heartbeat: 'recorder'},
+            ('recorder',),
+            lambda: dataclasses.replace(HELLO, role='entry'),
+        )
+        self.session = session.Session(ctx, 'session', routes)
+        self.session.begin()
+        self.server = self.session.adopt()
+        self.received: list[typing.Any] = []
+        self.client = connection.Connection(
+            '127.0.0.1:1',
+            on_open=lambda conn: None,
+            on_message=self.received.append,
+            on_close=lambda reason: None,
+        )
+        self.ends = (
+            (self.client, FakeTransport()),
+            (self.server, FakeTransport()),
+        )
+        for conn, transport in self.ends:
+            conn.transport = typing.cast(typing.Any, transport)
+            conn.connectionMade()
+        self.pump()
+
+    def pump(self) -> None:
+        """Move bytes both ways until nothing is left."""
+        moved = True
+        while moved:
+            self.clock.advance(0)
+            moved = False
+            for (_, source), (sink, _) in (self.ends, self.ends[::-1]):
+                data = source.take()
+                if data:
+                    moved = True
+                    sink.dataReceived(data)
+
+    def send(self, msg: typing.Any) -> None:
+        """Send a message from the bare connection."""
+        self.client.send(msg)
+        self.pump()
+
+    def goodbyes(self) -> list[str]:
+        """Return the reasons of the goodbyes that were received."""
+        return [
+            m.reason for m in self.received if isinstance(m, messages.Goodbye)
+        ]
+
+
+def make_beat() -> messages.Heartbeat:
+    """Return any heartbeat."""
+    return messages.Heartbeat(1, 0, 0, 0, types.Demand())
+
+
+def test_messages_reach_their_task_with_the_hello() -> None:
+    """Guard against a message that is routed without its sender."""
+    pair = Pair()
+    pair.send(HELLO)
+    pair.send(make_beat())
+    opened, received = pair.recorder.seen
+    assert opened == session.Opened('session', HELLO)
+    assert received == session.Received('session', HELLO, make_beat())
+
+
+def test_wrong_version_is_refused_with_both_versions() -> None:
+    """Guard against talking to a process of another protocol version."""
+    pair = Pair()
+    pair.send(dataclasses.replace(HELLO, version=99))
+    assert 'version 99 is not supported' in pair.goodbyes()[0]
+    assert pair.recorder.seen == []
+
+
+def test_message_before_hello_is_refused() -> None:
+    """Guard against acting for a peer that has not said who it is."""
+    pair = Pair()
+    pair.send(make_beat())
+    assert pair.goodbyes() == ['the first message must be hello']
+
+
+def test_message_without_route_is_refused() -> None:
+    """Guard against messages that this role must not get."""
+    pair = Pair()
+    pair.send(HELLO)
+    pair.send(messages.Leaving('x'))
+    assert pair.goodbyes() == ['leaving is not accepted here']
+
+
+def test_peer_without_hello_is_closed_in_time() -> None:
+    """Guard against connections that are held open without a hello."""
+    pair = Pair()
+    pair.clock.advance(session.HELLO_LIMIT_S)
+    pair.pump()
+    assert pair.goodbyes() == ['no hello in time']
+
+
+def test_send_on_a_closed_session_is_reported() -> None:
+    """Guard against a message that is dropped without a trace."""
+    pair = Pair()
+    pair.session.post(session.Send(make_beat()))
+    pair.pump()
+    assert pair.recorder.seen == [session.SendRefused('session', make_beat())]
+
+
+def test_slow_reader_does_not_grow_the_queue() -> None:
+    """Guard against an unbounded queue towards a slow peer."""
+    pair = Pair()
+    pair.send(HELLO)
+    pair.server.pauseProducing()
+    results = [
+        pair.server.send(make_beat()) for _ in range(connection.SEND_LIMIT + 3)
+    ]
+    assert results.count(False) == 3
--- /dev/null
+++ b/tests/runtime/test_supervisor.py
@@ -0,0 +1,128 @@
+"""Check that tasks are restarted, bounded and stopped as declared."""
+
+import random
+import typing
+
+from twisted.internet import task as twisted_task
+
+from kcr_runtime import metrics
+from kcr_runtime import supervisor
+from kcr_runtime import task
+
+
+class Fail:
+    """Ask a task to fail."""
+
+
+class Note:
+    """Ask a task to count."""
+
+
+class Counting(task.Task):
+    """Count messages; fail when told to."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        self.count = 0
+
+    @task.handles(Note)
+    def _on_note(self, msg: Note) -> None:
+        self.count += 1
+
+    @task.handles(Fail)
+    def _on_fail(self, msg: Fail) -> None:
+        raise ValueError('asked to fail')
+
+    def dump(self) -> dict[str, typing.Any]:
+        return {'count': self.count}
+
+
+class OneForOne(supervisor.Supervisor):
+    """Restart only the failed child."""
+
+    def children(self) -> tuple[supervisor.ChildSpec, ...]:
+        return tuple(
+            supervisor.ChildSpec(name, Counting) for name in ('a', 'b')
+        )
+
+
+class RestForOne(OneForOne):
+    """Restart the failed child and those after it."""
+
+    strategy = supervisor.Strategy.REST_FOR_ONE
+
+
+def make_context() -> tuple[task.Context, twisted_task.Clock]:
+    """Return a context on a clock that the test moves."""
+    clock = twisted_task.Clock()
+    ctx = task.Context(
+        reactor=clock,
+        directory=task.Directory(),
+        rng=random.Random(1),
+        cfg=None,
+        metrics=metrics.Metrics('test'),
+        incarnation='test',
+    )
+    return ctx, clock
+
+
+def run_both(root: supervisor.Supervisor, clock: twisted_task.Clock) -> None:
+    """Give both children one message and fail the first."""
+    root.begin()
+    for address in ('a', 'b'):
+        root.ctx.directory.send(address, Note())
+    clock.advance(0)
+    root.ctx.directory.send('a', Fail())
+    clock.advance(0)
+
+
+def test_one_for_one_restarts_only_the_failed_child() -> None:
+    """Guard against losing the state of a healthy sibling."""
+    ctx, clock = make_context()
+    run_both(OneForOne(ctx, ''), clock)
+    dump = ctx.directory.dump()
+    assert dump['a'] == {'count': 0}
+    assert dump['b'] == {'count': 1}
+
+
+def test_rest_for_one_restarts_later_children() -> None:
+    """Guard against a child that keeps state of a restarted one."""
+    ctx, clock = make_context()
+    run_both(RestForOne(ctx, ''), clock)
+    dump = ctx.directory.dump()
+    assert dump['a'] == dump['b'] == {'count': 0}
+
+
+def test_supervisor_gives_up_after_too_many_restarts() -> None:
+    """Guard against a process that restarts a broken task for ever."""
+    ctx, clock = make_context()
+    root = OneForOne(ctx, '')
+    failures: list[BaseException] = []
+    root.on_failure = failures.append
+    root.begin()
+    for _ in range(supervisor.MAX_RESTARTS + 1):
+        ctx.directory.send('a', Fail())
+        clock.advance(0)
+    assert isinstance(failures[0], supervisor.TooManyRestarts)
+
+
+def test_full_mailbox_refuses() -> None:
+    """Guard against a mailbox that grows without bound."""
+    ctx, _ = make_context()
+    child = Counting(ctx, 'a')
+    child.begin()
+    accepted = [child.post(Note()) for _ in range(task.MAILBOX_LIMIT + 5)]
+    assert accepted.count(False) == 5
+
+
+def test_stop_drops_timers_and_mail() -> None:
+    """Guard against work that goes on after a task was stopped."""
+    ctx, clock = make_context()
+    child = Counting(ctx, 'a')
+    child.begin()
+    child.after(1.0, Note())
+    child.post(Note())
+    child.end()
+    clock.advance(2.0)
+    assert child.count == 0
+    assert not child.post(Note())
