Fold the task stream and decide placement, quotas and fences

The decisions are pure, so that every entry computes the same state from the same records. Home gets the epoch of the controller lease, because two random incarnations of an instance cannot be ordered otherwise.

--- /dev/null
+++ b/packages/core/src/kcr_core/fencing.py
@@ -0,0 +1,224 @@
+"""Decide when a silent sidecar is fenced and when its tasks may move.
+
+A fence needs silence for the failure timeout at this entry and at every
+entry that answers. Tasks of a fenced home move after the wait of the fence,
+and tasks of a home that a later incarnation replaced move at once unless
+that incarnation runs them.
+"""
+
+from collections import abc
+import dataclasses
+import typing
+
+from kcr_core import ledger
+from kcr_core import records
+from kcr_core import types
+
+# Time that peers get to say whether they hear a sidecar, in seconds. A peer
+# without an answer by then counts as one that this entry does not know.
+ASK_LIMIT_S = 1.0
+# Time for which a sidecar that a peer hears is not asked about again.
+HEARD_HOLD_S = 2.0
+
+Name = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskPeers:
+    """Ask every connected entry whether it hears a sidecar."""
+
+    # Instance in question.
+    instance: str
+    # Incarnation in question.
+    incarnation: str
+
+
+Action = AskPeers | records.Fenced
+
+
+@dataclasses.dataclass(slots=True)
+class _Query:
+    asked_at: float
+    missing: set[str]
+
+
+class Watch:
+    """Track which sidecars this entry and its peers hear."""
+
+    def __init__(self, settings: types.ControlSettings, now: float) -> None:
+        # Settings of the document in force.
+        self.settings = settings
+        # Monotonic time from which this entry may fence.
+        self.fences_from = now + settings.isolation_s
+        # Monotonic time at which each incarnation was last heard here.
+        self.heard: dict[Name, float] = {}
+        # Monotonic time up to which a peer's word holds, by incarnation.
+        self.vouched: dict[Name, float] = {}
+        self._since: dict[Name, float] = {}
+        self._queries: dict[Name, _Query] = {}
+
+    def hear(self, name: Name, now: float) -> None:
+        """Note a message of a sidecar."""
+        self.heard[name] = now
+        self._queries.pop(name, None)
+
+    def reply(self, name: Name, peer: str, age_ms: int, now: float) -> None:
+        """Note what a peer says of a sidecar."""
+        query = self._queries.get(name)
+        if query is None:
+            return
+        query.missing.discard(peer)
+        if 0 <= age_ms < self.settings.failure_timeout_s * 1000.0:
+            self.vouched[name] = now + HEARD_HOLD_S
+            del self._queries[name]
+
+    def step(
+        self,
+        homes: abc.Collection[Name],
+        fenced: abc.Container[Name],
+        peers: abc.Collection[str],
+        fresh: bool,
+        now: float,
+    ) -> list[Action]:
+        """Return the questions and fences that are due.
+
+        `homes` are the incarnations that live tasks name; `fresh` tells
+        whether the view of the log is.
+        """
+        self._forget(homes)
+        actions: list[Action] = []
+        for name in homes:
+            since = self._since.setdefault(name, now)
+            last = self.heard.get(name, since)
+            silent = now - last >= self.settings.failure_timeout_s
+            held = now < self.vouched.get(name, now)
+            if name in fenced or not silent or held or not fresh:
+                self._queries.pop(name, None)
+                continue
+            if now < self.fences_from:
+                continue
+            action = self._decide(name, peers, now)
+            if action is not None:
+                actions.append(action)
+        return actions
+
+    def _decide(
+        self, name: Name, peers: abc.Collection[str], now: float
+    ) -> Action | None:
+        query = self._queries.get(name)
+        if query is None:
+            self._queries[name] = _Query(now, set(peers))
+            if peers:
+                return AskPeers(*name)
+            query = self._queries[name]
+        query.missing &= set(peers)
+        if query.missing and now - query.asked_at < ASK_LIMIT_S:
+            return None
+        # The question is repeated if the fence does not get into the log.
+        del self._queries[name]
+        return records.Fenced(*name, wait_s=self.infer_wait(name))
+
+    def infer_wait(self, name: Name) -> float:
+        """Return the wait after a fence of `name` by this entry."""
+        cfg = self.settings
+        limit = cfg.isolation_s if name in self.heard else cfg.outage_s
+        return limit + cfg.task_lease_s + cfg.allowance_s
+
+    def _forget(self, homes: abc.Collection[Name]) -> None:
+        for table in (self._since, self._queries, self.vouched):
+            for name in [n for n in table if n not in homes]:
+                del typing.cast(dict[Name, typing.Any], table)[name]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Present:
+    """Describe the newest connected incarnation of an instance."""
+
+    # Its name and controller epoch as a home.
+    home: types.Home
+    # Key and epoch of the tasks that ran when it connected.
+    running: frozenset[tuple[str, int]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stay:
+    """Leave the task at its home."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adopt:
+    """Record that a later incarnation runs the task under its epoch."""
+
+    # The later incarnation.
+    home: types.Home
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """Move the task away from its home, which cannot run it any more."""
+
+    # Why.
+    reason: str
+
+
+Verdict = Stay | Adopt | Leave
+STAY = Stay()
+
+
+def judge_home(
+    key: str,
+    task: ledger.Live,
+    fence: ledger.Fence | None,
+    present: Present | None,
+    now: float,
+) -> Verdict:
+    """Decide whether a task stays at its home."""
+    home = task.home
+    if home is None:
+        return STAY
+    if fence is not None:
+        if now < fence.movable_at:
+            return STAY
+        return Leave(f'instance {home.instance} was lost')
+    if present is None or not ledger.is_successor(home, present.home):
+        return STAY
+    if (key, task.epoch) in present.running:
+        return Adopt(present.home)
+    return Leave(f'sidecar of {home.instance} restarted without the task')
+
+
+def is_fenced(
+    name: Name,
+    running: abc.Iterable[tuple[str, int]],
+    state: ledger.Ledger,
+) -> bool:
+    """Tell whether a connected incarnation must not be vouched for.
+
+    One that runs a task of a fenced older incarnation is fenced as well,
+    because readers of that fence move the task.
+    """
+    if name in state.fences:
+        return True
+    for key, epoch in running:
+        task = state.live.get(key)
+        if task is None or task.home is None or task.epoch != epoch:
+            continue
+        home = task.home
+        older = home.instance == name[0] and home.incarnation != name[1]
+        if older and (home.instance, home.incarnation) in state.fences:
+            return True
+    return False
+
+
+def choose_end(
+    task: ledger.Live, home: types.Home | None, reason: str
+) -> records.Moved | records.FinishedRecord:
+    """Return the record that takes a task from a lost home.
+
+    A task that must not run again ends as unknown, because it may have ended
+    before the home was lost.
+    """
+    key = task.spec.key
+    if not task.spec.restartable:
+        return records.FinishedRecord(key, task.epoch, 'unknown', reason)
+    return records.Moved(key, task.epoch + 1, home, task.checkpoint, reason)
--- /dev/null
+++ b/packages/core/src/kcr_core/ledger.py
@@ -0,0 +1,372 @@
+"""Fold the task stream of a region into the live tasks.
+
+Every reader applies the same records in offset order and computes the same
+state; the first valid record decides, and later ones are ignored.
+"""
+
+import collections
+import dataclasses
+import hashlib
+import typing
+
+from kcr_core import records
+from kcr_core import types
+
+# Ended tasks that are remembered with their outcome: about one day of jobs.
+ENDED_LIMIT = 50_000
+# Fences that are remembered; 130 instances fail a day.
+FENCES_LIMIT = 4096
+# Moves of one task that are shown to its caller.
+HISTORY_LIMIT = 16
+# Characters of a result that are remembered.
+DETAIL_LIMIT = 512
+
+Effect = typing.Literal[
+    'accepted',
+    'moved',
+    'adopted',
+    'finished',
+    'cancelled',
+    'restated',
+    'fenced',
+    'ignored',
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """Describe one epoch of a task."""
+
+    # The epoch.
+    epoch: int
+    # Its home; none while parked.
+    home: types.Home | None
+    # Why it began.
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Live:
+    """Hold the state of a task that has not ended."""
+
+    # The task.
+    spec: types.TaskSpec
+    # Current epoch.
+    epoch: int
+    # Home of the epoch; none while parked.
+    home: types.Home | None
+    # Checkpoint to resume from; empty for none.
+    checkpoint: str
+    # Unix time of acceptance in ms.
+    at_ms: int
+    # Why it is parked or was moved.
+    reason: str
+    # Earliest Unix time at which its newest record was written, in ms.
+    written_ms: int
+    # Monotonic time at which this reader learnt the epoch.
+    since: float
+    # Epochs so far, newest last.
+    history: tuple[Move, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """Hold the outcome of a task that has ended."""
+
+    # Digest of the task as it was submitted.
+    digest: str
+    # Epoch that ended.
+    epoch: int
+    # `done`, `failed`, `unknown` or `cancelled`.
+    outcome: str
+    # Result or failure text.
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class Fence:
+    """Hold the fence of one incarnation as this reader knows it."""
+
+    # The record.
+    record: records.Fenced
+    # Monotonic time from which this reader may move the tasks.
+    movable_at: float
+    # Earliest Unix time at which the newest record was written, in ms.
+    written_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Report what one record did."""
+
+    # What it did.
+    effect: Effect
+    # Key of the task; empty for a fence.
+    key: str = ''
+    # Home before the record.
+    before: types.Home | None = None
+    # Epoch before the record; 0 for a new task.
+    epoch: int = 0
+
+
+IGNORED = Change('ignored')
+
+
+class Ledger:
+    """Hold the live tasks, ended tasks and fences of one region."""
+
+    def __init__(self) -> None:
+        # Live tasks by key, oldest first.
+        self.live: dict[str, Live] = {}
+        # Ended tasks by key, oldest first.
+        self.ended: collections.OrderedDict[str, Ended] = (
+            collections.OrderedDict()
+        )
+        # Fences by instance and incarnation.
+        self.fences: collections.OrderedDict[tuple[str, str], Fence] = (
+            collections.OrderedDict()
+        )
+        # Keys of live tasks by the instance of their home.
+        self.at: dict[str, dict[str, None]] = {}
+        # Keys of live tasks without a home.
+        self.parked: dict[str, None] = {}
+        # Declared demand of the live tasks by team.
+        self.used: dict[str, types.Demand] = {}
+        # Ended tasks that a late record restated as live; their end must be
+        # written again, or a reader after a trim takes them for live.
+        self.revived: dict[str, None] = {}
+        # Records by effect.
+        self.counts: collections.Counter[str] = collections.Counter()
+        # Times that the invariants of a task were asserted.
+        self.checked = 0
+        # Acceptance time of the newest accepted record, in ms.
+        self._clock_ms = 0
+
+    def reset(self) -> None:
+        """Drop the live tasks before a new read from a trimmed stream."""
+        self.live.clear()
+        self.at.clear()
+        self.parked.clear()
+        self.used.clear()
+        self._clock_ms = 0
+
+    def apply(self, item: typing.Any, now: float, now_ms: int) -> Change:
+        """Apply the next record; `now` is monotonic, `now_ms` Unix time."""
+        change = self._apply(item, now, now_ms)
+        self.counts[change.effect] += 1
+        return change
+
+    def _apply(self, item: typing.Any, now: float, now_ms: int) -> Change:
+        if isinstance(item, records.Accepted):
+            self._clock_ms = item.at_ms
+            return self._accept(item, now, now_ms)
+        if isinstance(item, records.Moved):
+            return self._move(item, now, now_ms)
+        if isinstance(item, records.FinishedRecord):
+            return self._finish(item)
+        if isinstance(item, records.Cancelled):
+            return self._end(item.task, 'cancelled', '')
+        if isinstance(item, records.Restated):
+            return self._restate(item, now, now_ms)
+        if isinstance(item, records.Fenced):
+            return self._fence(item, now, now_ms)
+        return IGNORED
+
+    def _accept(
+        self, item: records.Accepted, now: float, now_ms: int
+    ) -> Change:
+        key = item.spec.key
+        if key in self.live or key in self.ended:
+            return IGNORED
+        self._insert(
+            Live(
+                spec=item.spec,
+                epoch=1,
+                home=item.home,
+                checkpoint='',
+                at_ms=item.at_ms,
+                reason=item.reason,
+                written_ms=self._written(now_ms),
+                since=now,
+                history=(Move(1, item.home, item.reason),),
+            )
+        )
+        return Change('accepted', key)
+
+    def _move(self, item: records.Moved, now: float, now_ms: int) -> Change:
+        task = self.live.get(item.task)
+        if task is None or item.epoch != task.epoch + 1:
+            return IGNORED
+        before, epoch = task.home, task.epoch
+        self._unplace(item.task, task)
+        assert item.epoch > epoch, 'epoch does not grow'
+        task.epoch, task.home = item.epoch, item.home
+        task.checkpoint = item.checkpoint or task.checkpoint
+        task.reason, task.since = item.reason, now
+        task.written_ms = self._written(now_ms)
+        step = Move(item.epoch, item.home, item.reason)
+        task.history = (*task.history, step)[-HISTORY_LIMIT:]
+        self._place(item.task, task)
+        return Change('moved', item.task, before, epoch)
+
+    def _finish(self, item: records.FinishedRecord) -> Change:
+        task = self.live.get(item.task)
+        if task is not None and item.epoch != task.epoch:
+            return IGNORED
+        return self._end(item.task, item.outcome, item.detail)
+
+    def _end(self, key: str, outcome: str, detail: str) -> Change:
+        task = self.live.pop(key, None)
+        if task is None:
+            self.revived.pop(key, None)
+            return IGNORED
+        self._unplace(key, task)
+        team = task.spec.team
+        self.used[team] = self.used[team].minus(task.spec.demand)
+        if self.used[team] == types.Demand():
+            del self.used[team]
+        self.ended[key] = Ended(
+            digest_spec(task.spec), task.epoch, outcome, detail[:DETAIL_LIMIT]
+        )
+        if len(self.ended) > ENDED_LIMIT:
+            oldest, _ = self.ended.popitem(last=False)
+            self.revived.pop(oldest, None)
+        effect: Effect = 'cancelled' if outcome == 'cancelled' else 'finished'
+        return Change(effect, key, task.home, task.epoch)
+
+    def _restate(
+        self, item: records.Restated, now: float, now_ms: int
+    ) -> Change:
+        key = item.spec.key
+        if key in self.ended:
+            self.revived[key] = None
+            return IGNORED
+        task = self.live.get(key)
+        if task is None:
+            self._insert(infer_live(item, now, self._written(now_ms)))
+            return Change('restated', key)
+        if item.epoch < task.epoch:
+            return IGNORED
+        if item.epoch > task.epoch:
+            # The records between were trimmed before they were read.
+            before, epoch = task.home, task.epoch
+            self._unplace(key, task)
+            fresh = infer_live(item, now, self._written(now_ms))
+            fresh.history = (*task.history, *fresh.history)[-HISTORY_LIMIT:]
+            self.live[key] = fresh
+            self._place(key, fresh)
+            return Change('moved', key, before, epoch)
+        return self._adopt(key, task, item, now_ms)
+
+    def _adopt(
+        self, key: str, task: Live, item: records.Restated, now_ms: int
+    ) -> Change:
+        if item.home == task.home:
+            task.written_ms = self._written(now_ms)
+            return Change('restated', key, task.home, task.epoch)
+        if not is_successor(task.home, item.home):
+            return IGNORED
+        before = task.home
+        task.home = item.home
+        task.written_ms = self._written(now_ms)
+        step = Move(task.epoch, item.home, 'adopted by a new incarnation')
+        task.history = (*task.history, step)[-HISTORY_LIMIT:]
+        return Change('adopted', key, before, task.epoch)
+
+    def _fence(self, item: records.Fenced, now: float, now_ms: int) -> Change:
+        name = (item.instance, item.incarnation)
+        movable_at = now + item.wait_s
+        held = self.fences.get(name)
+        if held is not None:
+            # Each record allows moves after its own wait, so the earliest
+            # end counts.
+            held.movable_at = min(held.movable_at, movable_at)
+            held.written_ms = self._written(now_ms)
+            return Change('fenced')
+        self.fences[name] = Fence(item, movable_at, self._written(now_ms))
+        if len(self.fences) > FENCES_LIMIT:
+            self.fences.popitem(last=False)
+        return Change('fenced')
+
+    def _insert(self, task: Live) -> None:
+        key = task.spec.key
+        assert key not in self.live, 'task has two states'
+        self.live[key] = task
+        team = task.spec.team
+        held = self.used.get(team, types.Demand())
+        self.used[team] = held.plus(task.spec.demand)
+        self._place(key, task)
+
+    def _place(self, key: str, task: Live) -> None:
+        if task.home is None:
+            self.parked[key] = None
+        else:
+            self.at.setdefault(task.home.instance, {})[key] = None
+        self._check(key, task)
+
+    def _unplace(self, key: str, task: Live) -> None:
+        self._check(key, task)
+        if task.home is None:
+            del self.parked[key]
+            return
+        keys = self.at[task.home.instance]
+        del keys[key]
+        if not keys:
+            del self.at[task.home.instance]
+
+    def _check(self, key: str, task: Live) -> None:
+        """Assert that the task is in exactly the place of its home."""
+        self.checked += 1
+        if task.home is None:
+            assert key in self.parked, 'parked task is not in the table'
+            return
+        assert key not in self.parked, 'task is parked and has a home'
+        assert key in self.at[task.home.instance], 'task is not at its home'
+
+    def _written(self, now_ms: int) -> int:
+        # Records have no time of their own: the last accepted record before
+        # one was written earlier, so its time is a lower bound.
+        return min(self._clock_ms, now_ms)
+
+
+def digest_spec(spec: types.TaskSpec) -> str:
+    """Return a digest of a task, to detect a second use of its id."""
+    return hashlib.sha256(repr(spec).encode()).hexdigest()[:32]
+
+
+def infer_live(item: records.Restated, now: float, written_ms: int) -> Live:
+    """Return the live task that a restated record describes."""
+    return Live(
+        spec=item.spec,
+        epoch=item.epoch,
+        home=item.home,
+        checkpoint=item.checkpoint,
+        at_ms=item.at_ms,
+        reason=item.reason,
+        written_ms=written_ms,
+        since=now,
+        history=(Move(item.epoch, item.home, item.reason),),
+    )
+
+
+def is_successor(old: types.Home | None, new: types.Home | None) -> bool:
+    """Tell whether `new` is provably a later incarnation of `old`."""
+    return (
+        old is not None
+        and new is not None
+        and old.instance == new.instance
+        and old.incarnation != new.incarnation
+        and 0 < old.controller_epoch < new.controller_epoch
+    )
+
+
+def make_restated(task: Live, home: types.Home | None) -> records.Restated:
+    """Return the record that repeats a live task with the given home."""
+    return records.Restated(
+        spec=task.spec,
+        epoch=task.epoch,
+        home=home,
+        checkpoint=task.checkpoint,
+        at_ms=task.at_ms,
+        reason=task.reason,
+    )
--- /dev/null
+++ b/packages/core/src/kcr_core/quotas.py
@@ -0,0 +1,41 @@
+"""Check the quotas of teams and order the tasks that wait."""
+
+from collections import abc
+
+from kcr_core import ledger
+from kcr_core import types
+
+
+def check_quota(
+    team: str,
+    demand: types.Demand,
+    used: types.Demand,
+    quotas: abc.Mapping[str, types.Demand],
+) -> str:
+    """Return why the quota has no room for `demand`; empty if it has.
+
+    A team without a quota is not limited.
+    """
+    quota = quotas.get(team)
+    if quota is None:
+        return ''
+    wanted = used.plus(demand)
+    over = [
+        f'{name} {want:g} of {limit:g}'
+        for name, want, limit in (
+            ('processors', wanted.processors, quota.processors),
+            ('memory_mb', wanted.memory_mb, quota.memory_mb),
+            ('accelerators', wanted.accelerators, quota.accelerators),
+        )
+        if want > limit
+    ]
+    if not over:
+        return ''
+    return f'quota of team {team} would be exceeded: {", ".join(over)}'
+
+
+def order_waiting(tasks: abc.Iterable[ledger.Live]) -> list[ledger.Live]:
+    """Return waiting tasks in the order in which they get room."""
+    return sorted(
+        tasks, key=lambda t: (not t.spec.urgent, t.at_ms, t.spec.key)
+    )
--- /dev/null
+++ b/packages/core/src/kcr_core/restating.py
@@ -0,0 +1,83 @@
+"""Decide which live records must be written again, and by which entry.
+
+Each entry ranks itself by a hash of the task and the entries that it knows;
+a lower rank gets more time for its record. Doubles are harmless.
+"""
+
+from collections import abc
+import dataclasses
+import hashlib
+import typing
+
+from kcr_core import ledger
+from kcr_core import records
+
+# Share of the retention after which a record is written again.
+DUE_SHARE = 0.5
+# Share of the retention between the turns of two entries.
+TURN_SHARE = 1 / 16
+# Highest rank that waits; the last turn ends well before the retention does.
+MAX_RANK = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """Say who may write records again, and when."""
+
+    # Incarnation of this entry.
+    me: str
+    # Incarnations of the other entries that are connected.
+    others: tuple[str, ...]
+    # Time for which the log keeps records, in seconds.
+    retention_s: float
+    # Unix time in ms.
+    now_ms: int
+
+    def is_due(self, key: str, written_ms: int) -> bool:
+        """Tell whether this entry should write the record of `key` now."""
+        age_s = (self.now_ms - written_ms) / 1000.0
+        if age_s < self.retention_s * DUE_SHARE:
+            return False
+        mine = _score(key, self.me)
+        rank = sum(_score(key, other) < mine for other in self.others)
+        jitter = int(_score(key, '')[:4], 16) / 0xFFFF
+        share = DUE_SHARE + TURN_SHARE * (min(rank, MAX_RANK) + jitter)
+        return age_s >= self.retention_s * share
+
+
+def choose_restated(
+    state: ledger.Ledger, turn: Turn, limit: int
+) -> list[typing.Any]:
+    """Return at most `limit` records that this entry should write again."""
+    items: list[typing.Any] = list(_find_revived(state, turn))[:limit]
+    for name, fence in state.fences.items():
+        if len(items) >= limit:
+            return items
+        if turn.is_due('/'.join(name), fence.written_ms):
+            items.append(fence.record)
+    for key, task in state.live.items():
+        if len(items) >= limit:
+            return items
+        if turn.is_due(key, task.written_ms):
+            items.append(ledger.make_restated(task, task.home))
+    return items
+
+
+def _find_revived(
+    state: ledger.Ledger, turn: Turn
+) -> abc.Iterator[typing.Any]:
+    for key in state.revived:
+        end = state.ended[key]
+        if end.outcome == 'cancelled':
+            yield records.Cancelled(key)
+            continue
+        outcome = typing.cast(
+            typing.Literal['done', 'failed', 'unknown'], end.outcome
+        )
+        yield records.FinishedRecord(key, end.epoch, outcome, end.detail)
+
+
+def _score(key: str, entry: str) -> str:
+    return hashlib.blake2b(
+        f'{key}|{entry}'.encode(), digest_size=8
+    ).hexdigest()
--- a/packages/core/src/kcr_core/types.py
+++ b/packages/core/src/kcr_core/types.py
@@ -135,6 +135,9 @@
     instance: Id
     # Incarnation of the sidecar process.
     incarnation: Id
+    # Epoch of its controller lease, which orders the incarnations of an
+    # instance; 0 when not known.
+    controller_epoch: Count = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
