--- a/packages/core/src/kcr_core/fencing.py
+++ b/packages/core/src/kcr_core/fencing.py
@@ -19,6 +19,9 @@
 ASK_LIMIT_S = 1.0
 # Time for which a sidecar that a peer hears is not asked about again.
 HEARD_HOLD_S = 2.0
+# Incarnations that were heard and are remembered; one that is forgotten gets
+# the longer wait.
+HEARD_LIMIT = 50_000
 
 Name = tuple[str, str]
 
@@ -59,7 +62,10 @@
 
     def hear(self, name: Name, now: float) -> None:
         """Note a message of a sidecar."""
+        self.heard.pop(name, None)
         self.heard[name] = now
+        if len(self.heard) > HEARD_LIMIT:
+            del self.heard[next(iter(self.heard))]
         self._queries.pop(name, None)
 
     def reply(self, name: Name, peer: str, age_ms: int, now: float) -> None:
@@ -176,15 +182,15 @@
     home = task.home
     if home is None:
         return STAY
-    if fence is not None:
-        if now < fence.movable_at:
-            return STAY
-        return Leave(f'instance {home.instance} was lost')
-    if present is None or not ledger.is_successor(home, present.home):
+    replaced = present is not None and ledger.is_successor(home, present.home)
+    if replaced and present is not None:
+        if (key, task.epoch) not in present.running:
+            return Leave(f'sidecar of {home.instance} restarted without it')
+        if fence is None:
+            return Adopt(present.home)
+    if fence is None or now < fence.movable_at:
         return STAY
-    if (key, task.epoch) in present.running:
-        return Adopt(present.home)
-    return Leave(f'sidecar of {home.instance} restarted without the task')
+    return Leave(f'instance {home.instance} was lost')
 
 
 def is_fenced(
--- /dev/null
+++ b/packages/core/src/kcr_core/homes.py
@@ -0,0 +1,149 @@
+"""Track the instances that can be homes and what is promised to them."""
+
+from collections import abc
+import dataclasses
+
+from kcr_core import fencing
+from kcr_core import ledger
+from kcr_core import placement
+from kcr_core import types
+
+# Time in which a heartbeat shows a task that was placed, in seconds.
+RECENT_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """State what one connected sidecar last said of its instance."""
+
+    # The sidecar as a home.
+    home: types.Home
+    # Where the instance is.
+    place: types.Place
+    # What the instance offers in all.
+    capacity: types.Demand
+    # Resources that are not reserved; none before the first heartbeat.
+    free: types.Demand | None
+    # Whether the instance may get new work.
+    open: bool
+    # Key and epoch of the tasks that ran when the sidecar connected.
+    running: frozenset[tuple[str, int]]
+
+
+class Homes:
+    """Decide which instances have room, from offers and the ledger."""
+
+    def __init__(self, state: ledger.Ledger) -> None:
+        # The ledger of the region.
+        self.state = state
+        # Newest offer of each instance.
+        self.offers: dict[str, Offer] = {}
+        # Demand of tasks whose append is under way, by key.
+        self._promised: dict[str, tuple[str, types.Demand]] = {}
+        self._rooms: dict[str, placement.Room] = {}
+        # Instances whose room must be computed again; those with tasks that
+        # were placed lately among them.
+        self._stale: set[str] = set()
+
+    def offer(self, offer: Offer) -> None:
+        """Take a newer offer of an instance."""
+        self.offers[offer.home.instance] = offer
+        self._stale.add(offer.home.instance)
+
+    def present(self, instance: str) -> fencing.Present | None:
+        """Return the incarnation that an instance is known to have."""
+        held = self.offers.get(instance)
+        return fencing.Present(held.home, held.running) if held else None
+
+    def promise(self, key: str, instance: str, demand: types.Demand) -> None:
+        """Keep room for a task until its append has ended."""
+        self._promised[key] = (instance, demand)
+        self._stale.add(instance)
+
+    def settle(self, key: str) -> None:
+        """Give up the room that was kept for an append."""
+        held = self._promised.pop(key, None)
+        if held is not None:
+            self._stale.add(held[0])
+
+    def follow(self, change: ledger.Change) -> None:
+        """Note a change of the ledger."""
+        task = self.state.live.get(change.key)
+        if change.before is not None:
+            self._stale.add(change.before.instance)
+        if task is not None and task.home is not None:
+            self._stale.add(task.home.instance)
+
+    def rooms(self, now: float) -> list[placement.Room]:
+        """Return the room of every known instance."""
+        stale, self._stale = self._stale, set()
+        for instance in stale:
+            self._refresh(instance, now)
+        return list(self._rooms.values())
+
+    def spread(self, job: str) -> placement.JobSpread:
+        """Return where the live tasks of a job are."""
+        zones: dict[str, int] = {}
+        racks: dict[tuple[str, str], int] = {}
+        for key in self.state.jobs.get(job, {}):
+            home = self.state.live[key].home
+            held = self.offers.get(home.instance) if home else None
+            if held is not None:
+                zone, rack = held.place.zone, held.place.rack
+                zones[zone] = zones.get(zone, 0) + 1
+                racks[zone, rack] = racks.get((zone, rack), 0) + 1
+        return placement.JobSpread(zones, racks)
+
+    def choose(
+        self,
+        policy: placement.Policy,
+        spec: types.TaskSpec,
+        now: float,
+        avoid: abc.Container[str] = (),
+    ) -> placement.Choice:
+        """Return the home of a task, or why it has none."""
+        rooms = [
+            dataclasses.replace(room, open=False)
+            if room.home.instance in avoid
+            else room
+            for room in self.rooms(now)
+        ]
+        return placement.choose_home(
+            policy, spec, rooms, self.spread(spec.job)
+        )
+
+    def _refresh(self, instance: str, now: float) -> None:
+        offer = self.offers.get(instance)
+        if offer is None:
+            return
+        declared, recent = types.Demand(), types.Demand()
+        for key in self.state.at.get(instance, {}):
+            task = self.state.live[key]
+            declared = declared.plus(task.spec.demand)
+            if now - task.since < RECENT_S:
+                recent = recent.plus(task.spec.demand)
+                self._stale.add(instance)
+        for held, demand in self._promised.values():
+            if held == instance:
+                declared = declared.plus(demand)
+                recent = recent.plus(demand)
+        free = offer.capacity.minus(declared)
+        if offer.free is not None:
+            free = at_most(free, offer.free.minus(recent))
+        fenced = (instance, offer.home.incarnation) in self.state.fences
+        self._rooms[instance] = placement.Room(
+            home=offer.home,
+            place=offer.place,
+            capacity=offer.capacity,
+            free=free,
+            open=offer.open and not fenced,
+        )
+
+
+def at_most(first: types.Demand, second: types.Demand) -> types.Demand:
+    """Return the smaller quantity of each resource."""
+    return types.Demand(
+        min(first.processors, second.processors),
+        min(first.memory_mb, second.memory_mb),
+        min(first.accelerators, second.accelerators),
+    )
--- a/packages/core/src/kcr_core/ledger.py
+++ b/packages/core/src/kcr_core/ledger.py
@@ -128,6 +128,12 @@
         )
         # Keys of live tasks by the instance of their home.
         self.at: dict[str, dict[str, None]] = {}
+        # Live tasks by instance and incarnation of their home.
+        self.homes: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        # Keys of live tasks by job.
+        self.jobs: dict[str, dict[str, None]] = {}
         # Keys of live tasks without a home.
         self.parked: dict[str, None] = {}
         # Declared demand of the live tasks by team.
@@ -146,6 +152,8 @@
         """Drop the live tasks before a new read from a trimmed stream."""
         self.live.clear()
         self.at.clear()
+        self.homes.clear()
+        self.jobs.clear()
         self.parked.clear()
         self.used.clear()
         self._clock_ms = 0
@@ -225,6 +233,10 @@
         self.used[team] = self.used[team].minus(task.spec.demand)
         if self.used[team] == types.Demand():
             del self.used[team]
+        keys = self.jobs.get(task.spec.job, {})
+        keys.pop(key, None)
+        if not keys:
+            self.jobs.pop(task.spec.job, None)
         self.ended[key] = Ended(
             digest_spec(task.spec), task.epoch, outcome, detail[:DETAIL_LIMIT]
         )
@@ -264,10 +276,15 @@
         if item.home == task.home:
             task.written_ms = self._written(now_ms)
             return Change('restated', key, task.home, task.epoch)
-        if not is_successor(task.home, item.home):
-            return IGNORED
         before = task.home
+        if before is None or not is_successor(before, item.home):
+            return IGNORED
+        if (before.instance, before.incarnation) in self.fences:
+            # A reader of the fence may be moving the task already.
+            return IGNORED
+        self._unplace(key, task)
         task.home = item.home
+        self._place(key, task)
         task.written_ms = self._written(now_ms)
         step = Move(task.epoch, item.home, 'adopted by a new incarnation')
         task.history = (*task.history, step)[-HISTORY_LIMIT:]
@@ -295,6 +312,8 @@
         team = task.spec.team
         held = self.used.get(team, types.Demand())
         self.used[team] = held.plus(task.spec.demand)
+        if task.spec.job:
+            self.jobs.setdefault(task.spec.job, {})[key] = None
         self._place(key, task)
 
     def _place(self, key: str, task: Live) -> None:
@@ -302,6 +321,7 @@
             self.parked[key] = None
         else:
             self.at.setdefault(task.home.instance, {})[key] = None
+            self.homes[task.home.instance, task.home.incarnation] += 1
         self._check(key, task)
 
     def _unplace(self, key: str, task: Live) -> None:
@@ -309,6 +329,10 @@
         if task.home is None:
             del self.parked[key]
             return
+        name = (task.home.instance, task.home.incarnation)
+        self.homes[name] -= 1
+        if not self.homes[name]:
+            del self.homes[name]
         keys = self.at[task.home.instance]
         del keys[key]
         if not keys:
--- a/packages/core/src/kcr_core/restating.py
+++ b/packages/core/src/kcr_core/restating.py
@@ -6,18 +6,16 @@
 
 from collections import abc
 import dataclasses
-import hashlib
 import typing
 
 from kcr_core import ledger
 from kcr_core import records
+from kcr_core import turns
 
 # Share of the retention after which a record is written again.
 DUE_SHARE = 0.5
 # Share of the retention between the turns of two entries.
 TURN_SHARE = 1 / 16
-# Highest rank that waits; the last turn ends well before the retention does.
-MAX_RANK = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,10 +36,9 @@
         age_s = (self.now_ms - written_ms) / 1000.0
         if age_s < self.retention_s * DUE_SHARE:
             return False
-        mine = _score(key, self.me)
-        rank = sum(_score(key, other) < mine for other in self.others)
-        jitter = int(_score(key, '')[:4], 16) / 0xFFFF
-        share = DUE_SHARE + TURN_SHARE * (min(rank, MAX_RANK) + jitter)
+        rank = turns.infer_rank(key, self.me, self.others)
+        jitter = (turns.score(key, '') & 0xFFFF) / 0xFFFF
+        share = DUE_SHARE + TURN_SHARE * (rank + jitter)
         return age_s >= self.retention_s * share
 
 
@@ -75,9 +72,3 @@
             typing.Literal['done', 'failed', 'unknown'], end.outcome
         )
         yield records.FinishedRecord(key, end.epoch, outcome, end.detail)
-
-
-def _score(key: str, entry: str) -> str:
-    return hashlib.blake2b(
-        f'{key}|{entry}'.encode(), digest_size=8
-    ).hexdigest()
--- /dev/null
+++ b/packages/core/src/kcr_core/task_moves.py
@@ -0,0 +1,140 @@
+"""Choose the records that adopt, move or place tasks from the known state."""
+
+from collections import abc
+import dataclasses
+
+from kcr_core import append_queue
+from kcr_core import fencing
+from kcr_core import homes
+from kcr_core import ledger
+from kcr_core import placement
+from kcr_core import quotas
+from kcr_core import records
+from kcr_core import turns
+
+# Records that one look proposes; more follow at the next look.
+LOOK_LIMIT = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Look:
+    """Carry what one look at the tasks needs beside the state."""
+
+    # Placement policy in force.
+    policy: placement.Policy
+    # Keys with a record that waits or is being appended.
+    busy: abc.Container[str]
+    # Monotonic time.
+    now: float
+
+
+class Mover:
+    """Find the tasks that must or can get another home."""
+
+    def __init__(
+        self,
+        state: ledger.Ledger,
+        places: homes.Homes,
+        turn: turns.Turns,
+    ) -> None:
+        # The ledger of the region.
+        self.state = state
+        # Instances that can be homes.
+        self.places = places
+        # Which entry goes first.
+        self.turns = turn
+        # Instances with tasks that may have lost their home.
+        self.watched: set[str] = set()
+        # Why each parked task waits, as last seen by this entry.
+        self.why: dict[str, str] = {}
+
+    def follow(self, change: ledger.Change) -> None:
+        """Note a change of the ledger."""
+        self.turns.forget(change.key)
+        task = self.state.live.get(change.key)
+        if task is None or task.home is not None:
+            self.why.pop(change.key, None)
+        if task is not None and task.home is not None:
+            self.watched.add(task.home.instance)
+
+    def choose_lost(self, look: Look) -> list[append_queue.Entry]:
+        """Return records for tasks whose home cannot run them any more."""
+        found: list[append_queue.Entry] = []
+        for instance in sorted(self.watched):
+            if len(found) >= LOOK_LIMIT:
+                break
+            if not self._look_at(instance, look, found):
+                self.watched.discard(instance)
+        return found
+
+    def _look_at(
+        self, instance: str, look: Look, found: list[append_queue.Entry]
+    ) -> bool:
+        """Add the records of one instance; False if none can follow."""
+        present = self.places.present(instance)
+        open_ends = False
+        for key in self.state.at.get(instance, {}):
+            task = self.state.live[key]
+            assert task.home is not None, 'parked task has an instance'
+            name = (instance, task.home.incarnation)
+            fence = self.state.fences.get(name)
+            same = present is None or present.home == task.home
+            if fence is None and same:
+                continue
+            open_ends = True
+            if key in look.busy or len(found) >= LOOK_LIMIT:
+                continue
+            verdict = fencing.judge_home(key, task, fence, present, look.now)
+            if isinstance(verdict, fencing.Stay):
+                continue
+            if self.turns.is_mine(key, look.now):
+                item = self._leave(task, verdict, look)
+                found.append(append_queue.Entry(key, item))
+        return open_ends
+
+    def _leave(
+        self, task: ledger.Live, verdict: fencing.Verdict, look: Look
+    ) -> records.Restated | records.Moved | records.FinishedRecord:
+        if isinstance(verdict, fencing.Adopt):
+            return ledger.make_restated(task, verdict.home)
+        assert isinstance(verdict, fencing.Leave)
+        return self.move(task, verdict.reason, look)
+
+    def move(
+        self,
+        task: ledger.Live,
+        reason: str,
+        look: Look,
+        avoid: abc.Container[str] = (),
+    ) -> records.Moved | records.FinishedRecord:
+        """Return the record that takes a task to another home, or parks it."""
+        key, spec = task.spec.key, task.spec
+        choice = self.places.choose(look.policy, spec, look.now, avoid)
+        if isinstance(choice, placement.Placed):
+            self.places.promise(key, choice.home.instance, spec.demand)
+            return fencing.choose_end(task, choice.home, reason)
+        return fencing.choose_end(task, None, f'{reason}; {choice.reason}')
+
+    def choose_parked(self, look: Look) -> list[append_queue.Entry]:
+        """Return records that give parked tasks a home."""
+        found: list[append_queue.Entry] = []
+        waiting = [self.state.live[key] for key in self.state.parked]
+        for task in quotas.order_waiting(waiting):
+            if len(found) >= LOOK_LIMIT:
+                break
+            key, spec = task.spec.key, task.spec
+            if key in look.busy:
+                continue
+            choice = self.places.choose(look.policy, spec, look.now)
+            if not isinstance(choice, placement.Placed):
+                self.why[key] = choice.reason
+                self.turns.forget(key)
+                continue
+            if not self.turns.is_mine(key, look.now):
+                continue
+            self.places.promise(key, choice.home.instance, spec.demand)
+            item = records.Moved(
+                key, task.epoch + 1, choice.home, task.checkpoint, 'has room'
+            )
+            found.append(append_queue.Entry(key, item))
+        return found
--- a/packages/entry/src/kcr_entry/events.py
+++ b/packages/entry/src/kcr_entry/events.py
@@ -3,7 +3,10 @@
 import dataclasses
 import typing
 
+from kcr_core import membership
+from kcr_core import messages
 from kcr_core import outcomes
+from kcr_core import records
 from kcr_core import types
 
 
@@ -77,3 +80,71 @@
     settings: types.ControlSettings
     # Names and shares that the entry needs: quota of processors by team.
     quotas: tuple[tuple[str, types.Demand], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointSeen:
+    """Report what an entry knows of an endpoint after a change."""
+
+    # Session that leads to its sidecar.
+    session: str
+    # Where the instance is.
+    place: types.Place
+    # Incarnation of the sidecar.
+    incarnation: str
+    # Full state of the connection; none before it arrives.
+    state: messages.EndpointState | None
+    # Resources that are not reserved; none before the first heartbeat.
+    free: types.Demand | None
+    # Phase of the endpoint.
+    phase: membership.Phase
+
+    @property
+    def name(self) -> tuple[str, str]:
+        """Return the instance and the incarnation."""
+        return self.place.instance, self.incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersChanged:
+    """Report the other entries of the region that are connected."""
+
+    # Incarnation and session of each.
+    sessions: tuple[tuple[str, str], ...]
+    # Addresses of the entries that are known, with the own one.
+    addresses: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerView:
+    """Report how old the view of the task stream is and whom it fences."""
+
+    # Monotonic time at which the last caught-up read was sent.
+    asked_at: float
+    # Fenced sidecars by instance and incarnation.
+    fenced: frozenset[tuple[str, str]]
+    # Instances of the fenced sidecars.
+    instances: frozenset[str]
+    # Other incarnations of fenced instances that run none of the tasks of a
+    # fenced one; others of these instances get no vouch.
+    cleared: frozenset[tuple[str, str]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HomesChanged:
+    """Report the incarnations that live tasks name as their homes."""
+
+    # Homes by instance and incarnation.
+    homes: frozenset[tuple[str, str]]
+    # Fenced sidecars by instance and incarnation.
+    fenced: frozenset[tuple[str, str]]
+    # Whether the view of the log is fresh.
+    fresh: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FenceDue:
+    """Ask the owner of the ledger to append a fence."""
+
+    # The record.
+    item: records.Fenced
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -8,6 +8,7 @@
 from kcr_core import messages
 from kcr_core import types
 from kcr_entry import addresses
+from kcr_entry import events
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
@@ -52,6 +53,10 @@
     instance: str
 
 
+class _Look:
+    pass
+
+
 class Membership(task.Task):
     """Own the view of the endpoints."""
 
@@ -60,6 +65,14 @@
         # Settings of the document in force.
         self.settings = types.ControlSettings()
         self._view = membership.View(self.settings.heartbeat_s)
+        # Addresses of the entries of the region that are known.
+        self._entries: tuple[str, ...] = (ctx.cfg.listen,)
+        self._ledger: events.LedgerView | None = None
+        self._phases: dict[str, membership.Phase] = {}
+
+    def started(self) -> None:
+        """Start to look for silent endpoints."""
+        self.after(self.settings.heartbeat_s, _Look())
 
     def dump(self) -> dict[str, typing.Any]:
         """Return what is known of each endpoint."""
@@ -91,6 +104,7 @@
     def _on_closed(self, event: session.Closed) -> None:
         self._view.closed(event.session)
         if event.hello.role == 'sidecar':
+            self._publish(event.session, event.hello.place.instance)
             self.log.info(
                 'endpoint disconnected',
                 instance=event.hello.place.instance,
@@ -103,6 +117,9 @@
 
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
+        if isinstance(event.msg, messages.HeardQuery):
+            self._reply_heard(event.session, event.msg)
+            return
         instance = event.hello.place.instance
         endpoint = self._view.find(event.session, instance)
         if endpoint is None:
@@ -113,16 +130,81 @@
             endpoint.state = msg
         elif isinstance(msg, messages.Heartbeat):
             endpoint.beat = msg
-            self._acknowledge(event.session, msg)
+            self._acknowledge(endpoint, msg)
         elif isinstance(msg, messages.Leaving):
             endpoint.leaving = True
             self.log.info('endpoint leaving', instance=instance)
+        self._publish(event.session, instance)
 
-    def _acknowledge(self, name: str, beat: messages.Heartbeat) -> None:
+    def _acknowledge(
+        self, endpoint: membership.Endpoint, beat: messages.Heartbeat
+    ) -> None:
+        fenced, age_ms = self._infer_vouch(endpoint)
         ack = messages.HeartbeatAck(
-            seq=beat.seq, revision=0, log_age_ms=-1, fenced=False
+            seq=beat.seq,
+            revision=0,
+            log_age_ms=age_ms,
+            fenced=fenced,
+            entries=self._entries,
+        )
+        self.send(endpoint.session, session.Send(ack))
+
+    def _infer_vouch(self, endpoint: membership.Endpoint) -> tuple[bool, int]:
+        """Return whether a sidecar is fenced and the age of the log view."""
+        view = self._ledger
+        if view is None or endpoint.state is None:
+            return False, -1
+        name = (endpoint.place.instance, endpoint.incarnation)
+        if name in view.fenced:
+            return True, -1
+        if name[0] in view.instances and name not in view.cleared:
+            return False, -1
+        age_s = self.now() - view.asked_at
+        if age_s > self.settings.isolation_s:
+            return False, -1
+        return False, int(age_s * 1000)
+
+    def _reply_heard(self, name: str, query: messages.HeardQuery) -> None:
+        endpoint = self._view.endpoints.get(query.instance)
+        age_ms = -1
+        if endpoint is not None and endpoint.incarnation == query.incarnation:
+            age_ms = int((self.now() - endpoint.heard_at) * 1000)
+        reply = messages.HeardReply(query.instance, query.incarnation, age_ms)
+        self.send(name, session.Send(reply))
+
+    def _publish(self, name: str, instance: str) -> None:
+        endpoint = self._view.find(name, instance)
+        if endpoint is None:
+            return
+        phase = self._view.phase(endpoint, self.now())
+        self._phases[instance] = phase
+        event = events.EndpointSeen(
+            session=endpoint.session,
+            place=endpoint.place,
+            incarnation=endpoint.incarnation,
+            state=endpoint.state,
+            free=endpoint.beat.free if endpoint.beat else None,
+            phase=phase,
         )
-        self.send(name, session.Send(ack))
+        self.send(addresses.TASKS, event)
+        self.send(addresses.FENCES, event)
+
+    @task.handles(_Look)
+    def _on_look(self, msg: _Look) -> None:
+        self.after(self.settings.heartbeat_s, _Look())
+        now = self.now()
+        for instance, endpoint in list(self._view.endpoints.items()):
+            phase = self._view.phase(endpoint, now)
+            if self._phases.get(instance) != phase:
+                self._publish(endpoint.session, instance)
+
+    @task.handles(events.LedgerView)
+    def _on_ledger(self, view: events.LedgerView) -> None:
+        self._ledger = view
+
+    @task.handles(events.PeersChanged)
+    def _on_peers(self, event: events.PeersChanged) -> None:
+        self._entries = event.addresses
 
     @task.handles(Dispatch)
     def _on_dispatch(self, req: Dispatch) -> None:
--- /dev/null
+++ b/packages/entry/src/kcr_entry/fleet/peers.py
@@ -0,0 +1,184 @@
+"""Own the connections to the other entries of the region.
+
+The entry dials the peers of its settings and those that other entries name.
+Both sides may dial; the first open session of a peer is used.
+"""
+
+import typing
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry import events
+from kcr_runtime import supervisor
+from kcr_runtime import task
+from kcr_runtime.wire import session
+
+# Entries that are dialed at the same time.
+PEERS_LIMIT = 64
+# Failed dials after which a learnt address is dropped.
+DIAL_TRIES = 20
+
+
+class _Beat:
+    pass
+
+
+class Peers(task.Task):
+    """Own the view of the other entries."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        # Settings of the document in force.
+        self.settings = types.ControlSettings()
+        # Revision of the document in force.
+        self.revision = 0
+        self._open: dict[str, messages.Hello] = {}
+        self._failed: dict[str, int] = {}
+        self._asked_at: float | None = None
+        self._seq = 0
+        self._mine = {ctx.cfg.listen}
+
+    def started(self) -> None:
+        """Dial the peers of the settings."""
+        for target in self.ctx.cfg.peers:
+            self._dial(target)
+        self._publish()
+        self.after(self.settings.heartbeat_s, _Beat())
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the dialed addresses and the connected entries."""
+        return {
+            **super().dump(),
+            'dialed': sorted(self._failed),
+            'peers': sorted({h.process for h in self._open.values()}),
+        }
+
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        self.settings, self.revision = event.settings, event.revision
+
+    @task.handles(events.LedgerView)
+    def _on_ledger(self, event: events.LedgerView) -> None:
+        self._asked_at = event.asked_at
+
+    @task.handles(session.Opened)
+    def _on_opened(self, event: session.Opened) -> None:
+        hello = event.hello
+        if hello.role != 'entry':
+            return
+        if hello.incarnation == self.ctx.incarnation:
+            self._drop_self(event.session)
+            return
+        if hello.place.region != self.ctx.cfg.region:
+            return
+        self._open[event.session] = hello
+        if hello.address:
+            self._failed[hello.address] = 0
+            self._learn((hello.address,))
+        self._publish()
+        self._beat(event.session)
+
+    def _drop_self(self, name: str) -> None:
+        parent, _, target = name.rpartition('/')
+        if parent == addresses.PEER_SESSIONS:
+            self._mine.add(target)
+            self._failed.pop(target, None)
+            self.send(parent, supervisor.StopChild(target))
+
+    @task.handles(session.Closed)
+    def _on_closed(self, event: session.Closed) -> None:
+        if self._open.pop(event.session, None) is not None:
+            self._publish()
+
+    @task.handles(session.DialFailed)
+    def _on_dial_failed(self, event: session.DialFailed) -> None:
+        target = event.target
+        self._failed[target] = self._failed.get(target, 0) + 1
+        learnt = target not in self.ctx.cfg.peers
+        if learnt and self._failed[target] >= DIAL_TRIES:
+            del self._failed[target]
+            self.send(addresses.PEER_SESSIONS, supervisor.StopChild(target))
+            self._publish()
+
+    @task.handles(session.SendRefused)
+    def _on_send_refused(self, event: session.SendRefused) -> None:
+        """Ignore it; the next heartbeat carries the newest state."""
+
+    @task.handles(session.Received)
+    def _on_received(self, event: session.Received) -> None:
+        if isinstance(event.msg, messages.PeerHeartbeat):
+            self._learn(event.msg.entries)
+
+    @task.handles(_Beat)
+    def _on_beat(self, msg: _Beat) -> None:
+        self._seq += 1
+        for name in self._open:
+            self._beat(name)
+        jitter = self.ctx.rng.uniform(0.9, 1.1)
+        self.after(self.settings.heartbeat_s * jitter, _Beat())
+
+    def _beat(self, name: str) -> None:
+        beat = messages.PeerHeartbeat(
+            seq=self._seq,
+            revision=self.revision,
+            log_age_ms=self._infer_age_ms(),
+            entries=self._known(),
+        )
+        self.send(name, session.Send(beat))
+
+    def _infer_age_ms(self) -> int:
+        if self._asked_at is None:
+            return -1
+        age_s = self.now() - self._asked_at
+        return int(age_s * 1000) if age_s <= self.settings.isolation_s else -1
+
+    def _learn(self, targets: tuple[str, ...]) -> None:
+        for target in targets:
+            if target in self._mine:
+                continue
+            child = f'{addresses.PEER_SESSIONS}/{target}'
+            if child in self.ctx.directory.addresses():
+                continue
+            self._dial(target)
+
+    def _dial(self, target: str) -> None:
+        if target in self._mine:
+            return
+        known = len(self._failed)
+        if target not in self._failed and known >= PEERS_LIMIT:
+            self.ctx.metrics.count('peer_refused')
+            return
+        self._failed[target] = 0
+        self.send(
+            addresses.PEER_SESSIONS,
+            supervisor.StartChild(make_spec(target)),
+        )
+
+    def _known(self) -> tuple[str, ...]:
+        held = {h.address for h in self._open.values() if h.address}
+        return (self.ctx.cfg.listen, *sorted(held))[:PEERS_LIMIT]
+
+    def _publish(self) -> None:
+        sessions = {h.incarnation: name for name, h in self._open.items()}
+        event = events.PeersChanged(
+            tuple(sorted(sessions.items())), self._known()
+        )
+        for target in (
+            addresses.MEMBERSHIP,
+            addresses.TASKS,
+            addresses.FENCES,
+        ):
+            self.send(target, event)
+
+
+def make_spec(target: str) -> supervisor.ChildSpec:
+    """Return the spec of a session that dials another entry."""
+
+    def factory(ctx: task.Context, address: str) -> session.Session:
+        from kcr_entry.fleet import supervisor as fleet
+
+        routes = fleet.make_routes(ctx, (addresses.PEERS,))
+        return session.Session(ctx, address, routes, target)
+
+    return supervisor.ChildSpec(target, factory)
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -6,6 +6,7 @@
 from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry.fleet import membership
+from kcr_entry.fleet import peers
 from kcr_runtime import supervisor
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -18,7 +19,21 @@
     messages.Executed: addresses.REQUESTS,
     messages.Refused: addresses.REQUESTS,
     messages.Failed: addresses.REQUESTS,
+    messages.Started: addresses.TASKS,
+    messages.Evicted: addresses.TASKS,
+    messages.Finished: addresses.TASKS,
+    messages.TaskWait: addresses.TASKS,
+    messages.PeerHeartbeat: addresses.PEERS,
+    messages.HeardQuery: addresses.MEMBERSHIP,
+    messages.HeardReply: addresses.FENCES,
 }
+# Tasks that hear of sessions that were accepted.
+SUBSCRIBERS = (
+    addresses.MEMBERSHIP,
+    addresses.REQUESTS,
+    addresses.TASKS,
+    addresses.PEERS,
+)
 
 
 class Sessions(supervisor.Supervisor):
@@ -33,6 +48,8 @@
         return (
             supervisor.ChildSpec('membership', membership.Membership),
             supervisor.ChildSpec('sessions', Sessions),
+            supervisor.ChildSpec('peer_sessions', Sessions),
+            supervisor.ChildSpec('peers', peers.Peers),
             supervisor.ChildSpec('listener', make_listener),
         )
 
@@ -51,7 +68,9 @@
     )
 
 
-def make_routes(ctx: task.Context) -> session.Routes:
+def make_routes(
+    ctx: task.Context, subscribers: tuple[str, ...] = SUBSCRIBERS
+) -> session.Routes:
     """Return the routes of an entry's sessions."""
     cfg = ctx.cfg
     place = types.Place(cfg.region, cfg.zone, cfg.rack, cfg.process)
@@ -68,6 +87,6 @@
 
     return session.Routes(
         tasks=ROUTES,
-        subscribers=(addresses.MEMBERSHIP, addresses.REQUESTS),
+        subscribers=subscribers,
         hello=hello,
     )
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -4,25 +4,23 @@
 state by message, and turns the answer into a response.
 """
 
-import json
 import typing
 
 import klein
-import pydantic
 from twisted.internet import defer
 from twisted.web import http
 from twisted.web import iweb
 from twisted.web import server
 
-from kcr_core import messages
 from kcr_core import outcomes
 from kcr_entry import addresses
 from kcr_entry.front import models
+from kcr_entry.front import replies
+from kcr_entry.front import task_routes
 from kcr_entry.work import requests
 from kcr_runtime import ask
 from kcr_runtime import process
 from kcr_runtime import task
-from kcr_runtime.wire import codec
 
 # Time that the load balancer gets to see the failing health check.
 BALANCER_S = 0.5
@@ -82,6 +80,7 @@
         route('/healthz', methods=['GET'])(self._get_health)
         route('/v1/dump', methods=['GET'])(self._get_dump)
         route('/v1/requests', methods=['POST'])(self._post_request)
+        task_routes.TaskRoutes(self._ask).add(self._app)
 
     @task.handles(Drain)
     def _on_drain(self, msg: Drain) -> None:
@@ -120,14 +119,14 @@
 
     def _get_health(self, req: iweb.IRequest) -> bytes:
         if self._draining:
-            return _respond(req, 503, {'status': 'draining'})
-        return _respond(req, 200, {'status': 'ok'})
+            return replies.respond(req, 503, {'status': 'draining'})
+        return replies.respond(req, 200, {'status': 'ok'})
 
     def _get_dump(self, req: iweb.IRequest) -> bytes:
-        return _respond(req, 200, self.ctx.directory.dump())
+        return replies.respond(req, 200, self.ctx.directory.dump())
 
     async def _post_request(self, req: iweb.IRequest) -> bytes:
-        model = _read(req, models.RequestModel)
+        model = replies.read(req, models.RequestModel)
         if isinstance(model, bytes):
             return model
         self._open_requests += 1
@@ -141,43 +140,22 @@
         return _respond_outcome(req, value)
 
 
-M = typing.TypeVar('M', bound=pydantic.BaseModel)
-
-
-def _read(req: iweb.IRequest, model: type[M]) -> M | bytes:
-    content = typing.cast(typing.Any, req).content
-    body = content.read(messages.MAX_BODY_BYTES + 1)
-    if len(body) > messages.MAX_BODY_BYTES:
-        limit = messages.MAX_BODY_BYTES
-        return _respond(req, 413, {'error': f'body exceeds {limit} bytes'})
-    try:
-        return model.model_validate_json(body)
-    except pydantic.ValidationError as exc:
-        return _respond(req, 400, {'error': codec.describe(exc)})
-
-
-def _respond(req: iweb.IRequest, status: int, value: typing.Any) -> bytes:
-    req.setResponseCode(status)
-    req.setHeader(b'content-type', b'application/json')
-    return json.dumps(value, default=str).encode()
-
-
 def _respond_outcome(req: iweb.IRequest, value: typing.Any) -> bytes:
     if isinstance(value, outcomes.Done):
         body = value.body.decode('utf-8', 'replace')
-        return _respond(
+        return replies.respond(
             req,
             http.OK,
             {'outcome': 'done', 'status': value.status, 'body': body},
         )
     if isinstance(value, outcomes.NotRun):
-        return _respond(
+        return replies.respond(
             req,
             http.SERVICE_UNAVAILABLE,
             {'outcome': 'not_run', 'reason': value.reason},
         )
     if isinstance(value, requests.Conflict):
-        return _respond(
+        return replies.respond(
             req,
             http.CONFLICT,
             {
@@ -186,7 +164,7 @@
                 'choose a new id',
             },
         )
-    return _respond(
+    return replies.respond(
         req,
         http.GATEWAY_TIMEOUT,
         {'outcome': 'unknown', 'reason': value.reason},
--- a/packages/entry/src/kcr_entry/front/models.py
+++ b/packages/entry/src/kcr_entry/front/models.py
@@ -6,12 +6,21 @@
 import pydantic
 
 from kcr_core import messages
+from kcr_core import types
 from kcr_entry.work import requests
 
 # Longest deadline of a request, in milliseconds.
 MAX_DEADLINE_MS = 300_000
+# Largest payload of a task in characters; a batch of 200 stays under 1 MiB.
+MAX_PAYLOAD = 4096
+# Largest quantity of a resource or run time in seconds.
+MAX_QUANTITY = 1e9
 
 Name = typing.Annotated[str, pydantic.Field(min_length=1, max_length=100)]
+# Names that are part of a path and of a key have no slash.
+PathName = typing.Annotated[
+    str, pydantic.Field(min_length=1, max_length=100, pattern=r'^[^/\s]+$')
+]
 
 
 class RequestModel(pydantic.BaseModel):
@@ -41,3 +50,49 @@
             issued_at_ms=issued,
             body=self.body.encode(),
         )
+
+
+class DemandModel(pydantic.BaseModel):
+    """Validate the resources that a task declares."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', allow_inf_nan=False)
+
+    processors: float = pydantic.Field(0.0, ge=0.0, le=MAX_QUANTITY)
+    memory_mb: float = pydantic.Field(0.0, ge=0.0, le=MAX_QUANTITY)
+    accelerators: int = pydantic.Field(0, ge=0, le=1000)
+
+
+class TaskModel(pydantic.BaseModel):
+    """Validate the body of `POST /v1/tasks`."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', allow_inf_nan=False)
+
+    id: PathName
+    caller: PathName
+    team: Name
+    kind: Name
+    demand: DemandModel
+    urgent: bool = False
+    restartable: bool = True
+    run_s: float = pydantic.Field(0.0, ge=0.0, le=MAX_QUANTITY)
+    job: str = pydantic.Field('', max_length=100)
+    payload: str = pydantic.Field('', max_length=MAX_PAYLOAD)
+
+    def to_spec(self) -> types.TaskSpec:
+        """Return the task as a data class."""
+        return types.TaskSpec(
+            task_id=self.id,
+            caller=self.caller,
+            team=self.team,
+            kind=self.kind,
+            demand=types.Demand(
+                self.demand.processors,
+                self.demand.memory_mb,
+                self.demand.accelerators,
+            ),
+            urgent=self.urgent,
+            restartable=self.restartable,
+            run_s=self.run_s,
+            job=self.job,
+            payload=self.payload,
+        )
--- /dev/null
+++ b/packages/entry/src/kcr_entry/front/task_routes.py
@@ -0,0 +1,128 @@
+"""Serve the durable tasks of callers over HTTP."""
+
+from collections import abc
+import typing
+
+from twisted.internet import defer
+from twisted.web import http
+from twisted.web import iweb
+
+from kcr_core import outcomes
+from kcr_core import task_outcomes
+from kcr_entry import addresses
+from kcr_entry.front import models
+from kcr_entry.front import replies
+from kcr_entry.work import submissions
+
+# Status of a task that is refused for what it is: unprocessable content.
+REJECTED = 422
+
+Ask = abc.Callable[[str, typing.Any], defer.Deferred[typing.Any]]
+
+
+class TaskRoutes:
+    """Turn HTTP requests about tasks into questions and back."""
+
+    def __init__(self, ask: Ask) -> None:
+        # Asks another task of the entry.
+        self.ask = ask
+
+    def add(self, app: typing.Any) -> None:
+        """Add the routes to the application."""
+        app.route('/v1/tasks', methods=['POST'])(self._post)
+        path = '/v1/tasks/<caller>/<name>'
+        app.route(path, methods=['GET'])(self._get)
+        app.route(path, methods=['DELETE'])(self._delete)
+
+    async def _post(self, req: iweb.IRequest) -> bytes:
+        model = replies.read(req, models.TaskModel)
+        if isinstance(model, bytes):
+            return model
+        body = submissions.Submit(model.to_spec())
+        value = await self.ask(addresses.TASKS, body)
+        return respond_submitted(req, value)
+
+    async def _get(self, req: iweb.IRequest, caller: str, name: str) -> bytes:
+        body = submissions.Get(f'{caller}/{name}')
+        return respond_state(req, await self.ask(addresses.TASKS, body))
+
+    async def _delete(
+        self, req: iweb.IRequest, caller: str, name: str
+    ) -> bytes:
+        body = submissions.Cancel(f'{caller}/{name}')
+        return respond_cancelled(req, await self.ask(addresses.TASKS, body))
+
+
+def respond_submitted(req: iweb.IRequest, value: typing.Any) -> bytes:
+    """Answer a submission."""
+    if isinstance(value, task_outcomes.Accepted):
+        body = {'outcome': 'accepted', **render(value.state)}
+        return replies.respond(req, http.OK, body)
+    if isinstance(value, task_outcomes.Rejected):
+        body = {'outcome': 'rejected', 'reason': value.reason}
+        return replies.respond(req, REJECTED, body)
+    if isinstance(value, task_outcomes.Conflict):
+        reason = f'id {value.key} was used with other content; choose a new id'
+        body = {'outcome': 'conflict', 'reason': reason}
+        return replies.respond(req, http.CONFLICT, body)
+    return _respond_refused(req, value, 'not_accepted')
+
+
+def respond_state(req: iweb.IRequest, value: typing.Any) -> bytes:
+    """Answer a question for the state of a task."""
+    if isinstance(value, task_outcomes.TaskState):
+        return replies.respond(req, http.OK, render(value))
+    if isinstance(value, task_outcomes.NoTask):
+        return _respond_missing(req, value)
+    return _respond_refused(req, value, 'not_ready')
+
+
+def respond_cancelled(req: iweb.IRequest, value: typing.Any) -> bytes:
+    """Answer a cancellation; a task that has ended keeps its outcome."""
+    if isinstance(value, task_outcomes.TaskState):
+        cancelled = value.state == 'cancelled'
+        outcome = 'cancelled' if cancelled else 'ended'
+        body = {'outcome': outcome, **render(value)}
+        return replies.respond(req, http.OK, body)
+    if isinstance(value, task_outcomes.NoTask):
+        return _respond_missing(req, value)
+    return _respond_refused(req, value, 'not_cancelled')
+
+
+def render(state: task_outcomes.TaskState) -> dict[str, typing.Any]:
+    """Return the state of a task as plain data."""
+    home = state.home
+    return {
+        'task': state.key,
+        'state': state.state,
+        'epoch': state.epoch,
+        'home': home.instance if home else None,
+        'reason': state.reason,
+        'moves': [
+            {
+                'epoch': move.epoch,
+                'home': move.home.instance if move.home else None,
+                'reason': move.reason,
+            }
+            for move in state.history
+        ],
+    }
+
+
+def _respond_missing(req: iweb.IRequest, value: task_outcomes.NoTask) -> bytes:
+    if value.certain:
+        reason = f'no task {value.key} is known'
+        return replies.respond(req, http.NOT_FOUND, {'error': reason})
+    reason = f'{value.key} is not known here, and the log is not read'
+    return replies.respond(req, http.SERVICE_UNAVAILABLE, {'error': reason})
+
+
+def _respond_refused(
+    req: iweb.IRequest, value: typing.Any, refused: str
+) -> bytes:
+    if isinstance(value, task_outcomes.Uncertain):
+        body = {'outcome': 'unknown', 'reason': value.reason}
+        return replies.respond(req, http.GATEWAY_TIMEOUT, body)
+    assert isinstance(value, task_outcomes.NotAccepted | outcomes.NotRun)
+    body = {'outcome': refused, 'reason': value.reason}
+    return replies.respond(req, http.SERVICE_UNAVAILABLE, body)
--- a/packages/entry/src/kcr_entry/work/supervisor.py
+++ b/packages/entry/src/kcr_entry/work/supervisor.py
@@ -2,7 +2,9 @@
 
 from collections import abc
 
+from kcr_entry.work import fences
 from kcr_entry.work import requests
+from kcr_entry.work import tasks
 from kcr_runtime import supervisor
 
 
@@ -11,4 +13,8 @@
 
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the tasks of the work part."""
-        return (supervisor.ChildSpec('requests', requests.Requests),)
+        return (
+            supervisor.ChildSpec('requests', requests.Requests),
+            supervisor.ChildSpec('tasks', tasks.Tasks),
+            supervisor.ChildSpec('fences', fences.Fences),
+        )
--- /dev/null
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -0,0 +1,383 @@
+"""Own the ledger of the region's tasks: read, append, assign, answer.
+
+Callers' submissions, reports of sidecars and decisions of the core become
+records; only what was read back from the log changes the state.
+"""
+
+import time
+import typing
+
+from kcr_core import append_queue
+from kcr_core import fencing
+from kcr_core import homes
+from kcr_core import ledger
+from kcr_core import messages
+from kcr_core import outcomes
+from kcr_core import placement
+from kcr_core import records
+from kcr_core import restating
+from kcr_core import task_dispatch
+from kcr_core import task_moves
+from kcr_core import turns
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry import events
+from kcr_entry.work import submissions
+from kcr_runtime import ask
+from kcr_runtime import task
+from kcr_runtime.wire import session
+
+# Time in which items for the log are collected, in seconds.
+COLLECT_S = 0.01
+# Time between two looks at parked and lost tasks, in seconds.
+LOOK_S = 0.25
+# Time between two looks for records to write again, in seconds.
+RESTATE_S = 5.0
+# Time between two batches of orders to the sidecars, in seconds.
+ORDER_S = 0.05
+# Time after which an append without an answer is unknown, in seconds.
+APPEND_LIMIT_S = 30.0
+
+
+class _Collect:
+    pass
+
+
+class _Look:
+    pass
+
+
+class _Restate:
+    pass
+
+
+class _Order:
+    pass
+
+
+class Tasks(task.Task):
+    """Own the ledger and everything that is appended to its stream."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        # Settings of the document in force.
+        self.settings = types.ControlSettings()
+        # Quotas of the document in force, by team.
+        self.quotas: dict[str, types.Demand] = {}
+        # Stream of the region.
+        self.stream = records.tasks_stream(ctx.cfg.region)
+        # The live tasks.
+        self.state = ledger.Ledger()
+        # Instances that can be homes.
+        self.places = homes.Homes(self.state)
+        # Which entry goes first.
+        self.turns = turns.Turns(ctx.incarnation)
+        # Finds the tasks that need another home.
+        self.mover = task_moves.Mover(self.state, self.places, self.turns)
+        # Orders to the sidecars.
+        self.orders = task_dispatch.Dispatcher(self.state)
+        # Items for the log.
+        self.queue = append_queue.AppendQueue()
+        # Questions of callers and reports that wait for a record.
+        self.asked = submissions.Submissions(self)
+        # Whether the stream was read to its end since the last gap.
+        self.caught_up = False
+        # Monotonic time at which the last caught-up read was sent.
+        self.asked_at: float | None = None
+        # Monotonic time of the start.
+        self.began_at = self.now()
+        self._tokens = 0
+        self._seen: dict[str, events.EndpointSeen] = {}
+        self._collecting = False
+        self._ordering = False
+
+    def started(self) -> None:
+        """Start the timers."""
+        self.after(LOOK_S, _Look())
+        self.after(RESTATE_S, _Restate())
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the sizes of the tables and the age of the view."""
+        age = None if self.asked_at is None else self.now() - self.asked_at
+        return {
+            **super().dump(),
+            'live': len(self.state.live),
+            'parked': len(self.state.parked),
+            'ended': len(self.state.ended),
+            'fences': [list(name) for name in list(self.state.fences)[-20:]],
+            'records': dict(self.state.counts),
+            'invariants_checked': self.state.checked,
+            'caught_up': self.caught_up,
+            'log_age_s': None if age is None else round(age, 3),
+            'appends_under_way': len(self.queue.under_way),
+            'items_waiting': len(self.queue.waiting),
+            **self.asked.dump(),
+        }
+
+    def is_fresh(self) -> bool:
+        """Tell whether the view of the stream allows new records."""
+        return (
+            self.caught_up
+            and self.asked_at is not None
+            and self.now() - self.asked_at <= self.settings.isolation_s
+        )
+
+    def look(self) -> task_moves.Look:
+        """Return what a look at the tasks needs."""
+        policy = placement.POLICIES.get(self.settings.placement_policy)
+        return task_moves.Look(policy, self.queue.busy, self.now())
+
+    def append(self, key: str, item: typing.Any, urgent: bool = False) -> bool:
+        """Queue an item for the log; False if it cannot be taken now."""
+        if not self.queue.put(key, item, urgent):
+            self.ctx.metrics.count('task_item_refused')
+            return False
+        if not self._collecting:
+            self._collecting = True
+            self.after(COLLECT_S, _Collect())
+        return True
+
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        self.settings = event.settings
+        self.quotas = dict(event.quotas)
+
+    @task.handles(events.PeersChanged)
+    def _on_peers(self, event: events.PeersChanged) -> None:
+        self.turns.others = tuple(name for name, _ in event.sessions)
+
+    @task.handles(events.LogGap)
+    def _on_gap(self, event: events.LogGap) -> None:
+        if event.stream != self.stream:
+            return
+        self.log.warning('task records were trimmed', first=event.first)
+        self.state.reset()
+        self.orders.lines.clear()
+        self.caught_up = False
+        self.asked_at = None
+
+    @task.handles(events.LogRead)
+    def _on_read(self, event: events.LogRead) -> None:
+        if event.stream != self.stream:
+            return
+        now, now_ms = self.now(), int(time.time() * 1000)
+        for held in event.items:
+            change = self.state.apply(held.item, now, now_ms)
+            self.ctx.metrics.count('task_record', effect=change.effect)
+            self._follow(change, held.item)
+        if not event.caught_up:
+            return
+        self.asked_at = event.asked_at
+        if not self.caught_up:
+            self.caught_up = True
+            self.log.info('task stream read', live=len(self.state.live))
+            for seen in self._seen.values():
+                self._connect(seen)
+        self._publish()
+
+    def _follow(self, change: ledger.Change, item: typing.Any) -> None:
+        if change.effect == 'fenced':
+            self.mover.watched.add(item.instance)
+        self.places.follow(change)
+        self.mover.follow(change)
+        if self.caught_up:
+            self.orders.follow(change)
+            self._start_orders()
+        self.asked.follow(change)
+
+    def _publish(self) -> None:
+        assert self.asked_at is not None, 'view without a read'
+        fenced = set(self.state.fences)
+        instances = frozenset(instance for instance, _ in fenced)
+        cleared = set()
+        for instance in instances:
+            seen = self._seen.get(instance)
+            if seen is None or seen.state is None:
+                continue
+            running = list_running(seen)
+            if fencing.is_fenced(seen.name, running, self.state):
+                fenced.add(seen.name)
+            else:
+                cleared.add(seen.name)
+        view = events.LedgerView(
+            self.asked_at, frozenset(fenced), instances, frozenset(cleared)
+        )
+        self.send(addresses.MEMBERSHIP, view)
+        self.send(addresses.PEERS, view)
+
+    @task.handles(events.EndpointSeen)
+    def _on_endpoint(self, event: events.EndpointSeen) -> None:
+        instance = event.place.instance
+        held = self._seen.get(instance)
+        if event.state is None:
+            return
+        self._seen[instance] = event
+        self.places.offer(make_offer(event))
+        if event.phase == 'gone':
+            self.orders.disconnect(instance, event.session)
+        elif self.caught_up and (
+            held is None
+            or held.session != event.session
+            or held.phase == 'gone'
+        ):
+            self._connect(event)
+
+    def _connect(self, event: events.EndpointSeen) -> None:
+        if event.phase == 'gone':
+            return
+        self.mover.watched.add(event.place.instance)
+        self.orders.connect(
+            event.place.instance,
+            event.incarnation,
+            event.session,
+            list_running(event),
+        )
+        self._start_orders()
+
+    def _start_orders(self) -> None:
+        if not self._ordering:
+            self._ordering = True
+            self.after(ORDER_S, _Order())
+
+    @task.handles(_Order)
+    def _on_order(self, msg: _Order) -> None:
+        self._ordering = False
+        orders = self.orders.take()
+        for name, order in orders:
+            if not self.send(name, session.Send(order)):
+                self.ctx.metrics.count('order_not_sent')
+            self.ctx.metrics.count('order', kind=type(order).__name__)
+        if orders:
+            self._start_orders()
+
+    @task.handles(session.SendRefused)
+    def _on_send_refused(self, event: session.SendRefused) -> None:
+        if isinstance(event.msg, messages.Assign | messages.StopTask):
+            self.orders.again(event.session, event.msg)
+            self._start_orders()
+
+    @task.handles(session.Opened)
+    @task.handles(session.Closed)
+    def _on_session(self, event: session.Opened | session.Closed) -> None:
+        """Ignore it; membership reports what changed."""
+
+    @task.handles(session.Received)
+    def _on_received(self, event: session.Received) -> None:
+        self.asked.report(event)
+
+    @task.handles(ask.Ask)
+    def _on_ask(self, question: ask.Ask) -> None:
+        self.asked.handle_question(question)
+
+    @task.handles(submissions.Limit)
+    def _on_limit(self, event: submissions.Limit) -> None:
+        self.asked.expire(event)
+
+    @task.handles(events.FenceDue)
+    def _on_fence_due(self, event: events.FenceDue) -> None:
+        item = event.item
+        name = (item.instance, item.incarnation)
+        if not self.is_fresh() or name in self.state.fences:
+            return
+        if self.append('/'.join(name), item, urgent=True):
+            self.log.warning(
+                'endpoint is fenced', instance=name[0], wait_s=item.wait_s
+            )
+
+    @task.handles(_Collect)
+    def _on_collect(self, msg: _Collect) -> None:
+        self._collecting = False
+        while True:
+            self._tokens += 1
+            token = f'{self.ctx.incarnation}:{self._tokens}'
+            batch = self.queue.take(token)
+            if not batch:
+                return
+            self.ctx.metrics.count('task_append')
+            items = tuple(entry.item for entry in batch)
+            req = events.Append(token, self.address, self.stream, items)
+            unknown = outcomes.AppendUnknown('the log gave no answer')
+            self.after(APPEND_LIMIT_S, events.AppendEnded(token, unknown))
+            if not self.send(addresses.APPENDER, req):
+                reason = 'the log client does not run'
+                refused = outcomes.NotAppended(reason)
+                self.post(events.AppendEnded(token, refused))
+
+    @task.handles(events.AppendEnded)
+    def _on_append_ended(self, event: events.AppendEnded) -> None:
+        for entry in self.queue.done(event.token):
+            self.asked.appended(entry, event.outcome)
+        if self.queue.waiting and not self._collecting:
+            self._collecting = True
+            self.after(COLLECT_S, _Collect())
+
+    @task.handles(_Look)
+    def _on_look(self, msg: _Look) -> None:
+        self.after(LOOK_S, _Look())
+        homes_now = frozenset(self.state.homes)
+        fenced = frozenset(self.state.fences)
+        fresh = self.is_fresh()
+        view = events.HomesChanged(homes_now, fenced, fresh)
+        self.send(addresses.FENCES, view)
+        if not fresh:
+            return
+        look = self.look()
+        for entry in self.mover.choose_lost(look):
+            self._append_move(entry)
+        for entry in self.mover.choose_parked(look):
+            self._append_move(entry)
+
+    def _append_move(self, entry: append_queue.Entry) -> None:
+        if not self.append(entry.key, entry.item):
+            self.places.settle(entry.key)
+
+    @task.handles(_Restate)
+    def _on_restate(self, msg: _Restate) -> None:
+        self.after(RESTATE_S, _Restate())
+        if not self.is_fresh():
+            return
+        turn = restating.Turn(
+            self.ctx.incarnation,
+            self.turns.others,
+            self.ctx.cfg.log_retention_s,
+            int(time.time() * 1000),
+        )
+        items = restating.choose_restated(
+            self.state, turn, append_queue.BATCH_ITEMS
+        )
+        for item in items:
+            self.append(f'again/{infer_key(item)}', item)
+
+
+def list_running(
+    event: events.EndpointSeen,
+) -> frozenset[tuple[str, int]]:
+    """Return the key and epoch of the tasks that ran at connection."""
+    if event.state is None:
+        return frozenset()
+    return frozenset((run.task, run.epoch) for run in event.state.running)
+
+
+def make_offer(event: events.EndpointSeen) -> homes.Offer:
+    """Return what an endpoint offers to tasks."""
+    assert event.state is not None, 'offer without full state'
+    home = types.Home(
+        event.place.instance, event.incarnation, event.state.controller_epoch
+    )
+    return homes.Offer(
+        home=home,
+        place=event.place,
+        capacity=event.state.capacity.resources,
+        free=event.free,
+        open=event.phase == 'up',
+        running=list_running(event),
+    )
+
+
+def infer_key(item: typing.Any) -> str:
+    """Return the key of a record that is written again."""
+    if isinstance(item, records.Restated):
+        return item.spec.key
+    if isinstance(item, records.Fenced):
+        return f'{item.instance}/{item.incarnation}'
+    return str(item.task)
