--- a/packages/core/src/kcr_core/append_queue.py
+++ b/packages/core/src/kcr_core/append_queue.py
@@ -4,8 +4,10 @@
 import dataclasses
 import typing
 
-# Items of one append; keeps a record of large payloads under a frame.
+# Items of one append.
 BATCH_ITEMS = 200
+# Characters of one append; with escapes a record stays under 256 KiB.
+BATCH_SIZE = 100 * 1024
 # Appends that wait for their answer at the same time.
 UNDER_WAY_LIMIT = 4
 # Items that wait to be appended.
@@ -49,10 +51,15 @@
         """Return the next batch; empty if there is none or no room."""
         if len(self.under_way) >= UNDER_WAY_LIMIT or not self.waiting:
             return ()
-        count = min(BATCH_ITEMS, len(self.waiting))
-        batch = tuple(self.waiting.popleft() for _ in range(count))
-        self.under_way[token] = batch
-        return batch
+        taken: list[Entry] = []
+        size = 0
+        while self.waiting and len(taken) < BATCH_ITEMS:
+            size += infer_size(self.waiting[0].item)
+            if taken and size > BATCH_SIZE:
+                break
+            taken.append(self.waiting.popleft())
+        self.under_way[token] = tuple(taken)
+        return self.under_way[token]
 
     def done(self, token: str) -> tuple[Entry, ...]:
         """Return the batch of an append that has ended."""
@@ -60,3 +67,10 @@
         for entry in batch:
             self.busy.discard(entry.key)
         return batch
+
+
+def infer_size(item: typing.Any) -> int:
+    """Return about how many bytes an item has in the log."""
+    text = repr(item)
+    # A character outside ASCII becomes an escape of 6 bytes in JSON.
+    return len(text) * (1 if text.isascii() else 6)
--- a/packages/entry/src/kcr_entry/addresses.py
+++ b/packages/entry/src/kcr_entry/addresses.py
@@ -6,6 +6,13 @@
 SESSIONS = 'fleet/sessions'
 TASKS = 'work/tasks'
 FENCES = 'work/fences'
+CLAIMS = 'work/claims'
 PEERS = 'fleet/peers'
 PEER_SESSIONS = 'fleet/peer_sessions'
 APPENDER = 'log/appender'
+IN_FORCE = 'configuration/in_force'
+READERS = {
+    'config': 'log/reader_config',
+    'tasks': 'log/reader_tasks',
+    'claims': 'log/reader_claims',
+}
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -198,6 +198,11 @@
             if self._phases.get(instance) != phase:
                 self._publish(endpoint.session, instance)
 
+    @task.handles(events.LogRead)
+    @task.handles(events.LogGap)
+    def _on_log(self, event: events.LogRead | events.LogGap) -> None:
+        """Ignore it; `work/tasks` reports the view after it was applied."""
+
     @task.handles(events.LedgerView)
     def _on_ledger(self, view: events.LedgerView) -> None:
         self._ledger = view
--- a/packages/entry/src/kcr_entry/work/submissions.py
+++ b/packages/entry/src/kcr_entry/work/submissions.py
@@ -29,6 +29,9 @@
 WAITING_LIMIT = 4000
 # Live tasks of a region before new ones are refused; twice the design size.
 LIVE_LIMIT = 400_000
+# Characters of a checkpoint name; a task with a longer one resumes from its
+# last recorded checkpoint, because a record of the log is bounded.
+CHECKPOINT_LIMIT = 16_384
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -329,9 +332,11 @@
             owner.places.promise(msg.task, home.instance, task.spec.demand)
         else:
             reason = f'{reason}; {choice.reason}'
-        return records.Moved(
-            msg.task, msg.epoch + 1, home, msg.checkpoint, reason
-        )
+        checkpoint = msg.checkpoint
+        if len(checkpoint) > CHECKPOINT_LIMIT:
+            owner.ctx.metrics.count('checkpoint_too_large')
+            checkpoint = ''
+        return records.Moved(msg.task, msg.epoch + 1, home, checkpoint, reason)
 
     def describe(
         self, key: str
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -86,6 +86,8 @@
         self.asked_at: float | None = None
         # Monotonic time of the start.
         self.began_at = self.now()
+        # Offset of the last record that was applied.
+        self._position = 0
         self._tokens = 0
         self._seen: dict[str, events.EndpointSeen] = {}
         self._collecting = False
@@ -95,6 +97,7 @@
         """Start the timers."""
         self.after(LOOK_S, _Look())
         self.after(RESTATE_S, _Restate())
+        self.send(addresses.READERS['tasks'], events.LogReplay())
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the sizes of the tables and the age of the view."""
@@ -151,15 +154,27 @@
         if event.stream != self.stream:
             return
         self.log.warning('task records were trimmed', first=event.first)
+        self._restart(event.first - 1)
+
+    def _restart(self, position: int) -> None:
+        """Drop the live tasks and take the stream from a position."""
         self.state.reset()
         self.orders.lines.clear()
         self.caught_up = False
         self.asked_at = None
+        self._position = position
 
     @task.handles(events.LogRead)
     def _on_read(self, event: events.LogRead) -> None:
         if event.stream != self.stream:
             return
+        if event.after == 0 and self._position:
+            self._restart(0)
+        if event.after != self._position:
+            # Read before this task was started; the replay follows.
+            self.ctx.metrics.count('task_read_skipped')
+            return
+        self._position = event.position
         now, now_ms = self.now(), int(time.time() * 1000)
         for held in event.items:
             change = self.state.apply(held.item, now, now_ms)
