--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,119 @@
+"""Check the choice of homes and the quotas of teams."""
+
+import pathlib
+import typing
+
+import pytest
+import yaml
+
+from kcr_core import homes
+from kcr_core import ledger
+from kcr_core import placement
+from kcr_core import quotas
+from kcr_core import records
+from kcr_core import types
+
+CASES = yaml.safe_load(
+    pathlib.Path(__file__).with_name('placement_cases.yaml').read_text()
+)
+
+
+def parse_demand(text: str) -> types.Demand:
+    """Return the demand that a case names."""
+    processors, memory, accelerators = text.split(',')
+    return types.Demand(float(processors), float(memory), int(accelerators))
+
+
+def make_offer(name: str, room: list[str]) -> homes.Offer:
+    """Return the offer of an instance of a case."""
+    zone, rack = room[0].split('/')
+    return homes.Offer(
+        home=types.Home(name, f'{name}1', 1),
+        place=types.Place('r', zone, rack, name),
+        capacity=parse_demand(room[1]),
+        free=parse_demand(room[2]),
+        open='closed' not in room,
+        running=frozenset(),
+    )
+
+
+def make_homes(case: dict[str, typing.Any]) -> homes.Homes:
+    """Return the instances of a case with the tasks of its job."""
+    state = ledger.Ledger()
+    places = homes.Homes(state)
+    for name, room in case['rooms'].items():
+        places.offer(make_offer(name, room))
+    for name, count in case.get('job', {}).items():
+        for number in range(count):
+            spec = types.TaskSpec(
+                f'{name}{number}', 'c', 'x', 'k', types.Demand(), job='j'
+            )
+            home = types.Home(name, f'{name}1', 1)
+            state.apply(records.Accepted(spec, home, 0), 0.0, 0)
+    return places
+
+
+@pytest.mark.parametrize('case', CASES, ids=lambda case: str(case['name']))
+def test_home_is_chosen_by_policy(case: dict[str, typing.Any]) -> None:
+    """Guard against a wrong home and against an untrue reason."""
+    places = make_homes(case)
+    demand = parse_demand(case['demand'])
+    spec = types.TaskSpec('t', 'c', 'x', 'k', demand, job='j')
+    policy = placement.POLICIES.get(case['policy'])
+    choice = places.choose(policy, spec, 100.0)
+    if 'home' in case:
+        assert isinstance(choice, placement.Placed)
+        assert choice.home.instance == case['home']
+    elif 'waits' in case:
+        assert isinstance(choice, placement.NoRoom)
+        assert case['waits'] in choice.reason
+    else:
+        assert isinstance(choice, placement.NeverRuns)
+        assert case['never'] in choice.reason
+
+
+def test_promised_room_is_not_given_twice() -> None:
+    """Guard against placing two tasks in the room of one."""
+    places = make_homes({'rooms': {'a': ['z/r', '4,100,0', '4,100,0']}})
+    spec = types.TaskSpec('t', 'c', 'x', 'k', types.Demand(3.0))
+    policy = placement.POLICIES.get('spread')
+    assert isinstance(places.choose(policy, spec, 0.0), placement.Placed)
+    places.promise('c/t', 'a', spec.demand)
+    assert isinstance(places.choose(policy, spec, 0.0), placement.NoRoom)
+    places.settle('c/t')
+    assert isinstance(places.choose(policy, spec, 0.0), placement.Placed)
+
+
+QUOTAS = {'x': types.Demand(4.0, 100.0, 1)}
+
+
+@pytest.mark.parametrize(
+    ('team', 'demand', 'reason'),
+    [
+        ('x', types.Demand(2.0, 50.0, 0), ''),
+        ('x', types.Demand(2.5, 50.0, 0), 'processors 4.5 of 4'),
+        ('x', types.Demand(1.0, 51.0, 0), 'memory_mb 101 of 100'),
+        ('x', types.Demand(1.0, 50.0, 2), 'accelerators 2 of 1'),
+        ('y', types.Demand(900.0, 0.0, 0), ''),
+    ],
+)
+def test_quota_of_a_team(team: str, demand: types.Demand, reason: str) -> None:
+    """Guard against a team that takes more than its quota."""
+    used = types.Demand(2.0, 50.0, 0)
+    found = quotas.check_quota(team, demand, used, QUOTAS)
+    assert reason in found
+    assert bool(reason) == bool(found)
+
+
+def test_urgent_tasks_get_room_first() -> None:
+    """Guard against urgent work behind batch work that came earlier."""
+    state = ledger.Ledger()
+    for name, urgent, at_ms in (
+        ('a', False, 1),
+        ('b', True, 3),
+        ('d', True, 2),
+    ):
+        spec = types.TaskSpec(name, 'c', 'x', 'k', types.Demand(), urgent)
+        state.apply(records.Accepted(spec, None, at_ms), 0.0, 0)
+    order = quotas.order_waiting(state.live.values())
+    assert [task.spec.task_id for task in order] == ['d', 'b', 'a']
