Check documents and fold the stream config into the document in force

Operators need one text per environment that is refused as a whole with every fault named, and every reader of the log must agree on what is in force, also after a trim. A restatement now says up to which offset its writer had read, because a reader that starts after a trim cannot otherwise tell a stale restatement from a valid one. A promotion names the trial revision, because a promotion that was refused once could become valid when it is doubled after the same text is tried again. Trusting record IDs alone was ruled out: a reader after a trim does not see the first occurrence.

--- a/packages/core/src/kcr_core/messages.py
+++ b/packages/core/src/kcr_core/messages.py
@@ -340,6 +340,8 @@
 
     # Revision that the sender has.
     revision: types.Count
+    # Environment of the sender.
+    environment: str = ''
 
 
 @message('document_offer')
@@ -353,6 +355,10 @@
     digest: str
     # Text of the document.
     text: str
+    # Environment in which it is in force.
+    environment: str = ''
+    # Whether the environment is a production environment.
+    production: bool = False
 
 
 @message('outcome_query')
--- a/packages/core/src/kcr_core/records.py
+++ b/packages/core/src/kcr_core/records.py
@@ -191,12 +191,17 @@
     text: str
     # Who promoted it.
     operator: str = ''
+    # Revision in force in trial that the operator saw.
+    tried: types.Count = 0
 
 
 @record('document_restated')
 @dataclasses.dataclass(frozen=True, slots=True)
 class DocumentRestated:
-    """Repeat the document in force before its record is trimmed."""
+    """Repeat the document in force before its record is trimmed.
+
+    One log record restates all environments as they were at `read_to`.
+    """
 
     # Environment of the document.
     environment: types.Id
@@ -204,8 +209,12 @@
     revision: types.Count
     # Digest of the text.
     digest: str
-    # Text of the document.
+    # Text of the document; empty if an item before it has the same digest.
     text: str
+    # Whether the environment is a production environment.
+    production: bool = False
+    # Offset up to which the writer had read the stream.
+    read_to: types.Count = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/document/src/kcr_document/__init__.py
+++ b/packages/document/src/kcr_document/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Read, check, compare and convert the document that operators write."""
--- /dev/null
+++ b/packages/document/src/kcr_document/document.py
@@ -0,0 +1,232 @@
+"""Read whole files: validation, canonical text, digest and conversion."""
+
+from collections import abc
+import dataclasses
+import difflib
+import hashlib
+import typing
+
+import pydantic
+import yaml
+
+from kcr_core import types
+from kcr_document import checks
+from kcr_document import loading
+from kcr_document import models
+from kcr_document import problems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class File:
+    """Hold the checked documents of one file."""
+
+    # Documents, at most one trial and one production document.
+    documents: tuple[models.Document, ...]
+    # Canonical text of all documents.
+    text: str
+    # Digest of the canonical text.
+    digest: str
+
+    def find(self, environment: str) -> models.Document | None:
+        """Return the document of an environment; None if there is none."""
+        for doc in self.documents:
+            if doc.environment.name == environment:
+                return doc
+        return None
+
+    def find_kind(self, kind: str) -> models.Document | None:
+        """Return the document of a kind; None if there is none."""
+        for doc in self.documents:
+            if doc.environment.kind == kind:
+                return doc
+        return None
+
+
+def parse(data: bytes) -> File:
+    """Return a checked file; raise WrongDocument with every problem."""
+    loaded = loading.load(data)
+    docs: list[models.Document] = []
+    found: list[problems.Problem] = []
+    for number, value in enumerate(loaded, 1):
+        prefix = f'documents[{number}].' if len(loaded) > 1 else ''
+        faults, doc = _read(value)
+        found.extend(
+            dataclasses.replace(item, path=prefix + item.path)
+            for item in faults
+        )
+        if doc is not None:
+            docs.append(doc)
+    if len(docs) == len(loaded):
+        found.extend(checks.check_file(docs))
+    if found:
+        raise problems.WrongDocument(found)
+    text = canonical_text(docs)
+    if len(text.encode()) > loading.MAX_BYTES:
+        raise problems.WrongDocument(
+            [
+                problems.Problem(
+                    '',
+                    f'has {len(text.encode())} bytes with all defaults',
+                    f'keep it within {loading.MAX_BYTES} bytes',
+                )
+            ]
+        )
+    return File(tuple(docs), text, infer_digest(text))
+
+
+def _read(
+    value: typing.Any,
+) -> tuple[list[problems.Problem], models.Document | None]:
+    try:
+        doc = models.Document.model_validate(value)
+    except pydantic.ValidationError as exc:
+        return [_explain(error) for error in exc.errors()], None
+    return checks.check(doc), doc
+
+
+def canonical_text(docs: abc.Iterable[models.Document]) -> str:
+    """Return the text that is stored: all fields, one instance a line."""
+    return yaml.dump_all(
+        [_compact(doc) for doc in docs],
+        Dumper=yaml.CSafeDumper,
+        sort_keys=False,
+        default_flow_style=None,
+        width=1000,
+        explicit_start=True,
+    )
+
+
+def _compact(doc: models.Document) -> dict[str, typing.Any]:
+    data = doc.model_dump()
+    for instance in data['instances']:
+        if not instance['drained']:
+            del instance['drained']  # The default; keeps large files small.
+    return data
+
+
+def infer_digest(text: str) -> str:
+    """Return the digest of a canonical text."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def convert(doc: models.Document) -> types.ControlSettings:
+    """Return the settings that every daemon follows."""
+    times, retries = doc.times, doc.retries
+    return types.ControlSettings(
+        **times.model_dump(),
+        max_attempts=retries.max_attempts,
+        retry_budget=retries.budget,
+        hedge_s=retries.hedge_s,
+        endpoint_policy=doc.policies.endpoint,
+        placement_policy=doc.policies.placement,
+        interference_policy=doc.policies.interference,
+        unknown_size_factor=doc.limits.unknown_size_factor,
+        service_p99_ms=min(item.p99_ms for item in doc.services),
+        evictions_per_minute=doc.limits.evictions_per_minute,
+        weights=types.Weights(**doc.weights.model_dump()),
+        drained=tuple(i.name for i in doc.instances if i.drained),
+    )
+
+
+def convert_quotas(
+    doc: models.Document,
+) -> tuple[tuple[str, types.Demand], ...]:
+    """Return the quota of each team."""
+    return tuple(
+        (
+            team.name,
+            types.Demand(team.processors, team.memory_mb, team.accelerators),
+        )
+        for team in doc.teams
+    )
+
+
+def schema() -> dict[str, typing.Any]:
+    """Return the JSON Schema of one document."""
+    return models.Document.model_json_schema()
+
+
+def _explain(error: typing.Any) -> problems.Problem:
+    loc = error['loc']
+    path = ''
+    for part in loc:
+        if isinstance(part, int):
+            path += f'[{part}]'
+        else:
+            path += f'.{part}' if path else str(part)
+    kind = error['type']
+    value = problems.shorten(error['input'])
+    if kind == 'extra_forbidden':
+        return problems.Problem(
+            path, 'is no known field', _suggest(loc), value
+        )
+    field = find_field(loc)
+    text = (field.description or '') if field is not None else ''
+    if kind == 'missing':
+        return problems.Problem(path, 'is missing', f'give it: {text}')
+    message = error['msg'].lower()
+    return problems.Problem(path, message, _remedy(kind, field, text), value)
+
+
+def _remedy(
+    kind: str, field: pydantic.fields.FieldInfo | None, text: str
+) -> str:
+    if field is None:
+        return 'write a mapping with the fields of the schema'
+    limits = {
+        name: getattr(item, name)
+        for item in field.metadata
+        for name in ('ge', 'le')
+        if getattr(item, name, None) is not None
+    }
+    extra = field.json_schema_extra
+    if len(limits) == 2 and isinstance(extra, dict):
+        unit = extra['unit']
+        return f'set {text}: {limits["ge"]:g} to {limits["le"]:g}, unit {unit}'
+    if kind == 'string_type':
+        return f'put it in quotes: {text}'
+    if kind == 'string_pattern_mismatch':
+        return f'use letters, digits, ".", "_" and "-": {text}'
+    return f'set {text}'
+
+
+def _suggest(loc: tuple[typing.Any, ...]) -> str:
+    model = _find_model(loc[:-1])
+    names = list(model.model_fields) if model is not None else []
+    close = difflib.get_close_matches(str(loc[-1]), names, 1)
+    if close:
+        return f'did you mean {close[0]!r}?'
+    return f'remove it or use one of: {", ".join(names)}'
+
+
+def find_field(
+    loc: tuple[typing.Any, ...],
+) -> pydantic.fields.FieldInfo | None:
+    """Return the field at a location; None if there is none."""
+    while loc and isinstance(loc[-1], int):
+        loc = loc[:-1]
+    if not loc:
+        return None
+    model = _find_model(loc[:-1])
+    return None if model is None else model.model_fields.get(loc[-1])
+
+
+def _find_model(
+    loc: tuple[typing.Any, ...],
+) -> type[models.Section] | None:
+    model: type[models.Section] = models.Document
+    for part in loc:
+        if isinstance(part, int):
+            continue
+        field = model.model_fields.get(part)
+        if field is None:
+            return None
+        inner = field.annotation
+        args = typing.get_args(inner)
+        inner = args[0] if args else inner
+        if not isinstance(inner, type):
+            return None
+        if not issubclass(inner, models.Section):
+            return None
+        model = inner
+    return model
--- /dev/null
+++ b/tests/core/test_configuration.py
@@ -0,0 +1,226 @@
+"""Check that all readers agree on the document in force."""
+
+import dataclasses
+import random
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from kcr_core import configuration
+from kcr_core import records
+
+TEXTS = tuple(f'text {number}' for number in range(4))
+# Operators read a view that may be this many records old.
+VIEWS = 6
+
+
+def make_tried(base: int, text: str, env: str = 'trial') -> records.Tried:
+    """Return a record that tries a text."""
+    return records.Tried(env, base, configuration.infer_digest(text), text)
+
+
+def make_promoted(
+    base: int, text: str, tried: int, env: str = 'prod'
+) -> records.Promoted:
+    """Return a record that promotes a text."""
+    digest = configuration.infer_digest(text)
+    return records.Promoted(env, base, digest, text, tried=tried)
+
+
+class Racing(stateful.RuleBasedStateMachine):
+    """Run racing operators, doubles, trims and peers against one log."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        # Every record, also the trimmed ones; the offset is the index + 1.
+        self.log: list[configuration.Entry] = []
+        # First offset that is kept.
+        self.first = 1
+        # Reads every record as it is written.
+        self.full = configuration.Fold()
+        # Views that operators and writers may still hold.
+        self.views = [dict(self.full.in_force)]
+        # Restatements that were prepared and not appended yet.
+        self.prepared: list[tuple[records.DocumentRestated, ...]] = []
+        # Processes that follow production, and their last revisions.
+        self.held = [configuration.Held() for _ in range(3)]
+        self.revisions = [0, 0, 0]
+
+    def append(self, *items: object) -> None:
+        """Write one record and let the full reader apply it."""
+        entry = configuration.Entry(len(self.log) + 1, items)
+        self.log.append(entry)
+        self.full.apply(entry)
+        self.views = [*self.views, dict(self.full.in_force)][-VIEWS:]
+
+    @stateful.rule(
+        age=strategies.integers(1, VIEWS),
+        text=strategies.sampled_from(TEXTS),
+    )
+    def try_text(self, age: int, text: str) -> None:
+        """Try a text on a base that may be stale."""
+        view = self.views[-min(age, len(self.views))]
+        base = view['trial'].revision if 'trial' in view else 0
+        self.append(make_tried(base, text))
+
+    @stateful.rule(age=strategies.integers(1, VIEWS))
+    def promote(self, age: int) -> None:
+        """Promote what a view that may be stale shows in trial."""
+        view = self.views[-min(age, len(self.views))]
+        if 'trial' not in view:
+            return
+        tried = view['trial']
+        base = view['prod'].revision if 'prod' in view else 0
+        self.append(make_promoted(base, tried.text, tried.revision))
+
+    @stateful.rule(back=strategies.integers(1, 8))
+    def double(self, back: int) -> None:
+        """Repeat a record under a new offset, as a lost answer causes."""
+        if self.log:
+            self.append(*self.log[-min(back, len(self.log))].items)
+
+    @stateful.rule()
+    def prepare_restatement(self) -> None:
+        """Prepare a restatement that may be appended much later."""
+        items = self.full.restate()
+        if items:
+            self.prepared.append(items)
+
+    @stateful.rule()
+    def append_restatement(self) -> None:
+        """Append the oldest prepared restatement."""
+        if self.prepared:
+            self.append(*self.prepared.pop(0))
+
+    @stateful.rule(by=strategies.integers(1, 10))
+    def trim(self, by: int) -> None:
+        """Trim old records."""
+        self.first = min(len(self.log) + 1, self.first + by)
+
+    @stateful.rule(
+        who=strategies.integers(0, 2), age=strategies.integers(1, VIEWS)
+    )
+    def hear_peer(self, who: int, age: int) -> None:
+        """Take the document of a peer that may be stale."""
+        view = self.views[-min(age, len(self.views))]
+        if 'prod' in view:
+            self.held[who].adopt(view['prod'])
+
+    @stateful.invariant()
+    def late_reader_agrees(self) -> None:
+        """Guard against readers that differ after a trim."""
+        late = configuration.Fold()
+        late.trimmed(self.first)
+        for entry in self.log[self.first - 1 :]:
+            late.apply(entry)
+            late.apply(entry)
+        if late.certain:
+            assert late.in_force == self.full.in_force
+        assert not late.violated
+
+    @stateful.invariant()
+    def writer_checks_hold(self) -> None:
+        """Guard against a wrong state of the reader of all records."""
+        assert not self.full.violated
+        for index, held in enumerate(self.held):
+            assert held.revision >= self.revisions[index]
+            assert not held.violated
+            self.revisions[index] = held.revision
+
+    @stateful.invariant()
+    def production_was_tried(self) -> None:
+        """Guard against production text that no trial has had."""
+        prod = self.full.in_force.get('prod')
+        if prod is None:
+            return
+        tried = {
+            item.digest
+            for entry in self.log[: prod.revision]
+            for item in entry.items
+            if isinstance(item, records.Tried)
+        }
+        assert prod.digest in tried
+
+
+Racing.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=40, derandomize=True, deadline=None
+)
+TestRacing = Racing.TestCase
+
+
+def test_first_record_on_a_base_wins() -> None:
+    """Guard against two operators who both believe that they won."""
+    fold = configuration.Fold()
+    first = fold.apply(configuration.Entry(1, (make_tried(0, 'a'),)))
+    second = fold.apply(configuration.Entry(2, (make_tried(0, 'b'),)))
+    assert first[0].refused == ''
+    assert second[0].refused == 'is based on revision 0, not on 1'
+    assert fold.in_force['trial'].text == 'a'
+
+
+def test_refused_promotion_stays_refused_when_doubled() -> None:
+    """Guard against a doubled promotion that takes effect later."""
+    fold = configuration.Fold()
+    fold.apply(configuration.Entry(1, (make_tried(0, 'a'),)))
+    fold.apply(configuration.Entry(2, (make_tried(1, 'b'),)))
+    late = make_promoted(0, 'a', 1)
+    assert fold.apply(configuration.Entry(3, (late,)))[0].refused
+    fold.apply(configuration.Entry(4, (make_tried(2, 'a'),)))
+    assert fold.apply(configuration.Entry(5, (late,)))[0].refused
+
+
+def test_text_without_its_digest_is_refused() -> None:
+    """Guard against text that differs from what was tried."""
+    fold = configuration.Fold()
+    item = dataclasses.replace(make_tried(0, 'a'), text='b')
+    assert fold.apply(configuration.Entry(1, (item,)))[0].refused
+
+
+def test_environment_keeps_its_kind() -> None:
+    """Guard against trying a document in production."""
+    fold = configuration.Fold()
+    fold.apply(configuration.Entry(1, (make_tried(0, 'a'),)))
+    fold.apply(configuration.Entry(2, (make_promoted(0, 'a', 1),)))
+    item = make_tried(2, 'b', 'prod')
+    verdict = fold.apply(configuration.Entry(3, (item,)))[0]
+    assert verdict.refused == 'prod is a production environment'
+
+
+def test_stale_restatement_does_not_cover_a_trim() -> None:
+    """Guard against a document that comes back after a trim."""
+    full = configuration.Fold()
+    full.apply(configuration.Entry(1, (make_tried(0, 'a'),)))
+    stale = full.restate()
+    late = configuration.Fold()
+    late.trimmed(3)
+    late.apply(configuration.Entry(3, stale))
+    late.apply(configuration.Entry(4, (make_tried(1, 'c'),)))
+    assert not late.certain
+
+
+def test_waiting_records_are_bounded() -> None:
+    """Guard against memory that grows while no restatement comes."""
+    fold = configuration.Fold()
+    fold.trimmed(10)
+    text = 'x' * (configuration.WAITING_CHARS // 4)
+    for offset in range(10, 20):
+        fold.apply(configuration.Entry(offset, (make_tried(0, text),)))
+    assert fold.ignored['waiting'] == 6
+
+
+def test_start_waits_for_every_peer_or_the_log() -> None:
+    """Guard against a start on an old document while the log is down."""
+    rng = random.Random(1)
+    peers = ['a', 'b', 'c']
+    boot = configuration.Bootstrap(peers)
+    rng.shuffle(peers)
+    for peer in peers[:-1]:
+        boot.peer_answered(peer, 7)
+        assert not boot.is_ready(7)
+    boot.peer_dead(peers[-1])
+    assert not boot.is_ready(6)
+    assert boot.is_ready(7)
+    fresh = configuration.Bootstrap(peers)
+    fresh.log_read = True
+    assert fresh.is_ready(0)
