--- a/packages/document/src/kcr_document/checks.py
+++ b/packages/document/src/kcr_document/checks.py
@@ -25,20 +25,14 @@
 Found = abc.Iterator[problems.Problem]
 
 
-def check(doc: models.Document) -> list[problems.Problem]:
-    """Return every broken relation of a document."""
+def check(
+    doc: models.Document, broken: abc.Collection[str] = ()
+) -> list[problems.Problem]:
+    """Return every broken relation that reads no part in `broken`."""
     found: list[problems.Problem] = []
-    for rule in (
-        check_names,
-        check_references,
-        check_racks,
-        check_quotas,
-        check_demands,
-        check_times,
-        check_services,
-        check_policies,
-    ):
-        found.extend(rule(doc))
+    for rule, parts in RULES:
+        if not any(part in broken for part in parts):
+            found.extend(rule(doc))
     return found
 
 
@@ -219,6 +213,21 @@
             )
 
 
+# Rules with the parts that a rule reads beside required fields.
+RULES: tuple[
+    tuple[abc.Callable[[models.Document], Found], tuple[str, ...]], ...
+] = (
+    (check_names, ()),
+    (check_references, ()),
+    (check_racks, ()),
+    (check_quotas, ('sizes', 'teams')),
+    (check_demands, ('sizes', 'kinds', 'instances')),
+    (check_times, ('times',)),
+    (check_services, ('services', 'weights', 'instances')),
+    (check_policies, ('policies',)),
+)
+
+
 def check_file(docs: abc.Sequence[models.Document]) -> Found:
     """Find contradictions between the documents of one file."""
     if len(docs) < 2:
--- a/packages/document/src/kcr_document/document.py
+++ b/packages/document/src/kcr_document/document.py
@@ -1,13 +1,14 @@
 """Read whole files: validation, canonical text, digest and conversion."""
 
 from collections import abc
+import copy
 import dataclasses
 import difflib
 import hashlib
+import json
 import typing
 
 import pydantic
-import yaml
 
 from kcr_core import types
 from kcr_document import checks
@@ -16,6 +17,18 @@
 from kcr_document import problems
 
 
+# Start of each document in a canonical text.
+SEPARATOR = '---\n'
+# Texts for errors whose own text names classes or patterns.
+MESSAGES = {
+    'string_pattern_mismatch': 'holds characters that are not allowed',
+    'model_type': 'is not a mapping',
+    'list_type': 'is not a list',
+    'too_short': 'has too few items',
+    'too_long': 'has too many items',
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class File:
     """Hold the checked documents of one file."""
@@ -80,20 +93,66 @@
     try:
         doc = models.Document.model_validate(value)
     except pydantic.ValidationError as exc:
-        return [_explain(error) for error in exc.errors()], None
+        errors = exc.errors()
+        found = [_explain(error) for error in errors]
+        return found + _check_rest(value, errors), None
     return checks.check(doc), doc
 
 
+def _check_rest(
+    value: typing.Any, errors: list[typing.Any]
+) -> list[problems.Problem]:
+    """Check the relations of a document without its wrong fields."""
+    if not isinstance(value, dict):
+        return []
+    rest = copy.deepcopy(value)
+    for error in errors:
+        *parts, last = error['loc']
+        holder: typing.Any = rest
+        for part in parts:
+            holder = holder[part]
+        if isinstance(holder, dict):
+            holder.pop(last, None)
+    try:
+        doc = models.Document.model_validate(rest)
+    except pydantic.ValidationError:
+        return []
+    return checks.check(doc, {str(error['loc'][0]) for error in errors})
+
+
+def read(text: str) -> File:
+    """Return the file of a canonical text; raise WrongDocument if it is none.
+
+    At 9,100 instances YAML takes seconds, in which a daemon would be silent,
+    and more memory than a daemon has; the canonical text is JSON as well.
+    """
+    docs = []
+    try:
+        for part in text.split(SEPARATOR)[1:]:
+            docs.append(models.Document.model_validate_json(part))
+    except pydantic.ValidationError:
+        return parse(text.encode())
+    found = [item for doc in docs for item in checks.check(doc)]
+    found.extend(checks.check_file(docs))
+    if found or not docs or len(docs) > loading.MAX_DOCUMENTS:
+        return parse(text.encode())
+    return File(tuple(docs), text, infer_digest(text))
+
+
 def canonical_text(docs: abc.Iterable[models.Document]) -> str:
-    """Return the text that is stored: all fields, one instance a line."""
-    return yaml.dump_all(
-        [_compact(doc) for doc in docs],
-        Dumper=yaml.CSafeDumper,
-        sort_keys=False,
-        default_flow_style=None,
-        width=1000,
-        explicit_start=True,
-    )
+    """Return the text that is stored: all fields, one list item a line."""
+    return ''.join(SEPARATOR + _write(_compact(doc)) for doc in docs)
+
+
+def _write(data: dict[str, typing.Any]) -> str:
+    lines = []
+    for name, part in data.items():
+        if isinstance(part, list) and part:
+            inner = ',\n'.join(json.dumps(item) for item in part)
+            lines.append(f'"{name}": [\n{inner}]')
+        else:
+            lines.append(f'"{name}": {json.dumps(part)}')
+    return '{' + ',\n'.join(lines) + '}\n'
 
 
 def _compact(doc: models.Document) -> dict[str, typing.Any]:
@@ -164,7 +223,8 @@
     text = (field.description or '') if field is not None else ''
     if kind == 'missing':
         return problems.Problem(path, 'is missing', f'give it: {text}')
-    message = error['msg'].lower()
+    message = MESSAGES.get(kind) or error['msg']
+    message = message[:1].lower() + message[1:]
     return problems.Problem(path, message, _remedy(kind, field, text), value)
 
 
