Own the document in force in the entry and hand it to the sidecars

The task in_force folds the stream config, exchanges the document with other entries, writes it again before it is trimmed, and answers trials and promotions with the verdict of the log. The task processes gives each sidecar the settings once per change and session and knows who is behind. A sidecar never follows a lower revision.

Texts of 4096 characters or more are packed in the log, because a record may have 256 KiB and the text of 9,100 instances has 879 KB.

--- a/packages/core/src/kcr_core/configuration.py
+++ b/packages/core/src/kcr_core/configuration.py
@@ -9,9 +9,9 @@
 import collections
 from collections import abc
 import dataclasses
-import hashlib
 import typing
 
+from kcr_core import document_text
 from kcr_core import records
 
 # Verdicts that are kept for the operators' history.
@@ -36,7 +36,7 @@
     revision: int
     # Digest of the text.
     digest: str
-    # Text of the whole file.
+    # Text of the whole file, packed as in the record.
     text: str
     # Whether the environment follows a trial.
     kind: Kind
@@ -74,11 +74,6 @@
     items: tuple[typing.Any, ...]
 
 
-def infer_digest(text: str) -> str:
-    """Return the digest of a document's text."""
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
 class Fold:
     """Apply the stream `config` by a rule that every reader computes alike."""
 
@@ -112,6 +107,11 @@
         if first <= self.offset + 1:
             return
         self._gap = max(self._gap, first)
+        self.offset = first - 1
+
+    def advance(self, position: int) -> None:
+        """Note that records up to `position` were read; some hold no item."""
+        self.offset = max(self.offset, position)
 
     def apply(self, entry: Entry) -> list[Verdict]:
         """Apply one log record; return the verdicts on its items."""
@@ -234,7 +234,7 @@
         current = held.revision if held is not None else 0
         if item.base != current:
             return f'is based on revision {item.base}, not on {current}'
-        if infer_digest(item.text) != item.digest:
+        if not document_text.has_digest(item.text, item.digest):
             return 'text does not have the digest'
         if isinstance(item, records.Promoted):
             # The revision keeps a doubled record that was refused once from
@@ -290,7 +290,7 @@
         if not isinstance(item, records.DocumentRestated):
             continue
         text = item.text or texts.get(item.digest, '')
-        if infer_digest(text) != item.digest:
+        if not document_text.has_digest(text, item.digest):
             return []
         texts[item.digest] = text
         found.append(dataclasses.replace(item, text=text))
--- /dev/null
+++ b/packages/core/src/kcr_core/document_text.py
@@ -0,0 +1,49 @@
+"""Pack the text of a document for the log and check its digest."""
+
+import base64
+import hashlib
+import zlib
+
+# Largest text of a document, in characters.
+MAX_TEXT_CHARS = 1024 * 1024
+# Texts from this size on are packed: a record may have 256 KiB, and a link
+# between regions carries 15 Mbit/s.
+PACK_FROM_CHARS = 4096
+# Start of a packed text; a canonical text starts otherwise.
+PACKED = 'zlib:'
+
+
+def infer_digest(text: str) -> str:
+    """Return the digest of a document's text."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def pack(text: str) -> str:
+    """Return a text as it is written to the log."""
+    if len(text) < PACK_FROM_CHARS:
+        return text
+    data = zlib.compress(text.encode(), 9)
+    return PACKED + base64.b64encode(data).decode('ascii')
+
+
+def unpack(packed: str) -> str:
+    """Return the text of a record; raise ValueError if it is not valid."""
+    if not packed.startswith(PACKED):
+        return packed
+    data = base64.b64decode(packed[len(PACKED) :], validate=True)
+    stream = zlib.decompressobj()
+    try:
+        text = stream.decompress(data, MAX_TEXT_CHARS)
+    except zlib.error as exc:
+        raise ValueError(str(exc)) from exc
+    if not stream.eof:
+        raise ValueError(f'text exceeds {MAX_TEXT_CHARS} bytes')
+    return text.decode()
+
+
+def has_digest(packed: str, digest: str) -> bool:
+    """Tell whether a packed text has a digest."""
+    try:
+        return infer_digest(unpack(packed)) == digest
+    except ValueError:
+        return False
--- a/packages/document/src/kcr_document/document.py
+++ b/packages/document/src/kcr_document/document.py
@@ -4,12 +4,12 @@
 import copy
 import dataclasses
 import difflib
-import hashlib
 import json
 import typing
 
 import pydantic
 
+from kcr_core import document_text
 from kcr_core import types
 from kcr_document import checks
 from kcr_document import loading
@@ -84,7 +84,7 @@
                 )
             ]
         )
-    return File(tuple(docs), text, infer_digest(text))
+    return File(tuple(docs), text, document_text.infer_digest(text))
 
 
 def _read(
@@ -136,7 +136,12 @@
     found.extend(checks.check_file(docs))
     if found or not docs or len(docs) > loading.MAX_DOCUMENTS:
         return parse(text.encode())
-    return File(tuple(docs), text, infer_digest(text))
+    return File(tuple(docs), text, document_text.infer_digest(text))
+
+
+def is_canonical(text: str) -> bool:
+    """Tell whether a text is written as JSON, which is read fast."""
+    return text.startswith(SEPARATOR + '{')
 
 
 def canonical_text(docs: abc.Iterable[models.Document]) -> str:
@@ -163,11 +168,6 @@
     return data
 
 
-def infer_digest(text: str) -> str:
-    """Return the digest of a canonical text."""
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
 def convert(doc: models.Document) -> types.ControlSettings:
     """Return the settings that every daemon follows."""
     times, retries = doc.times, doc.retries
--- a/packages/entry/src/kcr_entry/addresses.py
+++ b/packages/entry/src/kcr_entry/addresses.py
@@ -6,6 +6,7 @@
 SESSIONS = 'fleet/sessions'
 APPENDER = 'log/appender'
 IN_FORCE = 'configuration/in_force'
+PROCESSES = 'configuration/processes'
 TASKS = 'work/tasks'
 CLAIMS = 'work/claims'
 READERS = {
--- /dev/null
+++ b/packages/entry/src/kcr_entry/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the document in force and the processes that follow it."""
--- a/packages/entry/src/kcr_entry/events.py
+++ b/packages/entry/src/kcr_entry/events.py
@@ -102,3 +102,13 @@
     settings: types.ControlSettings
     # Names and shares that the entry needs: quota of processors by team.
     quotas: tuple[tuple[str, types.Demand], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionSeen:
+    """Report the revision that a connected process follows."""
+
+    # Session that leads to it.
+    session: str
+    # Revision of its document.
+    revision: int
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -8,6 +8,7 @@
 from kcr_core import messages
 from kcr_core import types
 from kcr_entry import addresses
+from kcr_entry import events
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
@@ -59,6 +60,8 @@
         super().__init__(ctx, address)
         # Settings of the document in force.
         self.settings = types.ControlSettings()
+        # Revision of the document in force.
+        self.revision = 0
         self._view = membership.View(self.settings.heartbeat_s)
 
     def dump(self) -> dict[str, typing.Any]:
@@ -79,6 +82,14 @@
             },
         }
 
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        if event.revision < self.revision:
+            return
+        self.settings, self.revision = event.settings, event.revision
+        self._view.heartbeat_s = event.settings.heartbeat_s
+        self._view.drained = frozenset(event.settings.drained)
+
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
         if event.hello.role == 'sidecar':
@@ -112,6 +123,10 @@
         if isinstance(msg, messages.EndpointState):
             endpoint.state = msg
         elif isinstance(msg, messages.Heartbeat):
+            before = endpoint.beat.revision if endpoint.beat else -1
+            if msg.revision != before:
+                seen = events.RevisionSeen(event.session, msg.revision)
+                self.send(addresses.PROCESSES, seen)
             endpoint.beat = msg
             self._acknowledge(event.session, msg)
         elif isinstance(msg, messages.Leaving):
@@ -120,7 +135,10 @@
 
     def _acknowledge(self, name: str, beat: messages.Heartbeat) -> None:
         ack = messages.HeartbeatAck(
-            seq=beat.seq, revision=0, log_age_ms=-1, fenced=False
+            seq=beat.seq,
+            revision=self.revision,
+            log_age_ms=-1,
+            fenced=False,
         )
         self.send(name, session.Send(ack))
 
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -18,6 +18,10 @@
     messages.Executed: addresses.REQUESTS,
     messages.Refused: addresses.REQUESTS,
     messages.Failed: addresses.REQUESTS,
+    messages.DocumentRequest: addresses.IN_FORCE,
+    messages.DocumentOffer: addresses.IN_FORCE,
+    messages.DumpRequest: addresses.PROCESSES,
+    messages.DumpReply: addresses.PROCESSES,
 }
 
 
@@ -68,6 +72,11 @@
 
     return session.Routes(
         tasks=ROUTES,
-        subscribers=(addresses.MEMBERSHIP, addresses.REQUESTS),
+        subscribers=(
+            addresses.MEMBERSHIP,
+            addresses.REQUESTS,
+            addresses.IN_FORCE,
+            addresses.PROCESSES,
+        ),
         hello=hello,
     )
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -17,7 +17,9 @@
 from kcr_core import messages
 from kcr_core import outcomes
 from kcr_entry import addresses
+from kcr_entry.configuration import in_force
 from kcr_entry.front import models
+from kcr_entry.front import operator_routes
 from kcr_entry.work import requests
 from kcr_runtime import ask
 from kcr_runtime import process
@@ -55,6 +57,7 @@
         self._asked = 0
         self._open_requests = 0
         self._draining = False
+        self._ready = True
         self._add_routes()
 
     def started(self) -> None:
@@ -64,6 +67,7 @@
         self._port = self.ctx.reactor.listenTCP(
             int(port), site, interface=host
         )
+        self.send(addresses.IN_FORCE, in_force.AskReady())
 
     def stopped(self) -> defer.Deferred[None]:
         """Close the port."""
@@ -82,12 +86,17 @@
         route('/healthz', methods=['GET'])(self._get_health)
         route('/v1/dump', methods=['GET'])(self._get_dump)
         route('/v1/requests', methods=['POST'])(self._post_request)
+        operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
 
     @task.handles(Drain)
     def _on_drain(self, msg: Drain) -> None:
         self._draining = True
         self.after(BALANCER_S, _CloseListener())
 
+    @task.handles(in_force.ReadyChanged)
+    def _on_ready(self, msg: in_force.ReadyChanged) -> None:
+        self._ready = msg.ready
+
     @task.handles(_CloseListener)
     def _on_close_listener(self, msg: _CloseListener) -> None:
         self._port.stopListening()
@@ -121,6 +130,8 @@
     def _get_health(self, req: iweb.IRequest) -> bytes:
         if self._draining:
             return _respond(req, 503, {'status': 'draining'})
+        if not self._ready:
+            return _respond(req, 503, {'status': 'starting'})
         return _respond(req, 200, {'status': 'ok'})
 
     def _get_dump(self, req: iweb.IRequest) -> bytes:
--- /dev/null
+++ b/packages/entry/src/kcr_entry/front/operator_routes.py
@@ -0,0 +1,227 @@
+"""Serve operators over HTTP: documents, versions, dumps and metrics."""
+
+from collections import abc
+import dataclasses
+import typing
+
+import pydantic
+from twisted.internet import defer
+from twisted.web import http
+from twisted.web import iweb
+
+from kcr_core import document_text
+from kcr_core import outcomes
+from kcr_document import document
+from kcr_document import problems
+from kcr_entry import addresses
+from kcr_entry.configuration import questions
+from kcr_entry.front import replies
+from kcr_runtime import task
+
+Ask = abc.Callable[[str, typing.Any], defer.Deferred[typing.Any]]
+# Status of a document that is wrong: unprocessable content.
+WRONG = 422
+# YAML that an entry parses itself; a larger text would keep the reactor from
+# answering heartbeats, and the canonical text is read 30 times faster.
+YAML_CHARS = 64 * 1024
+CANONICAL = 'send the canonical text, as the command line does'
+
+Name = typing.Annotated[str, pydantic.Field(min_length=1, max_length=128)]
+
+
+class TryModel(pydantic.BaseModel):
+    """Validate the body of `POST /v1/document/E/try`."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', strict=True)
+
+    text: str = pydantic.Field(min_length=1)
+    base: int | None = pydantic.Field(None, ge=0)
+    operator: Name
+
+
+class PromoteModel(pydantic.BaseModel):
+    """Validate the body of `POST /v1/document/E/promote`."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', strict=True)
+
+    digest: str = pydantic.Field(pattern=r'^[0-9a-f]{64}$')
+    base: int | None = pydantic.Field(None, ge=0)
+    operator: Name
+
+
+class OperatorRoutes:
+    """Turn HTTP requests of operators into questions and back."""
+
+    def __init__(self, ask: Ask, ctx: task.Context) -> None:
+        # Asks another task of the entry.
+        self.ask = ask
+        # What all tasks of the process share.
+        self.ctx = ctx
+
+    def add(self, app: typing.Any) -> None:
+        """Add the routes to the application."""
+        path = '/v1/document/<environment>'
+        app.route(path, methods=['GET'])(self._get)
+        app.route(path + '/history', methods=['GET'])(self._get_history)
+        app.route(path + '/try', methods=['POST'])(self._post_try)
+        app.route(path + '/promote', methods=['POST'])(self._post_promote)
+        app.route('/v1/versions', methods=['GET'])(self._get_versions)
+        app.route('/v1/dump/<process>', methods=['GET'])(self._get_dump)
+        app.route('/v1/metrics', methods=['GET'])(self._get_metrics)
+
+    async def _get(self, req: iweb.IRequest, environment: str) -> bytes:
+        body = questions.GetDocument(environment)
+        value = await self.ask(addresses.IN_FORCE, body)
+        if not isinstance(value, questions.Document):
+            return respond_failure(req, value)
+        doc = value.doc
+        if doc is None:
+            reason = f'no document is in force in {environment!r}'
+            return replies.respond(req, http.NOT_FOUND, {'error': reason})
+        found = {
+            'environment': doc.environment,
+            'kind': doc.kind,
+            'revision': doc.revision,
+            'digest': doc.digest,
+            'text': document_text.unpack(doc.text),
+        }
+        return replies.respond(req, http.OK, found)
+
+    async def _get_history(
+        self, req: iweb.IRequest, environment: str
+    ) -> bytes:
+        body = questions.GetHistory(environment)
+        value = await self.ask(addresses.IN_FORCE, body)
+        if not isinstance(value, questions.History):
+            return respond_failure(req, value)
+        found = [dataclasses.asdict(item) for item in value.verdicts]
+        return replies.respond(req, http.OK, {'history': found})
+
+    async def _post_try(self, req: iweb.IRequest, environment: str) -> bytes:
+        model = replies.read(req, TryModel)
+        if isinstance(model, bytes):
+            return model
+        if len(model.text) > YAML_CHARS and not document.is_canonical(
+            model.text
+        ):
+            reason = f'YAML exceeds {YAML_CHARS} characters; {CANONICAL}'
+            return replies.respond(
+                req, http.REQUEST_ENTITY_TOO_LARGE, {'error': reason}
+            )
+        try:
+            file = document.read(model.text)
+        except problems.WrongDocument as exc:
+            found = [dataclasses.asdict(item) for item in exc.problems]
+            body = {'outcome': 'wrong', 'problems': found}
+            return replies.respond(req, WRONG, body)
+        doc = file.find_kind('trial')
+        if doc is None or doc.environment.name != environment:
+            reason = f'the file holds no trial document for {environment!r}'
+            return respond_refused(req, reason)
+        return await self._publish(
+            req,
+            questions.Publish(
+                'trial',
+                environment,
+                file.text,
+                file.digest,
+                model.base,
+                model.operator,
+            ),
+        )
+
+    async def _post_promote(
+        self, req: iweb.IRequest, environment: str
+    ) -> bytes:
+        model = replies.read(req, PromoteModel)
+        if isinstance(model, bytes):
+            return model
+        return await self._publish(
+            req,
+            questions.Publish(
+                'production',
+                environment,
+                '',
+                model.digest,
+                model.base,
+                model.operator,
+            ),
+        )
+
+    async def _publish(
+        self, req: iweb.IRequest, body: questions.Publish
+    ) -> bytes:
+        value = await self.ask(addresses.IN_FORCE, body)
+        if isinstance(value, questions.InForceNow):
+            found = {
+                'outcome': 'in_force',
+                'revision': value.revision,
+                'digest': value.digest,
+            }
+            return replies.respond(req, http.OK, found)
+        if isinstance(value, questions.Lost):
+            found = {
+                'outcome': 'lost',
+                'reason': value.reason,
+                'revision': value.revision,
+            }
+            return replies.respond(req, http.CONFLICT, found)
+        return respond_failure(req, value)
+
+    async def _get_versions(self, req: iweb.IRequest) -> bytes:
+        value = await self.ask(addresses.PROCESSES, questions.GetVersions())
+        if not isinstance(value, questions.Versions):
+            return respond_failure(req, value)
+        found = {
+            'entry': self.ctx.cfg.process,
+            'environment': self.ctx.cfg.environment,
+            'revision': value.revision,
+            'processes': list(value.processes),
+        }
+        return replies.respond(req, http.OK, found)
+
+    async def _get_dump(self, req: iweb.IRequest, process: str) -> bytes:
+        body = questions.GetDump(process)
+        value = await self.ask(addresses.PROCESSES, body)
+        if not isinstance(value, questions.Dump):
+            return respond_failure(req, value)
+        req.setHeader(b'content-type', b'application/json')
+        return value.text.encode()
+
+    def _get_metrics(self, req: iweb.IRequest) -> bytes:
+        req.setHeader(b'content-type', b'text/plain; charset=utf-8')
+        lines = render_metrics(self.ctx.metrics.read())
+        return ''.join(f'{line}\n' for line in lines).encode()
+
+
+def render_metrics(values: dict[str, typing.Any]) -> abc.Iterator[str]:
+    """Return one line per counter; a histogram has one line per bucket."""
+    for name, value in sorted(values.items()):
+        if not isinstance(value, dict):
+            yield f'{name} {value}'
+            continue
+        base, brace, labels = name.partition('{')
+        yield f'{base}_count{brace}{labels} {value["count"]}'
+        yield f'{base}_sum{brace}{labels} {value["sum"]}'
+        inner = labels.rstrip('}') + ',' if labels else ''
+        total = 0
+        for bound, count in zip(
+            [*value['bounds'], 'inf'], value['buckets'], strict=True
+        ):
+            total += count
+            yield f'{base}_bucket{{{inner}le={bound}}} {total}'
+
+
+def respond_refused(req: iweb.IRequest, reason: str) -> bytes:
+    """Answer that nothing was written."""
+    body = {'outcome': 'not_in_force', 'reason': reason}
+    return replies.respond(req, http.SERVICE_UNAVAILABLE, body)
+
+
+def respond_failure(req: iweb.IRequest, value: typing.Any) -> bytes:
+    """Answer a question that has no regular answer."""
+    if isinstance(value, questions.NotKnown):
+        body = {'outcome': 'not_known', 'reason': value.reason}
+        return replies.respond(req, http.GATEWAY_TIMEOUT, body)
+    assert isinstance(value, questions.Refused | outcomes.NotRun)
+    return respond_refused(req, value.reason)
--- a/packages/entry/src/kcr_entry/settings.py
+++ b/packages/entry/src/kcr_entry/settings.py
@@ -25,3 +25,8 @@
     max_connections: int = pydantic.Field(
         4096, description='connections accepted at the same time', ge=1
     )
+    log_retention_s: float = pydantic.Field(
+        7200.0,
+        description='time for which the log keeps records, in seconds',
+        ge=60.0,
+    )
--- a/packages/entry/src/kcr_entry/supervisor.py
+++ b/packages/entry/src/kcr_entry/supervisor.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from kcr_entry.configuration import supervisor as configuration
 from kcr_entry.fleet import supervisor as fleet
 from kcr_entry.front import supervisor as front
 from kcr_entry.log import supervisor as log
@@ -16,6 +17,7 @@
         """Return the parts of an entry."""
         return (
             supervisor.ChildSpec('log', log.Log),
+            supervisor.ChildSpec('configuration', configuration.Configuration),
             supervisor.ChildSpec('work', work.Work),
             supervisor.ChildSpec('fleet', fleet.Fleet),
             supervisor.ChildSpec('front', front.Front),
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -10,6 +10,7 @@
 from kcr_core import request_state
 from kcr_core import types
 from kcr_entry import addresses
+from kcr_entry import events
 from kcr_entry.fleet import membership
 from kcr_runtime import ask
 from kcr_runtime import task
@@ -83,6 +84,7 @@
         super().__init__(ctx, address)
         # Settings of the document in force.
         self.settings = types.ControlSettings()
+        self._revision = 0
         self._active: dict[str, _Active] = {}
         self._by_attempt: dict[str, str] = {}
         self._attempts = 0
@@ -90,6 +92,11 @@
             str, tuple[str, outcomes.Outcome]
         ] = collections.OrderedDict()
 
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        if event.revision >= self._revision:
+            self.settings, self._revision = event.settings, event.revision
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the requests in flight and their attempts."""
         return {
--- a/packages/runtime/src/kcr_runtime/wire/session.py
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -98,6 +98,14 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetRevision:
+    """Give a session or a listener the document revision for its hello."""
+
+    # Revision of the document in force.
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Routes:
     """Say where a role's messages and session events go."""
@@ -200,6 +208,8 @@
         self.routes = routes
         # Address to dial; none for an accepted connection.
         self.target = target
+        # Document revision for the hello.
+        self.revision = 0
         self._conn: connection.Connection | None = None
         self._hello: messages.Hello | None = None
         self._phase: list[str] = ['idle']
@@ -276,7 +286,8 @@
     @task.handles(_Made)
     def _on_made(self, msg: _Made) -> None:
         self._life.made()
-        msg.conn.send(self.routes.hello())
+        hello = self.routes.hello()
+        msg.conn.send(dataclasses.replace(hello, revision=self.revision))
         self.after(HELLO_LIMIT_S, _HelloLimit(msg.conn))
 
     @task.handles(_HelloLimit)
@@ -328,6 +339,10 @@
         for subscriber in self.routes.subscribers:
             self.send(subscriber, SendRefused(self.address, msg.msg))
 
+    @task.handles(SetRevision)
+    def _on_set_revision(self, msg: SetRevision) -> None:
+        self.revision = msg.revision
+
     @task.handles(Close)
     def _on_close(self, msg: Close) -> None:
         self._close(msg.reason)
@@ -381,6 +396,7 @@
         self.limit = limit
         self._listening: typing.Any = None
         self._accepted = 0
+        self._revision = 0
 
     def started(self) -> None:
         """Bind the port."""
@@ -394,6 +410,10 @@
         """Close the port."""
         return defer.maybeDeferred(self._listening.stopListening)
 
+    @task.handles(SetRevision)
+    def _on_set_revision(self, msg: SetRevision) -> None:
+        self._revision = msg.revision
+
     def _accept(self) -> connection.Connection:
         held = self.ctx.directory.addresses()
         open_now = sum(a.startswith(self.sessions + '/') for a in held)
@@ -405,6 +425,7 @@
 
         def factory(ctx: task.Context, address: str) -> Session:
             made.append(Session(ctx, address, self.routes))
+            made[0].revision = self._revision
             return made[0]
 
         spec = supervisor.ChildSpec(f'{self._accepted}', factory, True)
--- a/packages/sidecar/src/kcr_sidecar/links/supervisor.py
+++ b/packages/sidecar/src/kcr_sidecar/links/supervisor.py
@@ -9,11 +9,14 @@
 from kcr_runtime.wire import session
 from kcr_sidecar import addresses
 from kcr_sidecar.links import announcer
+from kcr_sidecar.links import control
 
 # Task that handles each message from the wire.
 ROUTES = {
     messages.Execute: addresses.ADMISSION,
     messages.HeartbeatAck: addresses.ANNOUNCER,
+    messages.Control: addresses.CONTROL,
+    messages.DumpRequest: addresses.CONTROL,
 }
 
 
@@ -35,6 +38,7 @@
         """Return the tasks of the links part."""
         return (
             supervisor.ChildSpec('announcer', announcer.Announcer),
+            supervisor.ChildSpec('control', control.Control),
             supervisor.ChildSpec('sessions', Sessions),
         )
 
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from kcr_core import configuration
+from kcr_core import document_text
 from kcr_core import records
 
 TEXTS = tuple(f'text {number}' for number in range(4))
@@ -17,14 +18,14 @@
 
 def make_tried(base: int, text: str, env: str = 'trial') -> records.Tried:
     """Return a record that tries a text."""
-    return records.Tried(env, base, configuration.infer_digest(text), text)
+    return records.Tried(env, base, document_text.infer_digest(text), text)
 
 
 def make_promoted(
     base: int, text: str, tried: int, env: str = 'prod'
 ) -> records.Promoted:
     """Return a record that promotes a text."""
-    digest = configuration.infer_digest(text)
+    digest = document_text.infer_digest(text)
     return records.Promoted(env, base, digest, text, tried=tried)
 
 
@@ -209,6 +210,19 @@
     assert fold.ignored['waiting'] == 6
 
 
+def test_packed_text_is_bounded_and_whole() -> None:
+    """Guard against a large text that fits no record, and against a bomb."""
+    text = ''.join(f'name-{number}\n' for number in range(50_000))
+    packed = document_text.pack(text)
+    assert len(packed) < 256 * 1024
+    assert document_text.unpack(packed) == text
+    bomb = document_text.pack('x' * (document_text.MAX_TEXT_CHARS + 1))
+    digest = document_text.infer_digest('x')
+    assert not document_text.has_digest(bomb, digest)
+    assert not document_text.has_digest('zlib:?', digest)
+    assert not document_text.has_digest('zlib:AAAA', digest)
+
+
 def test_start_waits_for_every_peer_or_the_log() -> None:
     """Guard against a start on an old document while the log is down."""
     rng = random.Random(1)
