Test how a document comes in force, spreads and survives a trim

The owners in the entry run against the emulated log on a fake clock: racing operators, lost answers, an outage, a start without the log, a trim, and a text of a newer format. The sidecar's revision is a property over any order of settings.

--- /dev/null
+++ b/tests/entry/config_world.py
@@ -0,0 +1,151 @@
+"""Run the configuration tasks of several entries on one fake clock."""
+
+import pathlib
+import typing
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_document import document
+from kcr_entry import addresses
+from kcr_entry.configuration import in_force
+from kcr_entry.configuration import processes
+from kcr_entry.configuration import questions
+from kcr_entry import events
+from kcr_entry.log import appender
+from kcr_entry.log import reader
+from kcr_runtime import ask
+from kcr_runtime.wire import session
+import log_world
+
+EXAMPLE = pathlib.Path(__file__).parents[2] / 'examples' / 'latency.yaml'
+TEXT = EXAMPLE.read_text()
+
+
+def read_file(budget: float = 0.1) -> document.File:
+    """Return the example with another retry budget."""
+    changed = TEXT.replace('budget: 0.1', f'budget: {budget}')
+    return document.parse(changed.encode())
+
+
+class Entry:
+    """Hold the configuration tasks of one entry."""
+
+    def __init__(
+        self,
+        world: log_world.World,
+        incarnation: str,
+        environment: str = 'production',
+        peers: tuple[str, ...] = (),
+        retention_s: float = 3600.0,
+    ) -> None:
+        # Context of the entry.
+        self.ctx = world.make_context(incarnation)
+        cfg = self.ctx.cfg
+        cfg.environment, cfg.process = environment, incarnation
+        cfg.log_retention_s = retention_s
+        cfg.peers, cfg.listen = list(peers), f'listen-{incarnation}'
+        self._probes: dict[str, log_world.Probe] = {}
+        for address in ('asker', addresses.MEMBERSHIP, addresses.HTTP):
+            self.probe(address)
+        for node in (
+            appender.Appender(self.ctx, addresses.APPENDER),
+            processes.Processes(self.ctx, addresses.PROCESSES),
+            in_force.InForce(self.ctx, addresses.IN_FORCE),
+            reader.Reader(
+                self.ctx,
+                addresses.READERS['config'],
+                'config',
+                (addresses.IN_FORCE,),
+            ),
+        ):
+            world.start(node)
+
+    def probe(self, address: str) -> log_world.Probe:
+        """Return the probe at an address; add it if there is none."""
+        if address not in self._probes:
+            self._probes[address] = log_world.Probe(self.ctx, address)
+            self.ctx.directory.add(address, self._probes[address])
+        return self._probes[address]
+
+    def tell(self, address: str, msg: typing.Any) -> None:
+        """Send a message to a task."""
+        assert self.ctx.directory.send(address, msg)
+
+    def open(
+        self, name: str, role: str, revision: int = 0, address: str = ''
+    ) -> log_world.Probe:
+        """Open a session of a fake peer; return the probe that gets mail."""
+        probe = self.probe(f'fleet/sessions/{name}')
+        event = session.Opened(probe.address, make_hello(name, role, revision))
+        self.tell(addresses.IN_FORCE, event)
+        self.tell(addresses.PROCESSES, event)
+        return probe
+
+    def hear(self, name: str, role: str, msg: typing.Any) -> None:
+        """Deliver a message of a fake peer."""
+        owner = addresses.IN_FORCE
+        if isinstance(msg, messages.DumpReply):
+            owner = addresses.PROCESSES
+        hello = make_hello(name, role, 0)
+        self.tell(
+            owner, session.Received(f'fleet/sessions/{name}', hello, msg)
+        )
+
+    def ask(self, token: str, address: str, body: typing.Any) -> None:
+        """Ask a task."""
+        self.tell(address, ask.Ask(token, 'asker', body))
+
+    def publish(
+        self,
+        token: str,
+        file: document.File,
+        kind: typing.Literal['trial', 'production'] = 'trial',
+        base: int | None = None,
+    ) -> None:
+        """Ask for a trial or a promotion."""
+        text = file.text if kind == 'trial' else ''
+        body = questions.Publish(kind, kind, text, file.digest, base, token)
+        self.ask(token, addresses.IN_FORCE, body)
+
+    def answer(self, token: str) -> typing.Any:
+        """Return the answer to a question; None before it came."""
+        found = [
+            item.value
+            for item in self.probe('asker').of(ask.Answer)
+            if item.token == token
+        ]
+        assert len(found) <= 1, 'a question is answered once'
+        return found[0] if found else None
+
+    def settings(self) -> list[events.SettingsInForce]:
+        """Return the settings that the followers got."""
+        return self.probe(addresses.MEMBERSHIP).of(events.SettingsInForce)
+
+    def ready(self) -> bool:
+        """Tell whether the entry has said that it is ready."""
+        found = self.probe(addresses.HTTP).of(in_force.ReadyChanged)
+        return bool(found) and found[-1].ready
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the dump of the owner of the document."""
+        return typing.cast(
+            dict[str, typing.Any],
+            self.ctx.directory.dump()[addresses.IN_FORCE],
+        )
+
+
+def make_hello(name: str, role: str, revision: int) -> messages.Hello:
+    """Return the hello of a fake peer."""
+    place = types.Place('r1', 'z1', 'k1', name)
+    return messages.Hello(
+        1, role, name, f'{name}-life', place, f'listen-{name}', revision
+    )
+
+
+def sent(probe: log_world.Probe, cls: type[typing.Any]) -> list[typing.Any]:
+    """Return the messages of one class that a session was given."""
+    return [
+        item.msg
+        for item in probe.of(session.Send)
+        if isinstance(item.msg, cls)
+    ]
--- /dev/null
+++ b/tests/entry/test_operator_routes.py
@@ -0,0 +1,142 @@
+"""Check the operators' HTTP interface against the real owners."""
+
+import json
+import typing
+
+import klein
+import pytest
+from treq import testing
+from twisted.internet import defer
+
+import config_world
+from kcr_entry.front import operator_routes
+from kcr_runtime import ask
+import log_world
+
+
+class Front:
+    """Answer HTTP requests of one entry in memory."""
+
+    def __init__(self) -> None:
+        # World of the entry.
+        self.world = log_world.World()
+        # The entry.
+        self.entry = config_world.Entry(self.world, 'a', 'trial')
+        self._asked = 0
+        app = klein.Klein()
+        routes = operator_routes.OperatorRoutes(self._ask, self.entry.ctx)
+        routes.add(app)
+        make_client: typing.Any = testing.StubTreq
+        self._client = make_client(app.resource())
+        self.world.run(1.5)
+
+    def _ask(self, address: str, body: typing.Any) -> typing.Any:
+        self._asked += 1
+        token = f'http-{self._asked}'
+        fut: defer.Deferred[typing.Any] = defer.Deferred()
+
+        def look() -> None:
+            value = self.entry.answer(token)
+            if value is not None:
+                fut.callback(value)
+            else:
+                self.world.clock.callLater(0.01, look)
+
+        self.entry.tell(address, ask.Ask(token, 'asker', body))
+        look()
+        return fut
+
+    def call(
+        self, method: str, path: str, body: typing.Any = None
+    ) -> tuple[int, typing.Any]:
+        """Return the status and the body of an answer."""
+        fut = self._client.request(
+            method, f'http://e{path}', data=json.dumps(body).encode()
+        )
+        self.world.run(1.5)
+        self._client.flush()
+        found: list[typing.Any] = []
+        fut.addCallback(lambda r: r.text().addCallback(
+            lambda text: found.append((r.code, text))))  # fmt: skip
+        self._client.flush()
+        code, text = found[0]
+        return code, json.loads(text) if text[:1] in '{[' else text
+
+
+@pytest.fixture
+def front() -> Front:
+    """Return the front end of one entry."""
+    return Front()
+
+
+def test_document_goes_from_trial_to_production(front: Front) -> None:
+    """Guard against a step of an operator that the entry does not offer."""
+    file = config_world.read_file()
+    assert front.call('GET', '/v1/document/trial')[0] == 404
+    body = {'text': config_world.TEXT, 'operator': 'ann'}
+    status, tried = front.call('POST', '/v1/document/trial/try', body)
+    assert (status, tried['outcome'], tried['revision']) == (
+        200, 'in_force', 1,
+    )  # fmt: skip
+    promotion = {'digest': file.digest, 'base': 0, 'operator': 'bob'}
+    path = '/v1/document/production/promote'
+    assert front.call('POST', path, promotion)[1]['revision'] == 2
+    status, found = front.call('GET', '/v1/document/production')
+    assert (found['digest'], found['text']) == (file.digest, file.text)
+    status, found = front.call('GET', '/v1/document/production/history')
+    assert [v['operator'] for v in found['history']] == ['bob']
+    status, found = front.call('GET', '/v1/versions')
+    assert (found['environment'], found['revision']) == ('trial', 1)
+
+
+def test_loser_is_told_the_revision_in_force(front: Front) -> None:
+    """Guard against a loser who is not told who won."""
+    path = '/v1/document/trial/try'
+    for budget, expected in ((0.2, 200), (0.3, 409)):
+        text = config_world.read_file(budget).text
+        body = {'text': text, 'base': 0, 'operator': 'ann'}
+        status, found = front.call('POST', path, body)
+        assert status == expected
+    assert (found['outcome'], found['revision']) == ('lost', 1)
+
+
+@pytest.mark.parametrize(
+    ('path', 'body', 'status', 'text'),
+    [
+        ('trial/try', {'operator': 'a'}, 400, 'text'),
+        ('trial/try', {'text': 'x: 1', 'operator': 'a'}, 422, 'environment'),
+        ('trial/try', {'text': 'x', 'more': 1, 'operator': 'a'}, 400, 'more'),
+        ('other/try', {'text': config_world.TEXT, 'operator': 'a'}, 503,
+         'no trial document'),
+        ('trial/try', {'text': '#' * 70_000, 'operator': 'a'}, 413,
+         'canonical'),
+        ('production/promote', {'digest': 'x', 'operator': 'a'}, 400,
+         'digest'),
+        ('production/promote', {'digest': '0' * 64, 'operator': 'a'}, 503,
+         'try it first'),
+    ],
+)  # fmt: skip
+def test_wrong_publication_names_the_field(
+    front: Front, path: str, body: typing.Any, status: int, text: str
+) -> None:
+    """Guard against a wrong body that is accepted or not explained."""
+    found = front.call('POST', f'/v1/document/{path}', body)
+    assert found[0] == status
+    assert text in json.dumps(found[1])
+
+
+def test_metrics_are_text(front: Front) -> None:
+    """Guard against metrics that need a collector to be read."""
+    front.entry.ctx.metrics.count('made_up', kind='x')
+    front.entry.ctx.metrics.record_ms('made_up_ms', 3.0)
+    status, text = front.call('GET', '/v1/metrics')
+    assert 'kcr.made_up{kind=x} 1\n' in text
+    assert 'kcr.made_up_ms_bucket{le=5.0} 1\n' in text
+    assert 'kcr.made_up_ms_count 1\n' in text
+
+
+def test_dump_of_the_entry(front: Front) -> None:
+    """Guard against a dump that lacks the owner of the document."""
+    status, found = front.call('GET', '/v1/dump/a')
+    assert 'configuration/in_force' in found
+    assert front.call('GET', '/v1/dump/none')[0] == 503
--- /dev/null
+++ b/tests/sidecar/test_control.py
@@ -0,0 +1,98 @@
+"""Check that a sidecar follows the newest settings only."""
+
+import random
+import typing
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+from twisted.internet import task as twisted_task
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_runtime import metrics
+from kcr_runtime import task
+from kcr_runtime.wire import session
+from kcr_sidecar import addresses
+from kcr_sidecar import events
+from kcr_sidecar.links import control
+
+
+class Box(task.Task):
+    """Collect every message."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        # Messages in the order of arrival.
+        self.got: list[typing.Any] = []
+        ctx.directory.add(address, self)
+
+    def post(self, msg: typing.Any) -> bool:
+        """Keep a message."""
+        self.got.append(msg)
+        return True
+
+
+METRICS = metrics.Metrics('s')
+
+
+def make_control() -> tuple[twisted_task.Clock, control.Control, Box, Box]:
+    """Return a clock, the task, a follower and a session."""
+    clock = twisted_task.Clock()
+    ctx = task.Context(
+        clock, task.Directory(), random.Random(1), None, METRICS, 'life'
+    )
+    follower = Box(ctx, addresses.ADMISSION)
+    link = Box(ctx, f'{addresses.SESSIONS}/e1')
+    node = control.Control(ctx, addresses.CONTROL)
+    node.begin()
+    return clock, node, follower, link
+
+
+def receive(node: control.Control, msg: messages.Message) -> None:
+    """Deliver a message of an entry."""
+    place = types.Place('r', 'z', 'k', 'e1')
+    hello = messages.Hello(1, 'entry', 'e1', 'life', place)
+    node.post(session.Received(f'{addresses.SESSIONS}/e1', hello, msg))
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(strategies.lists(strategies.integers(1, 9), max_size=20))
+def test_revision_never_goes_down(revisions: list[int]) -> None:
+    """Guard against older settings from an entry that lags."""
+    clock, node, follower, _ = make_control()
+    failed: list[BaseException] = []
+    node.on_failure = failed.append
+    for number, revision in enumerate(revisions):
+        cfg = types.ControlSettings(heartbeat_s=float(revision))
+        receive(node, messages.Control(revision, cfg))
+        clock.advance(3.0 if number % 3 == 0 else 0.0)
+    clock.advance(0)
+    got = [e for e in follower.got if isinstance(e, events.SettingsInForce)]
+    seen = [event.revision for event in got]
+    assert seen == sorted(seen)
+    assert not failed
+    if revisions:
+        assert seen[-1] == max(revisions)
+        assert got[-1].settings.heartbeat_s == max(revisions)
+
+
+def test_restarted_task_gets_the_settings_again() -> None:
+    """Guard against a task that runs on defaults after a restart."""
+    clock, node, follower, link = make_control()
+    receive(node, messages.Control(4, types.ControlSettings()))
+    clock.advance(0)
+    clock.advance(control.REDELIVER_S)
+    clock.advance(0)
+    assert [event.revision for event in follower.got] == [4, 4]
+    assert session.SetRevision(4) in link.got
+
+
+def test_dump_is_answered() -> None:
+    """Guard against an operator who gets no dump of a sidecar."""
+    clock, node, _, link = make_control()
+    receive(node, messages.DumpRequest('t'))
+    clock.advance(0)
+    reply = link.got[-1].msg
+    assert reply.token == 't'
+    assert addresses.CONTROL in reply.text
