Merge the document and its way into force

Cause: the ledger and the document were built side by side and both add routes, subscribers and HTTP routes to the entry.

Ruled out: one handler per message for both; the peers task now reports the revision of a peer's heartbeat to the view of the processes, and a dialed peer session also tells the owner of the document.

--- a/packages/entry/src/kcr_entry/addresses.py
+++ b/packages/entry/src/kcr_entry/addresses.py
@@ -11,6 +11,7 @@
 PEER_SESSIONS = 'fleet/peer_sessions'
 APPENDER = 'log/appender'
 IN_FORCE = 'configuration/in_force'
+PROCESSES = 'configuration/processes'
 READERS = {
     'config': 'log/reader_config',
     'tasks': 'log/reader_tasks',
--- a/packages/entry/src/kcr_entry/events.py
+++ b/packages/entry/src/kcr_entry/events.py
@@ -173,3 +173,13 @@
 
     # The record.
     item: records.Fenced
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionSeen:
+    """Report the revision that a connected process follows."""
+
+    # Session that leads to it.
+    session: str
+    # Revision of its document.
+    revision: int
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -64,6 +64,8 @@
         super().__init__(ctx, address)
         # Settings of the document in force.
         self.settings = types.ControlSettings()
+        # Revision of the document in force.
+        self.revision = 0
         self._view = membership.View(self.settings.heartbeat_s)
         # Addresses of the entries of the region that are known.
         self._entries: tuple[str, ...] = (ctx.cfg.listen,)
@@ -92,6 +94,14 @@
             },
         }
 
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        if event.revision < self.revision:
+            return
+        self.settings, self.revision = event.settings, event.revision
+        self._view.heartbeat_s = event.settings.heartbeat_s
+        self._view.drained = frozenset(event.settings.drained)
+
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
         if event.hello.role == 'sidecar':
@@ -129,6 +139,10 @@
         if isinstance(msg, messages.EndpointState):
             endpoint.state = msg
         elif isinstance(msg, messages.Heartbeat):
+            before = endpoint.beat.revision if endpoint.beat else -1
+            if msg.revision != before:
+                seen = events.RevisionSeen(event.session, msg.revision)
+                self.send(addresses.PROCESSES, seen)
             endpoint.beat = msg
             self._acknowledge(endpoint, msg)
         elif isinstance(msg, messages.Leaving):
@@ -142,7 +156,7 @@
         fenced, age_ms = self._infer_vouch(endpoint)
         ack = messages.HeartbeatAck(
             seq=beat.seq,
-            revision=0,
+            revision=self.revision,
             log_age_ms=age_ms,
             fenced=fenced,
             entries=self._entries,
--- a/packages/entry/src/kcr_entry/fleet/peers.py
+++ b/packages/entry/src/kcr_entry/fleet/peers.py
@@ -109,6 +109,8 @@
     def _on_received(self, event: session.Received) -> None:
         if isinstance(event.msg, messages.PeerHeartbeat):
             self._learn(event.msg.entries)
+            seen = events.RevisionSeen(event.session, event.msg.revision)
+            self.send(addresses.PROCESSES, seen)
 
     @task.handles(_Beat)
     def _on_beat(self, msg: _Beat) -> None:
@@ -178,7 +180,12 @@
     def factory(ctx: task.Context, address: str) -> session.Session:
         from kcr_entry.fleet import supervisor as fleet
 
-        routes = fleet.make_routes(ctx, (addresses.PEERS,))
+        subscribers = (
+            addresses.PEERS,
+            addresses.IN_FORCE,
+            addresses.PROCESSES,
+        )
+        routes = fleet.make_routes(ctx, subscribers)
         return session.Session(ctx, address, routes, target)
 
     return supervisor.ChildSpec(target, factory)
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -26,6 +26,10 @@
     messages.PeerHeartbeat: addresses.PEERS,
     messages.HeardQuery: addresses.MEMBERSHIP,
     messages.HeardReply: addresses.FENCES,
+    messages.DocumentRequest: addresses.IN_FORCE,
+    messages.DocumentOffer: addresses.IN_FORCE,
+    messages.DumpRequest: addresses.PROCESSES,
+    messages.DumpReply: addresses.PROCESSES,
 }
 # Tasks that hear of sessions that were accepted.
 SUBSCRIBERS = (
@@ -33,6 +37,8 @@
     addresses.REQUESTS,
     addresses.TASKS,
     addresses.PEERS,
+    addresses.IN_FORCE,
+    addresses.PROCESSES,
 )
 
 
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -14,7 +14,9 @@
 
 from kcr_core import outcomes
 from kcr_entry import addresses
+from kcr_entry.configuration import in_force
 from kcr_entry.front import models
+from kcr_entry.front import operator_routes
 from kcr_entry.front import replies
 from kcr_entry.front import task_routes
 from kcr_entry.work import requests
@@ -53,6 +55,7 @@
         self._asked = 0
         self._open_requests = 0
         self._draining = False
+        self._ready = True
         self._add_routes()
 
     def started(self) -> None:
@@ -62,6 +65,7 @@
         self._port = self.ctx.reactor.listenTCP(
             int(port), site, interface=host
         )
+        self.send(addresses.IN_FORCE, in_force.AskReady())
 
     def stopped(self) -> defer.Deferred[None]:
         """Close the port."""
@@ -81,12 +85,17 @@
         route('/v1/dump', methods=['GET'])(self._get_dump)
         route('/v1/requests', methods=['POST'])(self._post_request)
         task_routes.TaskRoutes(self._ask).add(self._app)
+        operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
 
     @task.handles(Drain)
     def _on_drain(self, msg: Drain) -> None:
         self._draining = True
         self.after(BALANCER_S, _CloseListener())
 
+    @task.handles(in_force.ReadyChanged)
+    def _on_ready(self, msg: in_force.ReadyChanged) -> None:
+        self._ready = msg.ready
+
     @task.handles(_CloseListener)
     def _on_close_listener(self, msg: _CloseListener) -> None:
         self._port.stopListening()
@@ -120,6 +129,8 @@
     def _get_health(self, req: iweb.IRequest) -> bytes:
         if self._draining:
             return replies.respond(req, 503, {'status': 'draining'})
+        if not self._ready:
+            return replies.respond(req, 503, {'status': 'starting'})
         return replies.respond(req, 200, {'status': 'ok'})
 
     def _get_dump(self, req: iweb.IRequest) -> bytes:
