Run durable tasks from submission to the end against the emulated log

Reports are acknowledged as soon as their record is read, because before they were acknowledged only at the next repeat. The tests run the tasks of one or two entries on a fake clock with the emulated log and stand-ins for the sidecars' sessions.

--- a/packages/core/src/kcr_core/task_dispatch.py
+++ b/packages/core/src/kcr_core/task_dispatch.py
@@ -61,9 +61,12 @@
         """Note a change of the ledger."""
         before = change.before
         over = change.effect in ('moved', 'cancelled')
-        if over and before is not None and before.instance in self.lines:
-            self.lines[before.instance].stop[change.key] = change.epoch
         task = self.state.live.get(change.key)
+        home = task.home if task is not None else None
+        if over and before is not None and before.instance in self.lines:
+            # The same instance starts a later epoch only if none runs.
+            if home is None or home.instance != before.instance:
+                self.lines[before.instance].stop[change.key] = change.epoch
         if task is None or task.home is None:
             return
         line = self.lines.get(task.home.instance)
--- /dev/null
+++ b/packages/entry/src/kcr_entry/work/reports.py
@@ -0,0 +1,124 @@
+"""Turn the reports of sidecars about tasks into records, and acknowledge them.
+
+The table belongs to the task `work/tasks`, which hands it every report and
+change of the ledger. A report without an answer is repeated by its sidecar.
+"""
+
+import typing
+
+from kcr_core import ledger
+from kcr_core import messages
+from kcr_core import placement
+from kcr_core import records
+from kcr_runtime.wire import session
+
+if typing.TYPE_CHECKING:
+    from kcr_entry.work import tasks
+
+# Reports that are acknowledged as soon as their record is read; the others
+# are acknowledged when they are repeated.
+WAITING_LIMIT = 5000
+# Characters of a checkpoint name; a task with a longer one resumes from its
+# last recorded checkpoint, because a record of the log is bounded.
+CHECKPOINT_LIMIT = 16_384
+
+
+class Reports:
+    """Hold what the sidecars report of live tasks."""
+
+    def __init__(self, owner: 'tasks.Tasks') -> None:
+        # The task that owns the ledger.
+        self.owner = owner
+        # Epoch of each live task and why it waits; empty once it runs.
+        self._notes: dict[str, tuple[int, str]] = {}
+        # Session and epoch of the report that waits for each task.
+        self._waiting: dict[str, tuple[str, int]] = {}
+
+    def find_note(self, key: str, epoch: int) -> str | None:
+        """Return why an epoch waits, empty if it runs, none if not known."""
+        note = self._notes.get(key)
+        return note[1] if note is not None and note[0] == epoch else None
+
+    def follow(self, change: ledger.Change) -> None:
+        """Acknowledge the report that a record settles."""
+        key = change.key
+        if change.effect not in ('moved', 'finished', 'cancelled'):
+            return
+        self._notes.pop(key, None)
+        held = self._waiting.pop(key, None)
+        if held is not None:
+            self._acknowledge(held[0], key, held[1])
+
+    def _acknowledge(self, name: str, key: str, epoch: int) -> None:
+        ack = messages.ReportAck(key, epoch)
+        self.owner.send(name, session.Send(ack))
+
+    def report(self, event: session.Received) -> None:
+        """Handle a report of a sidecar about a task."""
+        msg, owner = event.msg, self.owner
+        if not owner.caught_up:
+            # The sidecar repeats reports that need an answer.
+            return
+        task = owner.state.live.get(msg.task)
+        if isinstance(msg, messages.Started | messages.TaskWait):
+            if task is not None and task.epoch == msg.epoch:
+                reason = ''
+                if isinstance(msg, messages.TaskWait):
+                    reason = msg.reason or 'waits at its home'
+                self._notes[msg.task] = (msg.epoch, reason)
+            return
+        if task is None and msg.task not in owner.state.ended:
+            owner.ctx.metrics.count('report_unknown_task')
+            return
+        if task is None or msg.epoch < task.epoch:
+            self._acknowledge(event.session, msg.task, msg.epoch)
+            return
+        self._report_current(event, task)
+
+    def _report_current(
+        self, event: session.Received, task: ledger.Live
+    ) -> None:
+        msg, owner = event.msg, self.owner
+        instance = event.hello.place.instance
+        home = task.home
+        if home is None or home.instance != instance:
+            owner.ctx.metrics.count('report_foreign')
+            return
+        if msg.epoch != task.epoch or not owner.is_fresh():
+            return
+        if len(self._waiting) < WAITING_LIMIT:
+            self._waiting[msg.task] = (event.session, msg.epoch)
+        if msg.task in owner.queue.busy:
+            return
+        item: typing.Any
+        if isinstance(msg, messages.Finished):
+            detail = msg.detail[: ledger.DETAIL_LIMIT]
+            item = records.FinishedRecord(
+                msg.task, msg.epoch, msg.outcome, detail
+            )
+        else:
+            item = self._make_moved(task, msg, instance)
+        if not owner.append(msg.task, item, task.spec.urgent):
+            owner.places.settle(msg.task)
+
+    def _make_moved(
+        self, task: ledger.Live, msg: messages.Evicted, instance: str
+    ) -> records.Moved:
+        """Return the record of a task that has stopped for good."""
+        owner = self.owner
+        look = owner.look()
+        reason = f'evicted: {msg.reason}'
+        choice = owner.places.choose(
+            look.policy, task.spec, look.now, (instance,)
+        )
+        home = None
+        if isinstance(choice, placement.Placed):
+            home = choice.home
+            owner.places.promise(msg.task, home.instance, task.spec.demand)
+        else:
+            reason = f'{reason}; {choice.reason}'
+        checkpoint = msg.checkpoint
+        if len(checkpoint) > CHECKPOINT_LIMIT:
+            owner.ctx.metrics.count('checkpoint_too_large')
+            checkpoint = ''
+        return records.Moved(msg.task, msg.epoch + 1, home, checkpoint, reason)
--- a/packages/entry/src/kcr_entry/work/submissions.py
+++ b/packages/entry/src/kcr_entry/work/submissions.py
@@ -1,7 +1,7 @@
-"""Hold the callers and sidecars that wait for a record of a task.
+"""Hold the callers that wait for a record of a task.
 
 The table belongs to the task `work/tasks`, which hands it every question,
-report, append outcome and change of the ledger.
+append outcome and change of the ledger.
 """
 
 import dataclasses
@@ -10,7 +10,6 @@
 
 from kcr_core import append_queue
 from kcr_core import ledger
-from kcr_core import messages
 from kcr_core import outcomes
 from kcr_core import placement
 from kcr_core import quotas
@@ -18,7 +17,6 @@
 from kcr_core import task_outcomes
 from kcr_core import types
 from kcr_runtime import ask
-from kcr_runtime.wire import session
 
 if typing.TYPE_CHECKING:
     from kcr_entry.work import tasks
@@ -29,9 +27,6 @@
 WAITING_LIMIT = 4000
 # Live tasks of a region before new ones are refused; twice the design size.
 LIVE_LIMIT = 400_000
-# Characters of a checkpoint name; a task with a longer one resumes from its
-# last recorded checkpoint, because a record of the log is bounded.
-CHECKPOINT_LIMIT = 16_384
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,13 +73,6 @@
     questions: list[ask.Ask]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Note:
-    epoch: int
-    # Why the task waits at its home; empty once it runs.
-    reason: str
-
-
 class Submissions:
     """Hold what waits for records, by task."""
 
@@ -93,7 +81,6 @@
         self.owner = owner
         self._submits: dict[str, _Waiting] = {}
         self._cancels: dict[str, _Waiting] = {}
-        self._notes: dict[str, _Note] = {}
         self._promised: dict[str, types.Demand] = {}
         self._numbers = 0
 
@@ -219,7 +206,6 @@
         owner = self.owner
         if change.effect != 'restated':
             owner.places.settle(key)
-            self._notes.pop(key, None)
         waiting = self._submits.get(key)
         if waiting is not None:
             same = self._find_digest(key) == waiting.digest
@@ -269,75 +255,6 @@
         for question in waiting.questions:
             self._reply(question, value)
 
-    def report(self, event: session.Received) -> None:
-        """Handle a report of a sidecar about a task."""
-        msg, owner = event.msg, self.owner
-        if not owner.caught_up:
-            # The sidecar repeats reports that need an answer.
-            return
-        task = owner.state.live.get(msg.task)
-        if isinstance(msg, messages.Started | messages.TaskWait):
-            if task is not None and task.epoch == msg.epoch:
-                reason = ''
-                if isinstance(msg, messages.TaskWait):
-                    reason = msg.reason or 'waits at its home'
-                self._notes[msg.task] = _Note(msg.epoch, reason)
-            return
-        if task is None and msg.task not in owner.state.ended:
-            owner.ctx.metrics.count('report_unknown_task')
-            return
-        if task is None or msg.epoch < task.epoch:
-            ack = messages.ReportAck(msg.task, msg.epoch)
-            owner.send(event.session, session.Send(ack))
-            return
-        self._report_current(event, task)
-
-    def _report_current(
-        self, event: session.Received, task: ledger.Live
-    ) -> None:
-        msg, owner = event.msg, self.owner
-        instance = event.hello.place.instance
-        home = task.home
-        if home is None or home.instance != instance:
-            owner.ctx.metrics.count('report_foreign')
-            return
-        if msg.epoch != task.epoch or not owner.is_fresh():
-            return
-        if msg.task in owner.queue.busy:
-            return
-        item: typing.Any
-        if isinstance(msg, messages.Finished):
-            detail = msg.detail[: ledger.DETAIL_LIMIT]
-            item = records.FinishedRecord(
-                msg.task, msg.epoch, msg.outcome, detail
-            )
-        else:
-            item = self._make_moved(task, msg, instance)
-        if not owner.append(msg.task, item, task.spec.urgent):
-            owner.places.settle(msg.task)
-
-    def _make_moved(
-        self, task: ledger.Live, msg: messages.Evicted, instance: str
-    ) -> records.Moved:
-        """Return the record of a task that has stopped for good."""
-        owner = self.owner
-        look = owner.look()
-        reason = f'evicted: {msg.reason}'
-        choice = owner.places.choose(
-            look.policy, task.spec, look.now, (instance,)
-        )
-        home = None
-        if isinstance(choice, placement.Placed):
-            home = choice.home
-            owner.places.promise(msg.task, home.instance, task.spec.demand)
-        else:
-            reason = f'{reason}; {choice.reason}'
-        checkpoint = msg.checkpoint
-        if len(checkpoint) > CHECKPOINT_LIMIT:
-            owner.ctx.metrics.count('checkpoint_too_large')
-            checkpoint = ''
-        return records.Moved(msg.task, msg.epoch + 1, home, checkpoint, reason)
-
     def describe(
         self, key: str
     ) -> task_outcomes.TaskState | task_outcomes.NoTask:
@@ -365,16 +282,9 @@
             left = max(0.0, fence.movable_at - owner.now())
             text = f'instance {home.instance} is lost; moves in {left:.0f} s'
             return 'assigned', text
-        note = self._notes.get(key)
-        if note is not None and note.epoch == task.epoch:
-            return (
-                ('assigned', note.reason)
-                if note.reason
-                else (
-                    'running',
-                    '',
-                )
-            )
+        note = owner.reports.find_note(key, task.epoch)
+        if note is not None:
+            return ('assigned', note) if note else ('running', '')
         if home.instance not in owner.orders.lines:
             return 'assigned', f'{home.instance} is not connected here'
         return 'assigned', f'{home.instance} has not reported a start here'
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -22,6 +22,8 @@
 from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry import events
+from kcr_entry.work import offers
+from kcr_entry.work import reports
 from kcr_entry.work import submissions
 from kcr_runtime import ask
 from kcr_runtime import task
@@ -78,7 +80,9 @@
         self.orders = task_dispatch.Dispatcher(self.state)
         # Items for the log.
         self.queue = append_queue.AppendQueue()
-        # Questions of callers and reports that wait for a record.
+        # Reports of sidecars.
+        self.reports = reports.Reports(self)
+        # Questions of callers that wait for a record.
         self.asked = submissions.Submissions(self)
         # Whether the stream was read to its end since the last gap.
         self.caught_up = False
@@ -198,6 +202,7 @@
         if self.caught_up:
             self.orders.follow(change)
             self._start_orders()
+        self.reports.follow(change)
         self.asked.follow(change)
 
     def _publish(self) -> None:
@@ -209,7 +214,7 @@
             seen = self._seen.get(instance)
             if seen is None or seen.state is None:
                 continue
-            running = list_running(seen)
+            running = offers.list_running(seen)
             if fencing.is_fenced(seen.name, running, self.state):
                 fenced.add(seen.name)
             else:
@@ -227,7 +232,7 @@
         if event.state is None:
             return
         self._seen[instance] = event
-        self.places.offer(make_offer(event))
+        self.places.offer(offers.make_offer(event))
         if event.phase == 'gone':
             self.orders.disconnect(instance, event.session)
         elif self.caught_up and (
@@ -245,7 +250,7 @@
             event.place.instance,
             event.incarnation,
             event.session,
-            list_running(event),
+            offers.list_running(event),
         )
         self._start_orders()
 
@@ -278,7 +283,7 @@
 
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
-        self.asked.report(event)
+        self.reports.report(event)
 
     @task.handles(ask.Ask)
     def _on_ask(self, question: ask.Ask) -> None:
@@ -361,38 +366,4 @@
             self.state, turn, append_queue.BATCH_ITEMS
         )
         for item in items:
-            self.append(f'again/{infer_key(item)}', item)
-
-
-def list_running(
-    event: events.EndpointSeen,
-) -> frozenset[tuple[str, int]]:
-    """Return the key and epoch of the tasks that ran at connection."""
-    if event.state is None:
-        return frozenset()
-    return frozenset((run.task, run.epoch) for run in event.state.running)
-
-
-def make_offer(event: events.EndpointSeen) -> homes.Offer:
-    """Return what an endpoint offers to tasks."""
-    assert event.state is not None, 'offer without full state'
-    home = types.Home(
-        event.place.instance, event.incarnation, event.state.controller_epoch
-    )
-    return homes.Offer(
-        home=home,
-        place=event.place,
-        capacity=event.state.capacity.resources,
-        free=event.free,
-        open=event.phase == 'up',
-        running=list_running(event),
-    )
-
-
-def infer_key(item: typing.Any) -> str:
-    """Return the key of a record that is written again."""
-    if isinstance(item, records.Restated):
-        return item.spec.key
-    if isinstance(item, records.Fenced):
-        return f'{item.instance}/{item.incarnation}'
-    return str(item.task)
+            self.append(f'again/{offers.infer_key(item)}', item)
--- /dev/null
+++ b/tests/entry/task_world.py
@@ -0,0 +1,211 @@
+"""Run entries with durable tasks against the emulated log and sidecars."""
+
+import dataclasses
+import types as std_types
+import typing
+
+import log_world
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry.fleet import membership
+from kcr_entry.fleet import peers
+from kcr_entry.log import appender
+from kcr_entry.log import reader
+from kcr_entry.work import fences
+from kcr_entry.work import submissions
+from kcr_entry.work import tasks
+from kcr_runtime import ask
+from kcr_runtime.wire import session
+
+STREAM = 'tasks.r1'
+
+
+def make_spec(name: str, **fields: typing.Any) -> types.TaskSpec:
+    """Return a task of one processor."""
+    demand = fields.pop('demand', types.Demand(1.0, 10.0, 0))
+    return types.TaskSpec(name, 'c', 'x', 'kind', demand, **fields)
+
+
+def make_hello(role: str, name: str, incarnation: str) -> messages.Hello:
+    """Return the hello of a process."""
+    place = types.Place('r1', 'z1', f'rack-{name}', name)
+    return messages.Hello(1, role, name, incarnation, place)
+
+
+class Entry:
+    """Hold the tasks of one entry that take part in durable tasks."""
+
+    def __init__(self, world: log_world.World, incarnation: str) -> None:
+        # World of the entry.
+        self.world = world
+        ctx = world.make_context(incarnation)
+        cfg = std_types.SimpleNamespace(
+            log='127.0.0.1:1',
+            region='r1',
+            log_retention_s=3600.0,
+            listen=f'127.0.0.1:{incarnation}',
+            peers=[],
+        )
+        # Context of the entry.
+        self.ctx = dataclasses.replace(ctx, cfg=cfg)
+        # Asker of the questions.
+        self.http = log_world.Probe(self.ctx, 'http')
+        # The owner of the ledger.
+        self.tasks = tasks.Tasks(self.ctx, addresses.TASKS)
+        self.ctx.directory.add('http', self.http)
+        for node in (
+            appender.Appender(self.ctx, addresses.APPENDER),
+            reader.Reader(
+                self.ctx,
+                addresses.READERS['tasks'],
+                STREAM,
+                (addresses.TASKS, addresses.MEMBERSHIP),
+            ),
+            self.tasks,
+            fences.Fences(self.ctx, addresses.FENCES),
+            membership.Membership(self.ctx, addresses.MEMBERSHIP),
+            peers.Peers(self.ctx, addresses.PEERS),
+        ):
+            world.start(node)
+
+    def ask(self, token: str, body: typing.Any) -> None:
+        """Put a question of a caller."""
+        question = ask.Ask(token, 'http', body)
+        assert self.ctx.directory.send(addresses.TASKS, question)
+
+    def submit(self, token: str, spec: types.TaskSpec) -> None:
+        """Submit a task."""
+        self.ask(token, submissions.Submit(spec))
+
+    def answer(self, token: str) -> typing.Any:
+        """Return the answer; none before it came."""
+        found = [a.value for a in self.http.of(ask.Answer) if a.token == token]
+        assert len(found) <= 1, 'a question is answered once'
+        return found[0] if found else None
+
+
+class Sidecar:
+    """Stand in for the session of one sidecar at one entry."""
+
+    def __init__(
+        self,
+        entry: Entry,
+        name: str,
+        life: int = 1,
+        running: tuple[types.RunningTask, ...] = (),
+    ) -> None:
+        # Entry that it is connected to.
+        self.entry = entry
+        # Its hello.
+        self.hello = make_hello('sidecar', name, f'{name}-{life}')
+        # Address of the session.
+        self.address = f'fleet/sessions/{name}-{life}'
+        # Messages that the entry sent.
+        self.probe = log_world.Probe(entry.ctx, self.address)
+        entry.ctx.directory.add(self.address, self.probe)
+        self._seq = 0
+        for target in (addresses.MEMBERSHIP, addresses.TASKS):
+            entry.ctx.directory.send(
+                target, session.Opened(self.address, self.hello)
+            )
+        room = types.Demand(4.0, 100.0, 0)
+        capacity = types.Capacity(8, 64, room)
+        state = messages.EndpointState('svc', capacity, life, running)
+        self.report(addresses.MEMBERSHIP, state)
+        self.beat()
+        # The state reaches the owner of the ledger by way of membership.
+        entry.world.run(0.05)
+
+    def report(self, target: str, msg: messages.Message) -> None:
+        """Deliver a message to a task of the entry."""
+        event = session.Received(self.address, self.hello, msg)
+        assert self.entry.ctx.directory.send(target, event)
+
+    def beat(self, free: types.Demand | None = None) -> None:
+        """Send a heartbeat."""
+        self._seq += 1
+        room = free or types.Demand(4.0, 100.0, 0)
+        beat = messages.Heartbeat(self._seq, 0, 0, 0, room)
+        self.report(addresses.MEMBERSHIP, beat)
+
+    def close(self) -> None:
+        """End the session."""
+        event = session.Closed(self.address, self.hello, 'test')
+        self.entry.ctx.directory.send(addresses.MEMBERSHIP, event)
+
+    def got(self, cls: type[typing.Any]) -> list[typing.Any]:
+        """Return the messages of one class that the entry sent."""
+        sent = self.probe.of(session.Send)
+        return [s.msg for s in sent if isinstance(s.msg, cls)]
+
+
+def run_beating(
+    world: log_world.World, seconds: int, *sidecars: Sidecar
+) -> None:
+    """Let time pass while some sidecars send heartbeats."""
+    for _ in range(seconds):
+        for sidecar in sidecars:
+            sidecar.beat()
+        world.run(1.0)
+
+
+def connect_entries(first: Entry, second: Entry) -> None:
+    """Connect two entries, so that each can ask the other."""
+    for me, other in ((first, second), (second, first)):
+        name = f'fleet/sessions/{other.ctx.incarnation}'
+        hello = make_hello(
+            'entry', other.ctx.incarnation, other.ctx.incarnation
+        )
+        me.ctx.directory.add(name, Link(me, other))
+        me.ctx.directory.send(addresses.PEERS, session.Opened(name, hello))
+
+
+class Link:
+    """Carry the messages between two entries."""
+
+    # Task that handles each message.
+    targets: typing.ClassVar[dict[type[typing.Any], str]] = {
+        messages.PeerHeartbeat: addresses.PEERS,
+        messages.HeardQuery: addresses.MEMBERSHIP,
+        messages.HeardReply: addresses.FENCES,
+    }
+
+    def __init__(self, me: Entry, other: Entry) -> None:
+        # Entry that sends.
+        self.me = me
+        # Entry that receives.
+        self.other = other
+
+    def post(self, event: typing.Any) -> bool:
+        """Deliver a message at the other entry."""
+        assert isinstance(event, session.Send)
+        mine = self.me.ctx.incarnation
+        hello = make_hello('entry', mine, mine)
+        back = f'fleet/sessions/{mine}'
+        received = session.Received(back, hello, event.msg)
+        target = self.targets[type(event.msg)]
+        return self.other.ctx.directory.send(target, received)
+
+    def begin(self) -> None:
+        """Do nothing."""
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return nothing."""
+        return {}
+
+    def end(self) -> typing.Any:
+        """Do nothing."""
+        return None
+
+
+def age_of_view(sidecar: Sidecar) -> int:
+    """Return the age in the newest answer to a heartbeat."""
+    return int(sidecar.got(messages.HeartbeatAck)[-1].log_age_ms)
+
+
+def read_tasks(entry: Entry) -> dict[str, int]:
+    """Return the epochs of the live tasks."""
+    live = entry.tasks.state.live
+    return {key: held.epoch for key, held in live.items()}
--- /dev/null
+++ b/tests/entry/test_tasks.py
@@ -0,0 +1,339 @@
+"""Check durable tasks at the entry, from submission to the end."""
+
+import log_world
+import pytest
+import task_world
+
+from kcr_core import messages
+from kcr_core import records
+from kcr_core import task_outcomes
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry import events
+from kcr_entry.work import submissions
+
+
+@pytest.fixture
+def world() -> log_world.World:
+    """Return a world with an emulated log."""
+    return log_world.World()
+
+
+@pytest.fixture
+def entry(world: log_world.World) -> task_world.Entry:
+    """Return an entry that has read the empty stream."""
+    entry = task_world.Entry(world, '1')
+    # The first read waits at the log for a second.
+    world.run(1.5)
+    return entry
+
+
+def test_task_is_durable_before_it_is_accepted_and_assigned(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against an answer or a start without a record."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    world.log.outage = 'hold'
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    assert entry.answer('s') is None
+    assert sidecar.got(messages.Assign) == []
+    world.log.outage = 'none'
+    world.run(3.0)
+    accepted = entry.answer('s')
+    assert isinstance(accepted, task_outcomes.Accepted), accepted
+    [assign] = sidecar.got(messages.Assign)
+    assert (assign.spec.key, assign.epoch) == ('c/t', 1)
+    assert assign.incarnation == 'i-1'
+    sidecar.report(addresses.TASKS, messages.Started('c/t', 1))
+    entry.ask('g', submissions.Get('c/t'))
+    world.run(0.1)
+    assert entry.answer('g').state == 'running'
+
+
+def test_refused_append_is_not_accepted_and_may_be_repeated(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against an answer that leaves a refused task in doubt."""
+    task_world.Sidecar(entry, 'i')
+    world.log.outage = 'refuse'
+    entry.submit('a', task_world.make_spec('t'))
+    world.run(4.0)
+    assert isinstance(entry.answer('a'), task_outcomes.NotAccepted)
+    world.log.outage = 'none'
+    world.run(4.0)
+    entry.submit('b', task_world.make_spec('t'))
+    world.run(1.0)
+    assert isinstance(entry.answer('b'), task_outcomes.Accepted)
+    assert entry.tasks.asked.dump()['submissions'] == 0
+
+
+def test_append_without_an_answer_ends_unknown(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against a caller that waits for ever, or gets a false no."""
+    task_world.Sidecar(entry, 'i')
+    world.log.outage = 'hold'
+    entry.submit('a', task_world.make_spec('t'))
+    world.run(11.0)
+    assert isinstance(entry.answer('a'), task_outcomes.Uncertain)
+
+
+def test_lost_answer_ends_accepted_by_reading_back(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against a refusal of a task that is in the log."""
+    task_world.Sidecar(entry, 'i')
+    world.log.lose_next = 1
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(5.0)
+    assert isinstance(entry.answer('s'), task_outcomes.Accepted)
+    assert task_world.read_tasks(entry) == {'c/t': 1}
+
+
+def test_nothing_is_accepted_before_the_stream_was_read(
+    world: log_world.World,
+) -> None:
+    """Guard against decisions from a ledger that is not complete."""
+    world.log.outage = 'refuse'
+    entry = task_world.Entry(world, '1')
+    task_world.Sidecar(entry, 'i')
+    entry.submit('s', task_world.make_spec('t'))
+    entry.ask('g', submissions.Get('c/t'))
+    world.run(0.5)
+    assert isinstance(entry.answer('s'), task_outcomes.NotAccepted)
+    assert entry.answer('g') == task_outcomes.NoTask('c/t', False)
+
+
+def test_repeat_and_other_content(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against a second task and against a hidden change of one."""
+    task_world.Sidecar(entry, 'i')
+    entry.submit('a', task_world.make_spec('t'))
+    entry.submit('b', task_world.make_spec('t'))
+    entry.submit('d', task_world.make_spec('t', run_s=9.0))
+    world.run(1.0)
+    entry.submit('e', task_world.make_spec('t', run_s=9.0))
+    world.run(1.0)
+    assert isinstance(entry.answer('a'), task_outcomes.Accepted)
+    assert isinstance(entry.answer('b'), task_outcomes.Accepted)
+    assert entry.answer('d') == task_outcomes.Conflict('c/t')
+    assert entry.answer('e') == task_outcomes.Conflict('c/t')
+
+
+def test_quota_and_impossible_demand_are_rejected(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against tasks that could never run, and against a false no."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    huge = types.Demand(64.0)
+    entry.submit('early', task_world.make_spec('e', demand=huge))
+    task_world.run_beating(world, 11, sidecar)
+    assert isinstance(entry.answer('early'), task_outcomes.Accepted)
+    entry.submit('never', task_world.make_spec('n', demand=huge))
+    quota = (('x', types.Demand(66.0, 500.0, 0)),)
+    in_force = events.SettingsInForce(1, types.ControlSettings(), quota)
+    world.run(1.0)
+    entry.ctx.directory.send(addresses.TASKS, in_force)
+    entry.submit('q1', task_world.make_spec('q1'))
+    entry.submit('q2', task_world.make_spec('q2'))
+    entry.submit('q3', task_world.make_spec('q3'))
+    world.run(1.0)
+    never = entry.answer('never')
+    assert isinstance(never, task_outcomes.Rejected)
+    assert 'processors 64 is above the largest instance with 4' in never.reason
+    assert isinstance(entry.answer('q2'), task_outcomes.Accepted)
+    over = entry.answer('q3')
+    assert isinstance(over, task_outcomes.Rejected)
+    assert 'processors 67 of 66' in over.reason
+
+
+def test_parked_task_gets_room_and_urgent_goes_first(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against waiting tasks that are forgotten or out of order."""
+    big = types.Demand(4.0)
+    entry.submit('a', task_world.make_spec('a', demand=big))
+    world.run(0.2)
+    entry.submit('b', task_world.make_spec('b', demand=big, urgent=True))
+    world.run(1.0)
+    accepted = entry.answer('a')
+    assert accepted.state.state == 'parked'
+    assert 'no instance is known yet' in accepted.state.reason
+    sidecar = task_world.Sidecar(entry, 'i')
+    task_world.run_beating(world, 2, sidecar)
+    [assign] = sidecar.got(messages.Assign)
+    assert (assign.spec.task_id, assign.epoch) == ('b', 2)
+    entry.ask('g', submissions.Get('c/a'))
+    world.run(0.1)
+    assert 'no room now' in entry.answer('g').reason
+
+
+def test_finished_is_acknowledged_when_it_is_durable(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against a result that is lost with its acknowledgement."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    done = messages.Finished('c/t', 1, 'done', 'result')
+    world.log.outage = 'refuse'
+    sidecar.report(addresses.TASKS, done)
+    world.run(1.0)
+    assert sidecar.got(messages.ReportAck) == []
+    world.log.outage = 'none'
+    world.run(4.0)
+    sidecar.report(addresses.TASKS, done)
+    world.run(1.0)
+    assert messages.ReportAck('c/t', 1) in sidecar.got(messages.ReportAck)
+    entry.ask('g', submissions.Get('c/t'))
+    world.run(0.1)
+    state = entry.answer('g')
+    assert (state.state, state.reason) == ('done', 'result')
+
+
+def test_evicted_task_moves_with_its_checkpoint(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against an eviction that loses the checkpoint or the epoch."""
+    first = task_world.Sidecar(entry, 'i')
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    second = task_world.Sidecar(entry, 'j')
+    evicted = messages.Evicted('c/t', 1, 'ckpt', 'noise')
+    first.report(addresses.TASKS, evicted)
+    first.report(addresses.TASKS, evicted)
+    task_world.run_beating(world, 2, first, second)
+    [assign] = second.got(messages.Assign)
+    assert (assign.epoch, assign.checkpoint) == (2, 'ckpt')
+    assert len(first.got(messages.Assign)) == 1
+    assert messages.ReportAck('c/t', 1) in first.got(messages.ReportAck)
+
+
+def test_cancelled_task_is_stopped(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against a cancelled task that runs on."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    entry.ask('x', submissions.Cancel('c/t'))
+    entry.ask('y', submissions.Cancel('c/none'))
+    world.run(1.0)
+    assert entry.answer('x').state == 'cancelled'
+    assert entry.answer('y') == task_outcomes.NoTask('c/none', True)
+    assert messages.StopTask('c/t', 1) in sidecar.got(messages.StopTask)
+
+
+def test_tasks_are_assigned_again_while_the_log_is_down(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against starts that need the log."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    world.log.outage = 'refuse'
+    sidecar.close()
+    world.run(20.0)
+    sidecar.probe.got.clear()
+    again = task_world.Sidecar(entry, 'i')
+    world.run(1.0)
+    assert len(again.got(messages.Assign)) == 1
+    entry.submit('n', task_world.make_spec('n'))
+    world.run(0.1)
+    assert isinstance(entry.answer('n'), task_outcomes.NotAccepted)
+
+
+def test_vouch_tells_the_age_of_the_view(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against a vouch from a view that is not fresh."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    task_world.run_beating(world, 2, sidecar)
+    assert 0 <= task_world.age_of_view(sidecar) <= 2000
+    world.log.outage = 'refuse'
+    task_world.run_beating(world, 5, sidecar)
+    assert 3000 <= task_world.age_of_view(sidecar) <= 7000
+    task_world.run_beating(world, 8, sidecar)
+    assert task_world.age_of_view(sidecar) == -1
+
+
+def test_lost_home_is_fenced_and_its_task_moves_after_the_wait(
+    world: log_world.World,
+) -> None:
+    """Guard against a task that stays lost or moves too early."""
+    first = task_world.Entry(world, '1')
+    second = task_world.Entry(world, '2')
+    task_world.connect_entries(first, second)
+    world.run(11.0)
+    lost = task_world.Sidecar(first, 'i')
+    world.run(0.1)
+    first.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    other = task_world.Sidecar(first, 'j')
+    seen = task_world.Sidecar(second, 'i')
+    task_world.run_beating(world, 12, other, seen)
+    assert not first.tasks.state.fences, 'a peer hears it'
+    seen.close()
+    lost.close()
+    task_world.run_beating(world, 9, other)
+    fence = first.tasks.state.fences['i', 'i-1']
+    assert fence.record.wait_s == 17.0
+    back = task_world.Sidecar(second, 'i')
+    world.run(1.5)
+    back.beat()
+    world.run(0.1)
+    assert back.got(messages.HeartbeatAck)[-1].fenced
+    while world.clock.seconds() < fence.movable_at - 1.0:
+        task_world.run_beating(world, 1, other)
+    assert other.got(messages.Assign) == []
+    task_world.run_beating(world, 4, other)
+    [assign] = other.got(messages.Assign)
+    assert assign.epoch == 2
+    assert task_world.read_tasks(second) == {'c/t': 2}
+
+
+def test_restarted_sidecar_adopts_what_it_runs(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against moving or losing tasks when a sidecar restarts."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    for name in ('t', 'u'):
+        entry.submit(name, task_world.make_spec(name))
+    world.run(1.0)
+    sidecar.close()
+    running = (types.RunningTask('c/t', 1),)
+    newer = task_world.Sidecar(entry, 'i', 2, running)
+    task_world.run_beating(world, 3, newer)
+    assert task_world.read_tasks(entry) == {'c/t': 1, 'c/u': 2}
+    assigned = {
+        (a.spec.task_id, a.epoch, a.incarnation)
+        for a in newer.got(messages.Assign)
+    }
+    assert assigned == {('t', 1, 'i-2'), ('u', 2, 'i-2')}
+    assert newer.got(messages.StopTask) == []
+    assert not newer.got(messages.HeartbeatAck)[-1].fenced
+
+
+def test_trimmed_stream_is_rebuilt_from_restated_records(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against live tasks that are lost with the records before them."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    entry.ctx.directory.send(
+        addresses.TASKS, events.LogGap(task_world.STREAM, 3)
+    )
+    world.run(0.1)
+    assert not entry.tasks.caught_up
+    assert task_world.read_tasks(entry) == {}
+    held = records.Restated(
+        task_world.make_spec('t'), 4, types.Home('i', 'i-1', 1), '', 0
+    )
+    item = events.LogItem(3, 'e', held)
+    read = events.LogRead(task_world.STREAM, (item,), True, 1.0, 2, 3)
+    entry.ctx.directory.send(addresses.TASKS, read)
+    world.run(0.2)
+    assert sidecar.got(messages.Assign)[-1].epoch == 4
