Bound retries and hedges by one budget

Each request adds a share of a token; a retry or hedge spends one. A declined retry ends with the outcome that the attempts prove.

--- a/packages/core/src/kcr_core/request_state.py
+++ b/packages/core/src/kcr_core/request_state.py
@@ -105,6 +105,13 @@
         self.reason = f'deadline passed; {self.reason}'[:300]
         return self._give_up()
 
+    def decline(self, reason: str) -> Step:
+        """Note that the attempt that was asked for will not be made."""
+        if self.outcome is not None or self._pending():
+            return Wait()
+        self.reason = f'{reason}; {self.reason}'[:300]
+        return self._give_up()
+
     def can_hedge(self) -> bool:
         """Tell whether a second attempt may run beside the first."""
         return (
--- a/packages/core/src/kcr_core/types.py
+++ b/packages/core/src/kcr_core/types.py
@@ -185,6 +185,10 @@
     retry_budget: Quantity = 0.1
     # Delay before an idempotent request is hedged; 0 turns hedging off.
     hedge_s: Seconds = 0.0
+    # Quantile of recent latency after which a request is hedged; 0 for none.
+    hedge_quantile: typing.Annotated[
+        float, annotated_types.Ge(0.0), annotated_types.Lt(1.0)
+    ] = 0.0
     # Name of the endpoint choice policy.
     endpoint_policy: Id = 'two_choices'
     # Name of the placement policy.
--- /dev/null
+++ b/tests/core/test_retry_budget.py
@@ -0,0 +1,64 @@
+"""Check the budget of retries and hedges."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from kcr_core import request_state
+from kcr_core import retry_budget
+
+
+@settings(derandomize=True)
+@given(
+    strategies.floats(0.0, 1.0),
+    strategies.lists(
+        strategies.sampled_from(['request', 'spend', 'refund']),
+        max_size=300,
+    ),
+)
+def test_budget_is_never_exceeded(share: float, steps: list[str]) -> None:
+    """Guard against more repeats than the share of the requests allows."""
+    budget = retry_budget.RetryBudget(share)
+    requests = spent = 0
+    for step in steps:
+        if step == 'request':
+            budget.deposit()
+            requests += 1
+        elif step == 'spend':
+            spent += budget.spend()
+        elif spent:
+            budget.refund()
+            spent -= 1
+        burst = retry_budget.INITIAL_TOKENS if share else 0.0
+        assert spent <= share * requests + burst + 1e-6
+
+
+def test_idle_time_saves_no_unbounded_burst() -> None:
+    """Guard against a retry storm after a long healthy time."""
+    budget = retry_budget.RetryBudget(0.5)
+    for _ in range(10_000):
+        budget.deposit()
+    burst = sum(budget.spend() for _ in range(10_000))
+    assert burst <= retry_budget.MAX_TOKENS
+
+
+def test_quantile_follows_recent_latencies() -> None:
+    """Guard against hedging after a latency that is long out of date."""
+    latencies = retry_budget.Latencies()
+    assert latencies.quantile(0.95) is None
+    for value in (1.0, 0.01):
+        for _ in range(retry_budget.LATENCIES):
+            latencies.add(value)
+    assert latencies.quantile(0.95) == 0.01
+    assert retry_budget.infer_hedge_delay(0.0, 0.95, latencies) == 0.01
+    assert retry_budget.infer_hedge_delay(0.05, 0.95, latencies) == 0.05
+    assert retry_budget.infer_hedge_delay(0.0, 0.0, latencies) is None
+
+
+def test_declined_retry_keeps_the_true_outcome() -> None:
+    """Guard against "not run" for a lost attempt without a retry."""
+    state = request_state.RequestState('c/1', True, 10.0, 3)
+    state.begin('a')
+    state.lost('a', 'connection closed', 1.0)
+    step = state.decline('retry budget is used up')
+    assert type(step).__name__ == 'Unknown'
