Dispatch attempts by policy, health and grants

The candidates of a service are indexed and sampled instead of scanned. An attempt that cannot end before its deadline is refused at the entry, and at the sidecar when it would wait.

--- a/packages/core/src/kcr_core/membership.py
+++ b/packages/core/src/kcr_core/membership.py
@@ -1,6 +1,7 @@
 """Keep an entry's view of the endpoints that announce themselves."""
 
 import dataclasses
+import random
 import typing
 
 from kcr_core import messages
@@ -8,6 +9,8 @@
 
 # Heartbeat intervals of silence after which an endpoint is suspect.
 SUSPECT_INTERVALS = 3.0
+# Services whose endpoints are kept indexed; callers choose the names.
+MAX_SERVICES = 256
 
 Phase = typing.Literal['up', 'suspect', 'draining', 'gone']
 
@@ -34,6 +37,8 @@
     leaving: bool = False
     # Attempts of this entry that have no answer yet.
     in_flight: int = 0
+    # Running mean of the time of this entry's attempts, in ms; 0 for none.
+    latency_ms: float = 0.0
 
 
 class View:
@@ -46,9 +51,13 @@
         self.drained: frozenset[str] = frozenset()
         # Endpoints by instance; the newest session of each.
         self.endpoints: dict[str, Endpoint] = {}
+        # Names of the announced endpoints of each service; a change of the
+        # fleet clears it, a choice fills it.
+        self._served: dict[str, list[Endpoint]] = {}
 
     def opened(self, session: str, hello: messages.Hello, now: float) -> None:
         """Note a new session; it replaces an older one of the instance."""
+        self._served.clear()
         held = self.endpoints.get(hello.place.instance)
         in_flight = 0
         if held is not None and held.incarnation == hello.incarnation:
@@ -63,6 +72,13 @@
             in_flight=in_flight,
         )
 
+    def announced(
+        self, endpoint: Endpoint, state: messages.EndpointState
+    ) -> None:
+        """Take the full state of an endpoint."""
+        self._served.clear()
+        endpoint.state = state
+
     def closed(self, session: str) -> None:
         """Note the end of a session."""
         for endpoint in self.endpoints.values():
@@ -91,14 +107,39 @@
 
     def candidates(self, service: str, now: float) -> list[Endpoint]:
         """Return the endpoints of a service that may get a request."""
-        return [
-            endpoint
-            for endpoint in self.endpoints.values()
-            if endpoint.state is not None
-            and endpoint.state.service == service
-            and self.phase(endpoint, now) == 'up'
-        ]
+        return [e for e in self.served(service) if self.phase(e, now) == 'up']
+
+    def served(self, service: str) -> list[Endpoint]:
+        """Return the endpoints that announced a service, in any phase."""
+        held = self._served.get(service)
+        if held is None:
+            if len(self._served) >= MAX_SERVICES:
+                self._served.clear()
+            held = [
+                endpoint
+                for endpoint in self.endpoints.values()
+                if endpoint.state is not None
+                and endpoint.state.service == service
+            ]
+            self._served[service] = held
+        return held
+
+    def sample(
+        self, service: str, count: int, now: float, rng: random.Random
+    ) -> list[Endpoint]:
+        """Return up to `count` endpoints of a service that are up.
+
+        The cost does not grow with the fleet unless most endpoints of the
+        sample are not up; then all of them are looked at.
+        """
+        served = self.served(service)
+        if len(served) <= count:
+            return self.candidates(service, now)
+        picked = rng.sample(served, count)
+        found = [e for e in picked if self.phase(e, now) == 'up']
+        return found if len(found) >= 2 else self.candidates(service, now)
 
     def forget(self, instance: str) -> None:
         """Drop an instance that will not come back."""
+        self._served.clear()
         self.endpoints.pop(instance, None)
--- a/packages/core/src/kcr_core/messages.py
+++ b/packages/core/src/kcr_core/messages.py
@@ -98,7 +98,8 @@
     revision: types.Count
     # Requests in the runner, from all entries.
     active: types.Count
-    # Slots granted to this entry for late binding.
+    # Slots granted to this entry for late binding, with those that its
+    # attempts use now.
     granted: types.Count
     # Resources that are not reserved.
     free: types.Demand
@@ -190,6 +191,8 @@
     attempt: types.Id
     # Why it is refused.
     reason: Reason
+    # Whether the runner is at fault, not the load or the request.
+    fault: bool = False
 
 
 @message('failed')
--- a/packages/core/src/kcr_core/slots.py
+++ b/packages/core/src/kcr_core/slots.py
@@ -67,8 +67,18 @@
         """Return the slots in use."""
         return len(self.active) + len(self.foreign)
 
-    def admit(self, attempt: str, deadline: float, now: float) -> Decision:
-        """Decide about a new attempt."""
+    def admit(
+        self,
+        attempt: str,
+        deadline: float,
+        now: float,
+        service_s: float = 0.0,
+    ) -> Decision:
+        """Decide about a new attempt; `service_s` is a usual run time.
+
+        Only an attempt that would wait is refused for its expected time: a
+        free slot always runs it, so that the run time is measured again.
+        """
         if self._is_known(attempt):
             return Refuse(attempt, 'attempt was received twice')
         if self.draining:
@@ -79,6 +89,9 @@
             return self._run(attempt)
         if self.used() + len(self.waiting) >= self.connections:
             return self._refuse(attempt, 'endpoint is full')
+        wait_s = service_s * (len(self.waiting) + 1) / max(1, self.slots)
+        if now + wait_s + service_s > deadline:
+            return self._refuse(attempt, 'deadline cannot be met')
         self.waiting[attempt] = deadline
         return Queued(attempt)
 
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from kcr_core import endpoint_choice
+from kcr_core import dispatch
 from kcr_core import membership
 from kcr_core import messages
 from kcr_core import types
@@ -12,6 +12,10 @@
 from kcr_runtime.wire import session
 
 
+# Largest time between looks at the attempts that wait for a grant, in seconds.
+LOOK_S = 0.05
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
     """Ask for an attempt to be sent to an endpoint."""
@@ -50,6 +54,24 @@
 
     # Instance of the attempt.
     instance: str
+    # Key of its request; empty when no result is known.
+    request: str = ''
+    # What came of it; `none` when nobody waits for it any more.
+    result: dispatch.Result = 'none'
+    # Time from sending it to its end, in seconds; 0 when not known.
+    took_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Drop an attempt that may still wait to be sent."""
+
+    # Id of the attempt.
+    attempt: str
+
+
+class _Look:
+    pass
 
 
 class Membership(task.Task):
@@ -60,12 +82,17 @@
         # Settings of the document in force.
         self.settings = types.ControlSettings()
         self._view = membership.View(self.settings.heartbeat_s)
+        self._dispatcher = dispatch.Dispatcher(self._view, ctx.rng)
+        self._held: dict[str, Dispatch] = {}
+        self._looking = False
 
     def dump(self) -> dict[str, typing.Any]:
         """Return what is known of each endpoint."""
         now = self.now()
         return {
             **super().dump(),
+            'waiting_for_grant': self._dispatcher.waiting(),
+            'health': self._dispatcher.health.dump(),
             'endpoints': {
                 name: {
                     'phase': self._view.phase(endpoint, now),
@@ -110,10 +137,11 @@
         endpoint.heard_at = self.now()
         msg = event.msg
         if isinstance(msg, messages.EndpointState):
-            endpoint.state = msg
+            self._view.announced(endpoint, msg)
         elif isinstance(msg, messages.Heartbeat):
             endpoint.beat = msg
             self._acknowledge(event.session, msg)
+            self._advance()
         elif isinstance(msg, messages.Leaving):
             endpoint.leaving = True
             self.log.info('endpoint leaving', instance=instance)
@@ -126,49 +154,72 @@
 
     @task.handles(Dispatch)
     def _on_dispatch(self, req: Dispatch) -> None:
-        attempt = req.msg.attempt
-        found = self._view.candidates(req.msg.service, self.now())
-        if not found:
-            self._not_dispatched(attempt, 'no endpoint serves this now')
+        now = self.now()
+        offer = dispatch.Offer(
+            attempt=req.msg.attempt,
+            service=req.msg.service,
+            deadline=now + req.msg.budget_ms / 1000.0,
+            avoid=req.avoid,
+        )
+        decision = self._dispatcher.offer(offer, self.settings, now)
+        self._held[offer.attempt] = req
+        self._carry_out(decision, offer.deadline)
+
+    def _carry_out(self, decision: dispatch.Decision, deadline: float) -> None:
+        if isinstance(decision, dispatch.Held):
+            self._look_later()
             return
-        fresh = [e for e in found if e.place.instance not in req.avoid]
-        policy = endpoint_choice.POLICIES.get(self.settings.endpoint_policy)
-        options = [infer_candidate(e) for e in fresh or found]
-        choice = policy(options, self.ctx.rng)
-        if choice is None:
-            self._not_dispatched(attempt, 'no endpoint has room')
+        req = self._held.pop(decision.attempt)
+        if isinstance(decision, dispatch.Rejected):
+            self.ctx.metrics.count('dispatch_rejected')
+            self._not_dispatched(decision.attempt, decision.reason)
             return
-        endpoint = self._view.endpoints[choice.instance]
-        if not self.send(endpoint.session, session.Send(req.msg)):
-            self._not_dispatched(attempt, 'session has ended')
+        left_ms = max(0, int((deadline - self.now()) * 1000))
+        msg = dataclasses.replace(req.msg, budget_ms=left_ms)
+        endpoint = self._view.endpoints[decision.instance]
+        if not self.send(endpoint.session, session.Send(msg)):
+            endpoint.in_flight -= 1
+            self._not_dispatched(decision.attempt, 'session has ended')
             return
-        endpoint.in_flight += 1
         self.send(
             addresses.REQUESTS,
-            Dispatched(attempt, choice.instance, endpoint.session),
+            Dispatched(decision.attempt, decision.instance, endpoint.session),
         )
 
+    def _advance(self) -> None:
+        if not self._dispatcher.waiting():
+            return
+        decisions = self._dispatcher.advance(self.settings, self.now())
+        for offer, decision in decisions:
+            self._carry_out(decision, offer.deadline)
+
+    def _look_later(self) -> None:
+        delay = self._dispatcher.next_look(self.now())
+        if delay is not None and not self._looking:
+            self._looking = True
+            self.after(min(delay, LOOK_S), _Look())
+
+    @task.handles(_Look)
+    def _on_look(self, msg: _Look) -> None:
+        self._looking = False
+        self._advance()
+        self._look_later()
+
+    @task.handles(Withdraw)
+    def _on_withdraw(self, msg: Withdraw) -> None:
+        if self._dispatcher.withdraw(msg.attempt):
+            del self._held[msg.attempt]
+
     def _not_dispatched(self, attempt: str, reason: str) -> None:
         self.send(addresses.REQUESTS, NotDispatched(attempt, reason))
 
     @task.handles(AttemptEnded)
     def _on_attempt_ended(self, event: AttemptEnded) -> None:
-        endpoint = self._view.endpoints.get(event.instance)
-        if endpoint is not None and endpoint.in_flight > 0:
-            endpoint.in_flight -= 1
-
-
-def infer_candidate(
-    endpoint: membership.Endpoint,
-) -> endpoint_choice.Candidate:
-    """Return what a policy may know of an endpoint."""
-    assert endpoint.state is not None, 'candidate without full state'
-    beat = endpoint.beat
-    return endpoint_choice.Candidate(
-        instance=endpoint.place.instance,
-        slots=endpoint.state.capacity.slots,
-        active=beat.active if beat else 0,
-        in_flight=endpoint.in_flight,
-        granted=beat.granted if beat else 0,
-        latency_ms=beat.latency_ms if beat else 0.0,
-    )
+        self._dispatcher.ended(
+            event.instance,
+            event.request,
+            event.result,
+            event.took_s,
+            self.now(),
+        )
+        self._advance()
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -5,9 +5,11 @@
 import hashlib
 import typing
 
+from kcr_core import dispatch
 from kcr_core import messages
 from kcr_core import outcomes
 from kcr_core import request_state
+from kcr_core import retry_budget
 from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry.fleet import membership
@@ -64,6 +66,11 @@
     key: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Hedge:
+    key: str
+
+
 @dataclasses.dataclass(slots=True)
 class _Active:
     submit: Submit
@@ -74,6 +81,8 @@
     sessions: dict[str, str]
     # Monotonic time of arrival.
     since: float
+    # Monotonic time at which each attempt was sent.
+    sent_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Requests(task.Task):
@@ -86,6 +95,9 @@
         self._active: dict[str, _Active] = {}
         self._by_attempt: dict[str, str] = {}
         self._attempts = 0
+        self._budget = retry_budget.RetryBudget(self.settings.retry_budget)
+        self._latencies = retry_budget.Latencies()
+        self._hedges: set[str] = set()
         self._kept: collections.OrderedDict[
             str, tuple[str, outcomes.Outcome]
         ] = collections.OrderedDict()
@@ -96,6 +108,11 @@
             **super().dump(),
             'in_flight': len(self._active),
             'kept': len(self._kept),
+            'retry_budget': {
+                'tokens': round(self._budget.tokens, 3),
+                'spent': self._budget.spent,
+                'declined': self._budget.declined,
+            },
             'oldest': [
                 {
                     'request': key,
@@ -143,13 +160,14 @@
             submit, state, [question], {}, since=now
         )
         self.after(submit.budget_s, _Deadline(submit.key))
+        self._prepare_repeats(submit)
         if not submit.idempotent:
             refusal = outcomes.NotRun('non-idempotent requests need the log')
             self._finish(submit.key, refusal)
             return
         self._attempt(submit.key, frozenset())
 
-    def _attempt(self, key: str, avoid: frozenset[str]) -> None:
+    def _attempt(self, key: str, avoid: frozenset[str]) -> str:
         active = self._active[key]
         self._attempts += 1
         attempt = f'{self.ctx.incarnation}:{self._attempts}'
@@ -171,6 +189,7 @@
             self._apply(
                 key, active.state.not_sent(attempt, 'entry is overloaded')
             )
+        return attempt
 
     @task.handles(membership.Dispatched)
     def _on_dispatched(self, event: membership.Dispatched) -> None:
@@ -182,11 +201,13 @@
             return
         active.state.placed(event.attempt, event.instance)
         active.sessions[event.attempt] = event.session
+        active.sent_at[event.attempt] = self.now()
 
     @task.handles(membership.NotDispatched)
     def _on_not_dispatched(self, event: membership.NotDispatched) -> None:
         active = self._find(event.attempt)
         if active is not None:
+            self._refund_hedge(event.attempt)
             self._apply(
                 active.submit.key,
                 active.state.not_sent(event.attempt, event.reason),
@@ -199,7 +220,7 @@
         if active is None or msg.attempt not in active.sessions:
             self.ctx.metrics.count('answer_late')
             return
-        self._release(active, msg.attempt)
+        self._release(active, msg.attempt, infer_result(msg))
         key, state = active.submit.key, active.state
         if isinstance(msg, messages.Refused):
             self._apply(
@@ -253,19 +274,66 @@
         key = self._by_attempt.get(attempt)
         return None if key is None else self._active.get(key)
 
-    def _release(self, active: _Active, attempt: str) -> None:
-        if active.sessions.pop(attempt, None) is not None:
-            instance = active.state.instances[attempt]
-            self.send(addresses.MEMBERSHIP, membership.AttemptEnded(instance))
+    def _release(
+        self, active: _Active, attempt: str, result: dispatch.Result = 'none'
+    ) -> None:
+        if active.sessions.pop(attempt, None) is None:
+            return
+        took_s = self.now() - active.sent_at.pop(attempt, self.now())
+        if result == 'ok':
+            self._latencies.add(took_s)
+        ended = membership.AttemptEnded(
+            active.state.instances[attempt],
+            active.submit.key,
+            result,
+            took_s,
+        )
+        self.send(addresses.MEMBERSHIP, ended)
 
     def _apply(self, key: str, step: request_state.Step) -> None:
         if isinstance(step, request_state.Wait):
             return
-        if isinstance(step, request_state.TryAgain):
+        if not isinstance(step, request_state.TryAgain):
+            self._finish(key, step)
+        elif self._budget.spend():
             self.ctx.metrics.count('retry')
             self._attempt(key, step.avoid)
+        else:
+            self.ctx.metrics.count('retry_declined')
+            state = self._active[key].state
+            self._apply(key, state.decline('retry budget is used up'))
+
+    def _prepare_repeats(self, submit: Submit) -> None:
+        """Count a new request in the budget and set the hedge timer."""
+        self._budget.share = self.settings.retry_budget
+        self._budget.deposit()
+        delay_s = retry_budget.infer_hedge_delay(
+            self.settings.hedge_s,
+            self.settings.hedge_quantile,
+            self._latencies,
+        )
+        if submit.idempotent and delay_s is not None:
+            if delay_s < submit.budget_s:
+                self.after(delay_s, _Hedge(submit.key))
+
+    @task.handles(_Hedge)
+    def _on_hedge(self, event: _Hedge) -> None:
+        active = self._active.get(event.key)
+        if active is None or not active.state.can_hedge():
+            return
+        # An attempt that still waits for a grant is not hedged.
+        if not active.sessions or not self._budget.spend():
             return
-        self._finish(key, step)
+        self.ctx.metrics.count('hedge')
+        avoid = frozenset(active.state.instances.values())
+        attempt = self._attempt(event.key, avoid)
+        if event.key in self._active:
+            self._hedges.add(attempt)
+
+    def _refund_hedge(self, attempt: str) -> None:
+        if attempt in self._hedges:
+            self._hedges.remove(attempt)
+            self._budget.refund()
 
     def _finish(self, key: str, outcome: outcomes.Outcome) -> None:
         active = self._active.pop(key)
@@ -273,6 +341,9 @@
             self._release(active, attempt)
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
+            self._hedges.discard(attempt)
+            if attempt not in active.state.instances:
+                self.send(addresses.MEMBERSHIP, membership.Withdraw(attempt))
         if not isinstance(outcome, outcomes.NotRun):
             self._kept[key] = (active.submit.digest(), outcome)
             if len(self._kept) > REMEMBERED:
@@ -286,3 +357,12 @@
 
     def _reply(self, question: ask.Ask, value: typing.Any) -> None:
         self.send(question.sender, ask.Answer(question.token, value))
+
+
+def infer_result(msg: typing.Any) -> dispatch.Result:
+    """Return what an answer says about the health of its endpoint."""
+    if isinstance(msg, messages.Refused):
+        return 'failed' if msg.fault else 'refused'
+    if isinstance(msg, messages.Failed) or msg.length != len(msg.body):
+        return 'failed'
+    return 'failed' if msg.status >= 500 else 'ok'
--- a/packages/sidecar/src/kcr_sidecar/capacity/admission.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -7,6 +7,7 @@
 import dataclasses
 import typing
 
+from kcr_core import grants
 from kcr_core import messages
 from kcr_core import slots
 from kcr_runtime import http_client
@@ -40,6 +41,16 @@
     latency_ms: float
     # Whether new requests are refused.
     draining: bool
+    # Slots granted to each entry, by session.
+    windows: tuple[tuple[str, int], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Divide:
+    """Ask for the free slots to be granted anew to the open sessions."""
+
+    # Sessions that lead to entries.
+    sessions: tuple[str, ...]
 
 
 class _Advance:
@@ -66,6 +77,7 @@
         cfg = ctx.cfg
         self._slots = slots.Slots(cfg.slots, cfg.connections)
         self._attempts: dict[str, _Attempt] = {}
+        self._grants = grants.Grants()
         self._ready = False
         self._latency_ms = 0.0
         self._draining = False
@@ -85,6 +97,7 @@
             'waiting': len(self._slots.waiting),
             'latency_ms': round(self._latency_ms, 3),
             'draining': self._draining,
+            'granted': dict(self._grants.free),
         }
 
     @task.handles(_AskForeign)
@@ -122,7 +135,9 @@
             self._attempts[msg.attempt] = _Attempt(
                 msg, event.session, deadline, now
             )
-        self._run([self._slots.admit(msg.attempt, deadline, now)])
+        self._grants.arrived(event.session)
+        service_s = self._latency_ms / 1000.0
+        self._run([self._slots.admit(msg.attempt, deadline, now, service_s)])
 
     def _run(self, decisions: list[slots.Decision]) -> None:
         for decision in decisions:
@@ -135,6 +150,7 @@
     def _call(self, attempt: str) -> None:
         held = self._attempts[attempt]
         held.started = self.now()
+        self._grants.ran(held.session, self._room())
         call = runner.Call(
             attempt,
             held.msg.request,
@@ -164,9 +180,26 @@
         self._answer(held.session, infer_answer(event))
         if isinstance(event.outcome, http_client.NoAnswer):
             self._run(self._slots.abandon(event.attempt, self.now()))
+            self._grants.ended(held.session, self._room())
             self.after(FOREIGN_POLL_S, _AskForeign())
             return
         self._run(self._slots.finish(event.attempt, self.now()))
+        self._grants.ended(held.session, self._room())
+
+    def _room(self) -> int:
+        """Return the slots that neither run nor are waited for."""
+        used = self._slots.used() + len(self._slots.waiting)
+        return max(0, self._slots.slots - used)
+
+    @task.handles(Divide)
+    def _on_divide(self, msg: Divide) -> None:
+        for name in set(self._grants.free) - set(msg.sessions):
+            self._grants.closed(name)
+        for name in msg.sessions:
+            self._grants.opened(name)
+        offered = self._ready and not self._draining
+        self._grants.divide(self._room() if offered else 0)
+        self._report()
 
     def _answer(self, name: str, msg: messages.Message) -> None:
         self.send(name, session.Send(msg))
@@ -192,6 +225,10 @@
                 len(self._slots.waiting),
                 self._latency_ms,
                 self._draining,
+                tuple(
+                    (name, self._grants.window(name))
+                    for name in self._grants.free
+                ),
             ),
         )
 
@@ -203,10 +240,10 @@
         if len(outcome.body) > messages.MAX_BODY_BYTES:
             return messages.Failed(event.attempt, 'answer is too large')
         if outcome.status == 503:
-            return messages.Refused(event.attempt, 'runner refused')
+            return messages.Refused(event.attempt, 'runner refused', True)
         return messages.Executed(
             event.attempt, outcome.status, len(outcome.body), outcome.body
         )
     if isinstance(outcome, http_client.NotSent):
-        return messages.Refused(event.attempt, outcome.reason)
+        return messages.Refused(event.attempt, outcome.reason, True)
     return messages.Failed(event.attempt, outcome.reason)
--- a/packages/sidecar/src/kcr_sidecar/links/announcer.py
+++ b/packages/sidecar/src/kcr_sidecar/links/announcer.py
@@ -6,6 +6,7 @@
 from kcr_core import types
 from kcr_runtime import task
 from kcr_runtime.wire import session
+from kcr_sidecar import addresses
 from kcr_sidecar.capacity import admission
 
 
@@ -41,6 +42,7 @@
         )
         self.send(event.session, session.Send(state))
         self._beat(event.session)
+        self._divide()
 
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
@@ -70,16 +72,21 @@
     def _on_beat(self, msg: _Beat) -> None:
         for name in self._open:
             self._beat(name)
+        self._divide()
         jitter = self.ctx.rng.uniform(0.9, 1.1)
         self.after(self.settings.heartbeat_s * jitter, _Beat())
 
+    def _divide(self) -> None:
+        # The answer is announced with the next heartbeats.
+        self.send(addresses.ADMISSION, admission.Divide(tuple(self._open)))
+
     def _beat(self, name: str) -> None:
         self._open[name] += 1
         beat = messages.Heartbeat(
             seq=self._open[name],
             revision=0,
             active=self._load.active,
-            granted=0,
+            granted=dict(self._load.windows).get(name, 0),
             free=types.Demand(),
             waiting=self._load.waiting,
             latency_ms=self._load.latency_ms,
