--- a/packages/core/src/kcr_core/dispatch.py
+++ b/packages/core/src/kcr_core/dispatch.py
@@ -13,6 +13,7 @@
 from kcr_core import endpoint_choice
 from kcr_core import health
 from kcr_core import membership
+from kcr_core import messages
 from kcr_core import types
 
 # Endpoints that a policy looks at; the cost of a choice grows with it.
@@ -224,3 +225,12 @@
         granted=beat.granted if beat else 0,
         latency_ms=endpoint.latency_ms or (beat.latency_ms if beat else 0.0),
     )
+
+
+def infer_result(msg: messages.Message) -> Result:
+    """Return what an answer says about the health of its endpoint."""
+    if isinstance(msg, messages.Refused):
+        return 'failed' if msg.fault else 'refused'
+    if isinstance(msg, messages.Failed) or msg.length != len(msg.body):
+        return 'failed'
+    return 'failed' if msg.status >= 500 else 'ok'
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/bench_loop.py
@@ -0,0 +1,391 @@
+"""Run fakes of entries, sidecars and runners on a simulated clock.
+
+It is no cluster simulator: the fakes stand at the interfaces and drive the
+decision code of `kcr_core` with their own `now`.
+"""
+
+from collections import abc
+import dataclasses
+import heapq
+import random
+import typing
+
+from kcr_core import dispatch
+from kcr_core import grants
+from kcr_core import membership
+from kcr_core import messages
+from kcr_core import outcomes
+from kcr_core import request_state
+from kcr_core import retry_budget
+from kcr_core import slots
+from kcr_core import types
+
+# One-way delay between an entry and a sidecar, in seconds.
+NETWORK_S = 0.001
+# Mean service time of the runner, in seconds.
+SERVICE_S = 0.02
+# Time that a caller waits for the answer, in seconds.
+DEADLINE_S = 0.4
+# Time that a runner takes to fail at once, in seconds.
+FAIL_S = 0.0002
+# Slots and connections of one runner, as in the deployments of today.
+SLOTS = 8
+CONNECTIONS = 64
+# Time between looks at deadlines, as in the sidecar's admission.
+ADVANCE_S = 0.05
+# Share of a new service time in the running mean of a sidecar.
+LATENCY_SHARE = 0.2
+
+
+class Loop:
+    """Call functions in the order of a simulated clock."""
+
+    def __init__(self) -> None:
+        # Simulated time in seconds.
+        self.now = 0.0
+        self._events: list[
+            tuple[float, int, abc.Callable[..., None], tuple[typing.Any, ...]]
+        ] = []
+        self._count = 0
+
+    def after(
+        self, delay_s: float, call: abc.Callable[..., None], *args: typing.Any
+    ) -> None:
+        """Call a function after a delay."""
+        self._count += 1
+        event = (self.now + delay_s, self._count, call, args)
+        heapq.heappush(self._events, event)
+
+    def run(self, until: float) -> None:
+        """Run all events up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, call, args = heapq.heappop(self._events)
+            call(*args)
+        self.now = until
+
+
+@dataclasses.dataclass(slots=True)
+class Runner:
+    """Describe the behaviour of one emulated runner."""
+
+    # Factor on the service time.
+    slowdown: float = 1.0
+    # What it does with every call.
+    fault: typing.Literal['none', 'fail', 'refuse'] = 'none'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """Hold one request that ended."""
+
+    # Time of arrival.
+    since: float
+    # Time until the outcome, in seconds.
+    took_s: float
+    # `done`, `failed`, `not_run` or `unknown`.
+    kind: str
+
+
+class Sidecar:
+    """Stand in for a sidecar and its runner."""
+
+    def __init__(
+        self, loop: Loop, name: str, runner: Runner, rng: random.Random
+    ) -> None:
+        # Name of the instance.
+        self.name = name
+        # Behaviour of the runner.
+        self.runner = runner
+        # Attempts that reached the runner.
+        self.executed = 0
+        # Entries by name.
+        self.entries: dict[str, Entry] = {}
+        self._loop = loop
+        self._rng = rng
+        self._slots = slots.Slots(SLOTS, CONNECTIONS)
+        self._grants = grants.Grants()
+        self._calls: dict[str, str] = {}
+        self._latency_ms = 0.0
+        self._seq = 0
+
+    def start(self, heartbeat_s: float) -> None:
+        """Announce the endpoint and start the timers."""
+        for name in self.entries:
+            self._grants.opened(name)
+        self._loop.after(self._rng.uniform(0, heartbeat_s), self._beat, 1.0)
+        self._loop.after(ADVANCE_S, self._advance)
+
+    def execute(self, entry: str, attempt: str, deadline: float) -> None:
+        """Take one attempt from an entry."""
+        self._calls[attempt] = entry
+        self._grants.arrived(entry)
+        service_s = self._latency_ms / 1000.0
+        decision = self._slots.admit(
+            attempt, deadline, self._loop.now, service_s
+        )
+        self._carry_out([decision])
+
+    def _carry_out(self, decisions: list[slots.Decision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, slots.Run):
+                self._call(decision.attempt)
+            elif isinstance(decision, slots.Refuse):
+                msg = messages.Refused(decision.attempt, decision.reason)
+                self._answer(decision.attempt, msg)
+
+    def _call(self, attempt: str) -> None:
+        self.executed += 1
+        self._grants.ran(self._calls[attempt], self._room())
+        took_s = FAIL_S
+        if self.runner.fault == 'none':
+            mean_s = SERVICE_S * self.runner.slowdown
+            took_s = self._rng.expovariate(1.0 / mean_s)
+        self._loop.after(took_s, self._ended, attempt, took_s)
+
+    def _ended(self, attempt: str, took_s: float) -> None:
+        entry = self._calls[attempt]
+        took_ms = took_s * 1000.0
+        self._latency_ms += LATENCY_SHARE * (took_ms - self._latency_ms)
+        msg: messages.Message = messages.Executed(attempt, 200, 0, b'')
+        if self.runner.fault == 'fail':
+            msg = messages.Executed(attempt, 500, 0, b'')
+        elif self.runner.fault == 'refuse':
+            msg = messages.Refused(attempt, 'connection refused', True)
+        self._answer(attempt, msg)
+        self._carry_out(self._slots.finish(attempt, self._loop.now))
+        self._grants.ended(entry, self._room())
+
+    def _answer(self, attempt: str, msg: messages.Message) -> None:
+        entry = self.entries[self._calls.pop(attempt)]
+        self._loop.after(NETWORK_S, entry.answered, attempt, msg)
+
+    def _advance(self) -> None:
+        if self._slots.waiting:
+            self._carry_out(self._slots.advance(self._loop.now))
+        self._loop.after(ADVANCE_S, self._advance)
+
+    def _room(self) -> int:
+        used = self._slots.used() + len(self._slots.waiting)
+        return max(0, SLOTS - used)
+
+    def _beat(self, heartbeat_s: float) -> None:
+        self._seq += 1
+        for name, entry in self.entries.items():
+            beat = messages.Heartbeat(
+                seq=self._seq,
+                revision=0,
+                active=self._slots.used(),
+                granted=self._grants.window(name),
+                free=types.Demand(),
+                waiting=len(self._slots.waiting),
+                latency_ms=self._latency_ms,
+            )
+            self._loop.after(NETWORK_S, entry.heard, self.name, beat)
+        self._grants.divide(self._room())
+        delay_s = heartbeat_s * self._rng.uniform(0.9, 1.1)
+        self._loop.after(delay_s, self._beat, heartbeat_s)
+
+
+@dataclasses.dataclass(slots=True)
+class _Active:
+    state: request_state.RequestState
+    since: float
+    sent_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    hedges: set[str] = dataclasses.field(default_factory=set)
+
+
+class Entry:
+    """Stand in for the request path of an entry."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        sidecars: dict[str, Sidecar],
+        settings: types.ControlSettings,
+        rng: random.Random,
+    ) -> None:
+        # Requests that ended.
+        self.ended: list[Ended] = []
+        self._loop = loop
+        self._name = name
+        self._sidecars = sidecars
+        self._settings = settings
+        self._view = membership.View(settings.heartbeat_s)
+        self._dispatcher = dispatch.Dispatcher(self._view, rng)
+        self._budget = retry_budget.RetryBudget(settings.retry_budget)
+        self._latencies = retry_budget.Latencies()
+        self._active: dict[str, _Active] = {}
+        self._by_attempt: dict[str, str] = {}
+        self._count = 0
+        self._looking = False
+        for sidecar in sidecars.values():
+            self._connect(sidecar)
+
+    def _connect(self, sidecar: Sidecar) -> None:
+        sidecar.entries[self._name] = self
+        place = types.Place('r', 'z', 'k', sidecar.name)
+        hello = messages.Hello(1, 'sidecar', sidecar.name, 'i', place)
+        self._view.opened(sidecar.name, hello, 0.0)
+        capacity = types.Capacity(SLOTS, CONNECTIONS, types.Demand())
+        self._view.announced(
+            self._view.endpoints[sidecar.name],
+            messages.EndpointState('s', capacity, 1),
+        )
+
+    def heard(self, name: str, beat: messages.Heartbeat) -> None:
+        """Take a heartbeat."""
+        endpoint = self._view.endpoints[name]
+        endpoint.beat, endpoint.heard_at = beat, self._loop.now
+        self._advance()
+
+    def submit(self) -> None:
+        """Take one request of a caller."""
+        now = self._loop.now
+        self._count += 1
+        key = f'{self._name}/{self._count}'
+        state = request_state.RequestState(
+            key, True, now + DEADLINE_S, self._settings.max_attempts
+        )
+        self._active[key] = _Active(state, now)
+        self._budget.deposit()
+        self._loop.after(DEADLINE_S, self._expire, key)
+        delay_s = retry_budget.infer_hedge_delay(
+            self._settings.hedge_s,
+            self._settings.hedge_quantile,
+            self._latencies,
+        )
+        if delay_s is not None and delay_s < DEADLINE_S:
+            self._loop.after(delay_s, self._hedge, key)
+        self._attempt(key, frozenset())
+
+    def _attempt(self, key: str, avoid: frozenset[str]) -> str:
+        active = self._active[key]
+        attempt = f'{key}:{len(active.state.attempts)}'
+        active.state.begin(attempt)
+        self._by_attempt[attempt] = key
+        offer = dispatch.Offer(attempt, 's', active.state.deadline, avoid)
+        self._carry_out(
+            self._dispatcher.offer(offer, self._settings, self._loop.now)
+        )
+        return attempt
+
+    def _carry_out(self, decision: dispatch.Decision) -> None:
+        key = self._by_attempt.get(decision.attempt)
+        active = self._active.get(key) if key else None
+        if isinstance(decision, dispatch.Held):
+            self._look_later()
+            return
+        assert active is not None and key is not None
+        if isinstance(decision, dispatch.Rejected):
+            if decision.attempt in active.hedges:
+                self._budget.refund()
+            step = active.state.not_sent(decision.attempt, decision.reason)
+            self._apply(key, step)
+            return
+        active.state.placed(decision.attempt, decision.instance)
+        active.sent_at[decision.attempt] = self._loop.now
+        self._loop.after(
+            NETWORK_S,
+            self._sidecars[decision.instance].execute,
+            self._name,
+            decision.attempt,
+            active.state.deadline,
+        )
+
+    def answered(self, attempt: str, msg: messages.Message) -> None:
+        """Take the end of an attempt."""
+        key = self._by_attempt.pop(attempt, None)
+        active = self._active.get(key) if key else None
+        if active is None or key is None:
+            return
+        self._release(active, attempt, dispatch.infer_result(msg))
+        if isinstance(msg, messages.Refused):
+            now = self._loop.now
+            self._apply(key, active.state.refused(attempt, msg.reason, now))
+        else:
+            self._apply(
+                key, active.state.executed(attempt, msg.status, msg.body)
+            )
+
+    def _release(
+        self, active: _Active, attempt: str, result: dispatch.Result
+    ) -> None:
+        sent_at = active.sent_at.pop(attempt, None)
+        if sent_at is None:
+            return
+        now = self._loop.now
+        if result == 'ok':
+            self._latencies.add(now - sent_at)
+        instance = active.state.instances[attempt]
+        self._dispatcher.ended(
+            instance, active.state.key, result, now - sent_at, now
+        )
+
+    def _apply(self, key: str, step: request_state.Step) -> None:
+        if isinstance(step, request_state.Wait):
+            return
+        if not isinstance(step, request_state.TryAgain):
+            self._finish(key, step)
+        elif self._budget.spend():
+            self._attempt(key, step.avoid)
+        else:
+            state = self._active[key].state
+            self._apply(key, state.decline('retry budget is used up'))
+
+    def _finish(self, key: str, outcome: outcomes.Outcome) -> None:
+        active = self._active.pop(key)
+        for attempt in active.state.attempts:
+            self._by_attempt.pop(attempt, None)
+            self._dispatcher.withdraw(attempt)
+            self._release(active, attempt, 'none')
+        kind = infer_kind(outcome)
+        took_s = self._loop.now - active.since
+        self.ended.append(Ended(active.since, took_s, kind))
+        self._advance()
+
+    def _hedge(self, key: str) -> None:
+        active = self._active.get(key)
+        if active is None or not active.state.can_hedge():
+            return
+        if not active.sent_at or not self._budget.spend():
+            return
+        number = len(active.state.attempts)
+        active.hedges.add(f'{key}:{number}')
+        self._attempt(key, frozenset(active.state.instances.values()))
+
+    def _expire(self, key: str) -> None:
+        active = self._active.get(key)
+        if active is None:
+            return
+        for attempt in list(active.state.attempts):
+            if self._dispatcher.withdraw(attempt):
+                step = active.state.not_sent(attempt, 'deadline passed')
+                self._apply(key, step)
+        if active.state.outcome is None:
+            self._apply(key, active.state.expired())
+
+    def _advance(self) -> None:
+        if not self._dispatcher.waiting():
+            return
+        now = self._loop.now
+        for _, decision in self._dispatcher.advance(self._settings, now):
+            self._carry_out(decision)
+
+    def _look_later(self) -> None:
+        delay_s = self._dispatcher.next_look(self._loop.now)
+        if delay_s is not None and not self._looking:
+            self._looking = True
+            self._loop.after(min(delay_s, 0.05), self._look)
+
+    def _look(self) -> None:
+        self._looking = False
+        self._advance()
+        self._look_later()
+
+
+def infer_kind(outcome: outcomes.Outcome) -> str:
+    """Return how the caller counts an outcome."""
+    if isinstance(outcome, outcomes.Done):
+        return 'done' if outcome.status < 500 else 'failed'
+    return 'not_run' if isinstance(outcome, outcomes.NotRun) else 'unknown'
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -209,6 +209,7 @@
     def _on_withdraw(self, msg: Withdraw) -> None:
         if self._dispatcher.withdraw(msg.attempt):
             del self._held[msg.attempt]
+            self._not_dispatched(msg.attempt, 'deadline passed in the queue')
 
     def _not_dispatched(self, attempt: str, reason: str) -> None:
         self.send(addresses.REQUESTS, NotDispatched(attempt, reason))
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -21,6 +21,9 @@
 REMEMBERED = 2000
 # Requests in flight at one entry before new ones are refused.
 IN_FLIGHT_LIMIT = 5000
+# Time in which membership returns an attempt that was not sent, in seconds;
+# without it such a request would end `unknown` instead of `not_run`.
+WITHDRAW_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +67,8 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Deadline:
     key: str
+    # Whether attempts that wait for a grant were withdrawn before.
+    withdrawn: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -220,7 +225,7 @@
         if active is None or msg.attempt not in active.sessions:
             self.ctx.metrics.count('answer_late')
             return
-        self._release(active, msg.attempt, infer_result(msg))
+        self._release(active, msg.attempt, dispatch.infer_result(msg))
         key, state = active.submit.key, active.state
         if isinstance(msg, messages.Refused):
             self._apply(
@@ -267,8 +272,24 @@
     @task.handles(_Deadline)
     def _on_deadline(self, event: _Deadline) -> None:
         active = self._active.get(event.key)
-        if active is not None:
-            self._apply(event.key, active.state.expired())
+        if active is None:
+            return
+        if not event.withdrawn and self._withdraw(active):
+            self.after(WITHDRAW_S, _Deadline(event.key, withdrawn=True))
+            return
+        self._apply(event.key, active.state.expired())
+
+    def _withdraw(self, active: _Active) -> bool:
+        """Ask for the attempts without an endpoint back; tell if any is."""
+        unplaced = [
+            attempt
+            for attempt, state in active.state.attempts.items()
+            if state is request_state.AttemptState.PENDING
+            and attempt not in active.state.instances
+        ]
+        for attempt in unplaced:
+            self.send(addresses.MEMBERSHIP, membership.Withdraw(attempt))
+        return bool(unplaced)
 
     def _find(self, attempt: str) -> _Active | None:
         key = self._by_attempt.get(attempt)
@@ -337,13 +358,12 @@
 
     def _finish(self, key: str, outcome: outcomes.Outcome) -> None:
         active = self._active.pop(key)
+        self._withdraw(active)
         for attempt in list(active.sessions):
             self._release(active, attempt)
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
             self._hedges.discard(attempt)
-            if attempt not in active.state.instances:
-                self.send(addresses.MEMBERSHIP, membership.Withdraw(attempt))
         if not isinstance(outcome, outcomes.NotRun):
             self._kept[key] = (active.submit.digest(), outcome)
             if len(self._kept) > REMEMBERED:
@@ -357,12 +377,3 @@
 
     def _reply(self, question: ask.Ask, value: typing.Any) -> None:
         self.send(question.sender, ask.Answer(question.token, value))
-
-
-def infer_result(msg: typing.Any) -> dispatch.Result:
-    """Return what an answer says about the health of its endpoint."""
-    if isinstance(msg, messages.Refused):
-        return 'failed' if msg.fault else 'refused'
-    if isinstance(msg, messages.Failed) or msg.length != len(msg.body):
-        return 'failed'
-    return 'failed' if msg.status >= 500 else 'ok'
