Give every HTTP route an endpoint name of its own

Cause: klein names an endpoint after its function, so the dump of the entry was replaced by the dump of a sidecar and answered 500, and task and operator routes called `_get` shared a name. A caller's name could also hold a slash, so that two callers had one request key.

Ruled out: renaming the methods, because the next class may repeat a name again.

Conclusion: routes are added by one function with method and path as their name.

--- a/packages/emulator/src/kcr_emulator/load.py
+++ b/packages/emulator/src/kcr_emulator/load.py
@@ -1,7 +1,7 @@
 """Send an open-loop load of requests to the entries, as callers do.
 
-A caller that gets no answer asks again at another entry with the same id and
-says so. The load tool keeps every final outcome for the tally.
+A caller that gets no answer, or a refusal, asks again at another entry with
+the same id and says so. Every final outcome is kept for the tally.
 """
 
 import asyncio
@@ -204,6 +204,8 @@
         if result.outcome == 'done':
             expected = f'{result.key}:body of {result.key}'
             result.whole = answer['body'] == expected
+        if result.outcome == 'not_run':
+            return False
         return not (result.outcome == 'unknown' and result.idempotent)
 
     async def _post(
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -80,10 +80,10 @@
         }
 
     def _add_routes(self) -> None:
-        route = self._app.route
-        route('/healthz', methods=['GET'])(self._get_health)
-        route('/v1/dump', methods=['GET'])(self._get_dump)
-        route('/v1/requests', methods=['POST'])(self._post_request)
+        add = replies.add_route
+        add(self._app, 'GET', '/healthz', self._get_health)
+        add(self._app, 'GET', '/v1/dump', self._get_dump)
+        add(self._app, 'POST', '/v1/requests', self._post_request)
         task_routes.TaskRoutes(self._ask).add(self._app)
         operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
 
--- a/packages/entry/src/kcr_entry/front/models.py
+++ b/packages/entry/src/kcr_entry/front/models.py
@@ -28,12 +28,14 @@
 
     model_config = pydantic.ConfigDict(extra='forbid')
 
-    id: Name
-    caller: Name
+    id: PathName
+    # A slash here would let two callers have one key.
+    caller: PathName
     service: Name
     deadline_ms: int = pydantic.Field(ge=1, le=MAX_DEADLINE_MS)
     idempotent: bool = True
     issued_at_ms: int | None = pydantic.Field(None, ge=0)
+    resubmitted: bool = False
     body: str = pydantic.Field('', max_length=messages.MAX_BODY_BYTES // 4)
 
     def to_submit(self) -> requests.Submit:
@@ -49,6 +51,7 @@
             idempotent=self.idempotent,
             issued_at_ms=issued,
             body=self.body.encode(),
+            resubmitted=self.resubmitted,
         )
 
 
--- a/packages/entry/src/kcr_entry/front/operator_routes.py
+++ b/packages/entry/src/kcr_entry/front/operator_routes.py
@@ -61,13 +61,14 @@
     def add(self, app: typing.Any) -> None:
         """Add the routes to the application."""
         path = '/v1/document/<environment>'
-        app.route(path, methods=['GET'])(self._get)
-        app.route(path + '/history', methods=['GET'])(self._get_history)
-        app.route(path + '/try', methods=['POST'])(self._post_try)
-        app.route(path + '/promote', methods=['POST'])(self._post_promote)
-        app.route('/v1/versions', methods=['GET'])(self._get_versions)
-        app.route('/v1/dump/<process>', methods=['GET'])(self._get_dump)
-        app.route('/v1/metrics', methods=['GET'])(self._get_metrics)
+        add = replies.add_route
+        add(app, 'GET', path, self._get)
+        add(app, 'GET', path + '/history', self._get_history)
+        add(app, 'POST', path + '/try', self._post_try)
+        add(app, 'POST', path + '/promote', self._post_promote)
+        add(app, 'GET', '/v1/versions', self._get_versions)
+        add(app, 'GET', '/v1/dump/<process>', self._get_dump)
+        add(app, 'GET', '/v1/metrics', self._get_metrics)
 
     async def _get(self, req: iweb.IRequest, environment: str) -> bytes:
         body = questions.GetDocument(environment)
--- a/packages/entry/src/kcr_entry/front/replies.py
+++ b/packages/entry/src/kcr_entry/front/replies.py
@@ -1,5 +1,6 @@
 """Read JSON bodies and write JSON responses."""
 
+from collections import abc
 import json
 import typing
 
@@ -12,6 +13,21 @@
 M = typing.TypeVar('M', bound=pydantic.BaseModel)
 
 
+def add_route(
+    app: typing.Any,
+    method: str,
+    path: str,
+    handler: abc.Callable[..., typing.Any],
+) -> None:
+    """Add a route under an endpoint name of its own.
+
+    klein names an endpoint after the function, and two functions of one name
+    in different classes would replace each other.
+    """
+    name = f'{method} {path}'
+    app.route(path, methods=[method], endpoint=name)(handler)
+
+
 def read(req: iweb.IRequest, model: type[M]) -> M | bytes:
     """Return the validated body, or the response that refuses it."""
     content = typing.cast(typing.Any, req).content
--- a/packages/entry/src/kcr_entry/front/task_routes.py
+++ b/packages/entry/src/kcr_entry/front/task_routes.py
@@ -29,10 +29,10 @@
 
     def add(self, app: typing.Any) -> None:
         """Add the routes to the application."""
-        app.route('/v1/tasks', methods=['POST'])(self._post)
         path = '/v1/tasks/<caller>/<name>'
-        app.route(path, methods=['GET'])(self._get)
-        app.route(path, methods=['DELETE'])(self._delete)
+        replies.add_route(app, 'POST', '/v1/tasks', self._post)
+        replies.add_route(app, 'GET', path, self._get)
+        replies.add_route(app, 'DELETE', path, self._delete)
 
     async def _post(self, req: iweb.IRequest) -> bytes:
         model = replies.read(req, models.TaskModel)
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -45,6 +45,8 @@
     issued_at_ms: int
     # Body of the request.
     body: bytes
+    # Whether the caller sent it before and got no answer.
+    resubmitted: bool = False
 
     @property
     def key(self) -> str:
