Merge the claims of non-idempotent requests

Cause: the claim path, the retry budget and hedging change the same task. Three faults were found on the way. Attempt ids began again at 1 when the owner of the requests was restarted, so that a late answer could be taken for another request's. A question to a restarted task was never answered. A refusal at the second entry said "not run" about a request that the first entry may have run.

Ruled out: remembering submissions across entries without the log; a caller that asks again says so, and only a claim that was won and not used proves that no earlier submission ran.

Conclusion: outcomes are about all submissions of an id that the caller names; issued_at_ms is required for non-idempotent requests.

--- a/packages/entry/src/kcr_entry/fleet/peers.py
+++ b/packages/entry/src/kcr_entry/fleet/peers.py
@@ -184,6 +184,7 @@
             addresses.PEERS,
             addresses.IN_FORCE,
             addresses.PROCESSES,
+            addresses.CLAIMS,
         )
         routes = fleet.make_routes(ctx, subscribers)
         return session.Session(ctx, address, routes, target)
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -30,6 +30,8 @@
     messages.DocumentOffer: addresses.IN_FORCE,
     messages.DumpRequest: addresses.PROCESSES,
     messages.DumpReply: addresses.PROCESSES,
+    messages.OutcomeQuery: addresses.CLAIMS,
+    messages.OutcomeReply: addresses.CLAIMS,
 }
 # Tasks that hear of sessions that were accepted.
 SUBSCRIBERS = (
@@ -39,6 +41,7 @@
     addresses.PEERS,
     addresses.IN_FORCE,
     addresses.PROCESSES,
+    addresses.CLAIMS,
 )
 
 
--- a/packages/entry/src/kcr_entry/front/models.py
+++ b/packages/entry/src/kcr_entry/front/models.py
@@ -38,6 +38,16 @@
     resubmitted: bool = False
     body: str = pydantic.Field('', max_length=messages.MAX_BODY_BYTES // 4)
 
+    @pydantic.model_validator(mode='after')
+    def check_issued(self) -> 'RequestModel':
+        """Require the time of issue where it bounds the dedupe window."""
+        if not self.idempotent and self.issued_at_ms is None:
+            raise ValueError(
+                'issued_at_ms is required for a non-idempotent request; '
+                'send the Unix time in ms of the first submission'
+            )
+        return self
+
     def to_submit(self) -> requests.Submit:
         """Return the request as a data class."""
         issued = self.issued_at_ms
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -5,6 +5,7 @@
 import hashlib
 import typing
 
+from kcr_core import claimant
 from kcr_core import dispatch
 from kcr_core import messages
 from kcr_core import outcomes
@@ -14,6 +15,8 @@
 from kcr_entry import addresses
 from kcr_entry import events
 from kcr_entry.fleet import membership
+from kcr_entry.work import claim_path
+from kcr_entry.work import claims
 from kcr_runtime import ask
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -89,6 +92,8 @@
     sessions: dict[str, str]
     # Monotonic time of arrival.
     since: float
+    # Whether a submission with this id was sent before, here or elsewhere.
+    resubmitted: bool
     # Monotonic time at which each attempt was sent.
     sent_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -103,10 +108,15 @@
         self._revision = 0
         self._active: dict[str, _Active] = {}
         self._by_attempt: dict[str, str] = {}
+        # A restarted owner must not use the id of an attempt again, because
+        # a late answer would be taken for that of another request.
+        life = f'{ctx.rng.getrandbits(48):012x}'
+        self._attempt_prefix = f'{ctx.incarnation}:{life}'
         self._attempts = 0
         self._budget = retry_budget.RetryBudget(self.settings.retry_budget)
         self._latencies = retry_budget.Latencies()
         self._hedges: set[str] = set()
+        self._claims = claim_path.ClaimPath(self)
         self._kept: collections.OrderedDict[
             str, tuple[str, outcomes.Outcome]
         ] = collections.OrderedDict()
@@ -150,6 +160,7 @@
             if active.submit.digest() != digest:
                 self._reply(question, Conflict(submit.key))
             else:
+                active.resubmitted |= submit.resubmitted
                 active.waiters.append(question)
             return
         kept = self._kept.get(submit.key)
@@ -171,20 +182,49 @@
             max_attempts=self.settings.max_attempts,
         )
         self._active[submit.key] = _Active(
-            submit, state, [question], {}, since=now
+            submit, state, [question], {}, now, submit.resubmitted
         )
         self.after(submit.budget_s, _Deadline(submit.key))
         self._prepare_repeats(submit)
         if not submit.idempotent:
-            refusal = outcomes.NotRun('non-idempotent requests need the log')
-            self._finish(submit.key, refusal)
+            self._claim(submit)
             return
         self._attempt(submit.key, frozenset())
 
+    def _claim(self, submit: Submit) -> None:
+        if not self._claims.ask(
+            submit.key, submit.digest(), submit.issued_at_ms
+        ):
+            refusal = outcomes.NotRun('claims are not ready')
+            self._finish(submit.key, refusal)
+
+    @task.handles(claims.Ended)
+    def _on_claim_ended(self, event: claims.Ended) -> None:
+        taken = self._claims.take(event)
+        if taken is None:
+            return
+        key, value = taken
+        if not isinstance(value, claimant.Won):
+            changed = isinstance(value, claimant.Changed)
+            self._finish(key, Conflict(key) if changed else value)
+            return
+        state = self._active[key].state
+        assert not state.attempts, 'request was sent before it was claimed'
+        self.ctx.metrics.count('claim_used')
+        self._attempt(key, frozenset())
+
+    def _on_outcome_query(self, event: session.Received) -> None:
+        key, token = event.msg.request, event.msg.token
+        if key in self._active:
+            self._claims.hold(event)
+            return
+        kept = self._kept.get(key)
+        self._claims.reply(event.session, token, kept[1] if kept else None)
+
     def _attempt(self, key: str, avoid: frozenset[str]) -> str:
         active = self._active[key]
         self._attempts += 1
-        attempt = f'{self.ctx.incarnation}:{self._attempts}'
+        attempt = f'{self._attempt_prefix}:{self._attempts}'
         self._by_attempt[attempt] = key
         active.state.begin(attempt)
         left = active.state.deadline - self.now()
@@ -230,6 +270,9 @@
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
+        if isinstance(msg, messages.OutcomeQuery):
+            self._on_outcome_query(event)
+            return
         active = self._find(msg.attempt)
         if active is None or msg.attempt not in active.sessions:
             self.ctx.metrics.count('answer_late')
@@ -281,7 +324,10 @@
     @task.handles(_Deadline)
     def _on_deadline(self, event: _Deadline) -> None:
         active = self._active.get(event.key)
-        if active is None:
+        if active is None or self.now() < active.state.deadline:
+            return  # The timer belongs to an earlier submission of the id.
+        if self._claims.cancel(event.key):
+            self.after(claim_path.CANCEL_LIMIT_S, event)
             return
         if not event.withdrawn and self._withdraw(active):
             self.after(WITHDRAW_S, _Deadline(event.key, withdrawn=True))
@@ -365,15 +411,21 @@
             self._hedges.remove(attempt)
             self._budget.refund()
 
-    def _finish(self, key: str, outcome: outcomes.Outcome) -> None:
+    def _finish(self, key: str, outcome: outcomes.Outcome | Conflict) -> None:
         active = self._active.pop(key)
+        if isinstance(outcome, outcomes.NotRun):
+            outcome = infer_refusal(outcome, active)
         self._withdraw(active)
+        self._claims.finish(key, outcome)
         for attempt in list(active.sessions):
             self._release(active, attempt)
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
             self._hedges.discard(attempt)
-        if not isinstance(outcome, outcomes.NotRun):
+        # A submission that lost its claim keeps nothing: the winner does.
+        if isinstance(outcome, outcomes.Done) or (
+            isinstance(outcome, outcomes.Unknown) and active.state.attempts
+        ):
             self._kept[key] = (active.submit.digest(), outcome)
             if len(self._kept) > REMEMBERED:
                 self._kept.popitem(last=False)
@@ -386,3 +438,19 @@
 
     def _reply(self, question: ask.Ask, value: typing.Any) -> None:
         self.send(question.sender, ask.Answer(question.token, value))
+
+
+def infer_refusal(
+    outcome: outcomes.NotRun, active: _Active
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Return what a refusal may say about all submissions of the id.
+
+    An earlier submission may have run at another entry. Only a claim that
+    was won, and then not used, proves that none did.
+    """
+    claimed = not active.submit.idempotent and bool(active.state.attempts)
+    if not active.resubmitted or claimed:
+        return outcome
+    return outcomes.Unknown(
+        f'not run now: {outcome.reason}; an earlier submission may have run'
+    )
