--- a/packages/core/src/kcr_core/messages.py
+++ b/packages/core/src/kcr_core/messages.py
@@ -98,7 +98,8 @@
     revision: types.Count
     # Requests in the runner, from all entries.
     active: types.Count
-    # Slots granted to this entry for late binding.
+    # Slots granted to this entry for late binding, with those that its
+    # attempts use now.
     granted: types.Count
     # Resources that are not reserved.
     free: types.Demand
@@ -190,6 +191,8 @@
     attempt: types.Id
     # Why it is refused.
     reason: Reason
+    # Whether the runner is at fault, not the load or the request.
+    fault: bool = False
 
 
 @message('failed')
@@ -340,6 +343,8 @@
 
     # Revision that the sender has.
     revision: types.Count
+    # Environment of the sender.
+    environment: str = ''
 
 
 @message('document_offer')
@@ -353,6 +358,10 @@
     digest: str
     # Text of the document.
     text: str
+    # Environment in which it is in force.
+    environment: str = ''
+    # Whether the environment is a production environment.
+    production: bool = False
 
 
 @message('outcome_query')
--- a/packages/core/src/kcr_core/types.py
+++ b/packages/core/src/kcr_core/types.py
@@ -135,6 +135,9 @@
     instance: Id
     # Incarnation of the sidecar process.
     incarnation: Id
+    # Epoch of its controller lease, which orders the incarnations of an
+    # instance; 0 when not known.
+    controller_epoch: Count = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,6 +188,10 @@
     retry_budget: Quantity = 0.1
     # Delay before an idempotent request is hedged; 0 turns hedging off.
     hedge_s: Seconds = 0.0
+    # Quantile of recent latency after which a request is hedged; 0 for none.
+    hedge_quantile: typing.Annotated[
+        float, annotated_types.Ge(0.0), annotated_types.Lt(1.0)
+    ] = 0.0
     # Name of the endpoint choice policy.
     endpoint_policy: Id = 'two_choices'
     # Name of the placement policy.
--- a/packages/entry/src/kcr_entry/addresses.py
+++ b/packages/entry/src/kcr_entry/addresses.py
@@ -4,10 +4,14 @@
 REQUESTS = 'work/requests'
 MEMBERSHIP = 'fleet/membership'
 SESSIONS = 'fleet/sessions'
-APPENDER = 'log/appender'
-IN_FORCE = 'configuration/in_force'
 TASKS = 'work/tasks'
+FENCES = 'work/fences'
 CLAIMS = 'work/claims'
+PEERS = 'fleet/peers'
+PEER_SESSIONS = 'fleet/peer_sessions'
+APPENDER = 'log/appender'
+IN_FORCE = 'configuration/in_force'
+PROCESSES = 'configuration/processes'
 READERS = {
     'config': 'log/reader_config',
     'tasks': 'log/reader_tasks',
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -3,15 +3,20 @@
 import dataclasses
 import typing
 
-from kcr_core import endpoint_choice
+from kcr_core import dispatch
 from kcr_core import membership
 from kcr_core import messages
 from kcr_core import types
 from kcr_entry import addresses
+from kcr_entry import events
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
 
+# Largest time between looks at the attempts that wait for a grant, in seconds.
+LOOK_S = 0.05
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dispatch:
     """Ask for an attempt to be sent to an endpoint."""
@@ -50,6 +55,28 @@
 
     # Instance of the attempt.
     instance: str
+    # Key of its request; empty when no result is known.
+    request: str = ''
+    # What came of it; `none` when nobody waits for it any more.
+    result: dispatch.Result = 'none'
+    # Time from sending it to its end, in seconds; 0 when not known.
+    took_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Drop an attempt that may still wait to be sent."""
+
+    # Id of the attempt.
+    attempt: str
+
+
+class _Look:
+    pass
+
+
+class _LookAtWaiting:
+    pass
 
 
 class Membership(task.Task):
@@ -59,13 +86,28 @@
         super().__init__(ctx, address)
         # Settings of the document in force.
         self.settings = types.ControlSettings()
+        # Revision of the document in force.
+        self.revision = 0
         self._view = membership.View(self.settings.heartbeat_s)
+        self._dispatcher = dispatch.Dispatcher(self._view, ctx.rng)
+        self._held: dict[str, Dispatch] = {}
+        self._looking = False
+        # Addresses of the entries of the region that are known.
+        self._entries: tuple[str, ...] = (ctx.cfg.listen,)
+        self._ledger: events.LedgerView | None = None
+        self._phases: dict[str, membership.Phase] = {}
+
+    def started(self) -> None:
+        """Start to look for silent endpoints."""
+        self.after(self.settings.heartbeat_s, _Look())
 
     def dump(self) -> dict[str, typing.Any]:
         """Return what is known of each endpoint."""
         now = self.now()
         return {
             **super().dump(),
+            'waiting_for_grant': self._dispatcher.waiting(),
+            'health': self._dispatcher.health.dump(),
             'endpoints': {
                 name: {
                     'phase': self._view.phase(endpoint, now),
@@ -79,6 +121,14 @@
             },
         }
 
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        if event.revision < self.revision:
+            return
+        self.settings, self.revision = event.settings, event.revision
+        self._view.heartbeat_s = event.settings.heartbeat_s
+        self._view.drained = frozenset(event.settings.drained)
+
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
         if event.hello.role == 'sidecar':
@@ -91,6 +141,7 @@
     def _on_closed(self, event: session.Closed) -> None:
         self._view.closed(event.session)
         if event.hello.role == 'sidecar':
+            self._publish(event.session, event.hello.place.instance)
             self.log.info(
                 'endpoint disconnected',
                 instance=event.hello.place.instance,
@@ -103,6 +154,9 @@
 
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
+        if isinstance(event.msg, messages.HeardQuery):
+            self._reply_heard(event.session, event.msg)
+            return
         instance = event.hello.place.instance
         endpoint = self._view.find(event.session, instance)
         if endpoint is None:
@@ -110,65 +164,164 @@
         endpoint.heard_at = self.now()
         msg = event.msg
         if isinstance(msg, messages.EndpointState):
-            endpoint.state = msg
+            self._view.announced(endpoint, msg)
         elif isinstance(msg, messages.Heartbeat):
+            before = endpoint.beat.revision if endpoint.beat else -1
+            if msg.revision != before:
+                seen = events.RevisionSeen(event.session, msg.revision)
+                self.send(addresses.PROCESSES, seen)
             endpoint.beat = msg
-            self._acknowledge(event.session, msg)
+            self._acknowledge(endpoint, msg)
+            self._advance()
         elif isinstance(msg, messages.Leaving):
             endpoint.leaving = True
             self.log.info('endpoint leaving', instance=instance)
+        self._publish(event.session, instance)
 
-    def _acknowledge(self, name: str, beat: messages.Heartbeat) -> None:
+    def _acknowledge(
+        self, endpoint: membership.Endpoint, beat: messages.Heartbeat
+    ) -> None:
+        fenced, age_ms = self._infer_vouch(endpoint)
         ack = messages.HeartbeatAck(
-            seq=beat.seq, revision=0, log_age_ms=-1, fenced=False
+            seq=beat.seq,
+            revision=self.revision,
+            log_age_ms=age_ms,
+            fenced=fenced,
+            entries=self._entries,
+        )
+        self.send(endpoint.session, session.Send(ack))
+
+    def _infer_vouch(self, endpoint: membership.Endpoint) -> tuple[bool, int]:
+        """Return whether a sidecar is fenced and the age of the log view."""
+        view = self._ledger
+        if view is None or endpoint.state is None:
+            return False, -1
+        name = (endpoint.place.instance, endpoint.incarnation)
+        if name in view.fenced:
+            return True, -1
+        if name[0] in view.instances and name not in view.cleared:
+            return False, -1
+        age_s = self.now() - view.asked_at
+        if age_s > self.settings.isolation_s:
+            return False, -1
+        return False, int(age_s * 1000)
+
+    def _reply_heard(self, name: str, query: messages.HeardQuery) -> None:
+        endpoint = self._view.endpoints.get(query.instance)
+        age_ms = -1
+        if endpoint is not None and endpoint.incarnation == query.incarnation:
+            age_ms = int((self.now() - endpoint.heard_at) * 1000)
+        reply = messages.HeardReply(query.instance, query.incarnation, age_ms)
+        self.send(name, session.Send(reply))
+
+    def _publish(self, name: str, instance: str) -> None:
+        endpoint = self._view.find(name, instance)
+        if endpoint is None:
+            return
+        phase = self._view.phase(endpoint, self.now())
+        self._phases[instance] = phase
+        event = events.EndpointSeen(
+            session=endpoint.session,
+            place=endpoint.place,
+            incarnation=endpoint.incarnation,
+            state=endpoint.state,
+            free=endpoint.beat.free if endpoint.beat else None,
+            phase=phase,
         )
-        self.send(name, session.Send(ack))
+        self.send(addresses.TASKS, event)
+        self.send(addresses.FENCES, event)
+
+    @task.handles(_Look)
+    def _on_look(self, msg: _Look) -> None:
+        self.after(self.settings.heartbeat_s, _Look())
+        now = self.now()
+        for instance, endpoint in list(self._view.endpoints.items()):
+            phase = self._view.phase(endpoint, now)
+            if self._phases.get(instance) != phase:
+                self._publish(endpoint.session, instance)
+
+    @task.handles(events.LogRead)
+    @task.handles(events.LogGap)
+    def _on_log(self, event: events.LogRead | events.LogGap) -> None:
+        """Ignore it; `work/tasks` reports the view after it was applied."""
+
+    @task.handles(events.LedgerView)
+    def _on_ledger(self, view: events.LedgerView) -> None:
+        self._ledger = view
+
+    @task.handles(events.PeersChanged)
+    def _on_peers(self, event: events.PeersChanged) -> None:
+        self._entries = event.addresses
 
     @task.handles(Dispatch)
     def _on_dispatch(self, req: Dispatch) -> None:
-        attempt = req.msg.attempt
-        found = self._view.candidates(req.msg.service, self.now())
-        if not found:
-            self._not_dispatched(attempt, 'no endpoint serves this now')
+        now = self.now()
+        offer = dispatch.Offer(
+            attempt=req.msg.attempt,
+            service=req.msg.service,
+            deadline=now + req.msg.budget_ms / 1000.0,
+            avoid=req.avoid,
+        )
+        decision = self._dispatcher.offer(offer, self.settings, now)
+        self._held[offer.attempt] = req
+        self._carry_out(decision, offer.deadline)
+
+    def _carry_out(self, decision: dispatch.Decision, deadline: float) -> None:
+        if isinstance(decision, dispatch.Held):
+            self._look_later()
             return
-        fresh = [e for e in found if e.place.instance not in req.avoid]
-        policy = endpoint_choice.POLICIES.get(self.settings.endpoint_policy)
-        options = [infer_candidate(e) for e in fresh or found]
-        choice = policy(options, self.ctx.rng)
-        if choice is None:
-            self._not_dispatched(attempt, 'no endpoint has room')
+        req = self._held.pop(decision.attempt)
+        if isinstance(decision, dispatch.Rejected):
+            self.ctx.metrics.count('dispatch_rejected')
+            self._not_dispatched(decision.attempt, decision.reason)
             return
-        endpoint = self._view.endpoints[choice.instance]
-        if not self.send(endpoint.session, session.Send(req.msg)):
-            self._not_dispatched(attempt, 'session has ended')
+        left_ms = max(0, int((deadline - self.now()) * 1000))
+        msg = dataclasses.replace(req.msg, budget_ms=left_ms)
+        endpoint = self._view.endpoints[decision.instance]
+        if not self.send(endpoint.session, session.Send(msg)):
+            endpoint.in_flight -= 1
+            self._not_dispatched(decision.attempt, 'session has ended')
             return
-        endpoint.in_flight += 1
         self.send(
             addresses.REQUESTS,
-            Dispatched(attempt, choice.instance, endpoint.session),
+            Dispatched(decision.attempt, decision.instance, endpoint.session),
         )
 
+    def _advance(self) -> None:
+        if not self._dispatcher.waiting():
+            return
+        decisions = self._dispatcher.advance(self.settings, self.now())
+        for offer, decision in decisions:
+            self._carry_out(decision, offer.deadline)
+
+    def _look_later(self) -> None:
+        delay = self._dispatcher.next_look(self.now())
+        if delay is not None and not self._looking:
+            self._looking = True
+            self.after(min(delay, LOOK_S), _LookAtWaiting())
+
+    @task.handles(_LookAtWaiting)
+    def _on_look_at_waiting(self, msg: _LookAtWaiting) -> None:
+        self._looking = False
+        self._advance()
+        self._look_later()
+
+    @task.handles(Withdraw)
+    def _on_withdraw(self, msg: Withdraw) -> None:
+        if self._dispatcher.withdraw(msg.attempt):
+            del self._held[msg.attempt]
+            self._not_dispatched(msg.attempt, 'deadline passed in the queue')
+
     def _not_dispatched(self, attempt: str, reason: str) -> None:
         self.send(addresses.REQUESTS, NotDispatched(attempt, reason))
 
     @task.handles(AttemptEnded)
     def _on_attempt_ended(self, event: AttemptEnded) -> None:
-        endpoint = self._view.endpoints.get(event.instance)
-        if endpoint is not None and endpoint.in_flight > 0:
-            endpoint.in_flight -= 1
-
-
-def infer_candidate(
-    endpoint: membership.Endpoint,
-) -> endpoint_choice.Candidate:
-    """Return what a policy may know of an endpoint."""
-    assert endpoint.state is not None, 'candidate without full state'
-    beat = endpoint.beat
-    return endpoint_choice.Candidate(
-        instance=endpoint.place.instance,
-        slots=endpoint.state.capacity.slots,
-        active=beat.active if beat else 0,
-        in_flight=endpoint.in_flight,
-        granted=beat.granted if beat else 0,
-        latency_ms=beat.latency_ms if beat else 0.0,
-    )
+        self._dispatcher.ended(
+            event.instance,
+            event.request,
+            event.result,
+            event.took_s,
+            self.now(),
+        )
+        self._advance()
--- /dev/null
+++ b/packages/entry/src/kcr_entry/front/replies.py
@@ -0,0 +1,48 @@
+"""Read JSON bodies and write JSON responses."""
+
+from collections import abc
+import json
+import typing
+
+import pydantic
+from twisted.web import iweb
+
+from kcr_core import messages
+from kcr_runtime.wire import codec
+
+M = typing.TypeVar('M', bound=pydantic.BaseModel)
+
+
+def add_route(
+    app: typing.Any,
+    method: str,
+    path: str,
+    handler: abc.Callable[..., typing.Any],
+) -> None:
+    """Add a route under an endpoint name of its own.
+
+    klein names an endpoint after the function, and two functions of one name
+    in different classes would replace each other.
+    """
+    name = f'{method} {path}'
+    app.route(path, methods=[method], endpoint=name)(handler)
+
+
+def read(req: iweb.IRequest, model: type[M]) -> M | bytes:
+    """Return the validated body, or the response that refuses it."""
+    content = typing.cast(typing.Any, req).content
+    body = content.read(messages.MAX_BODY_BYTES + 1)
+    if len(body) > messages.MAX_BODY_BYTES:
+        limit = messages.MAX_BODY_BYTES
+        return respond(req, 413, {'error': f'body exceeds {limit} bytes'})
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as exc:
+        return respond(req, 400, {'error': codec.describe(exc)})
+
+
+def respond(req: iweb.IRequest, status: int, value: typing.Any) -> bytes:
+    """Set the status and return the body as JSON."""
+    req.setResponseCode(status)
+    req.setHeader(b'content-type', b'application/json')
+    return json.dumps(value, default=str).encode()
--- a/packages/entry/src/kcr_entry/settings.py
+++ b/packages/entry/src/kcr_entry/settings.py
@@ -23,7 +23,7 @@
         description='IP:PORT of the log service'
     )
     log_retention_s: float = pydantic.Field(
-        3600.0,
+        7200.0,
         description='time for which the log keeps a record, in seconds; at '
         'least twice the dedupe window',
         ge=60.0,
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -6,11 +6,14 @@
 import typing
 
 from kcr_core import claimant
+from kcr_core import dispatch
 from kcr_core import messages
 from kcr_core import outcomes
 from kcr_core import request_state
+from kcr_core import retry_budget
 from kcr_core import types
 from kcr_entry import addresses
+from kcr_entry import events
 from kcr_entry.fleet import membership
 from kcr_entry.work import claim_path
 from kcr_entry.work import claims
@@ -22,6 +25,9 @@
 REMEMBERED = 2000
 # Requests in flight at one entry before new ones are refused.
 IN_FLIGHT_LIMIT = 5000
+# Time in which membership returns an attempt that was not sent, in seconds;
+# without it such a request would end `unknown` instead of `not_run`.
+WITHDRAW_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +48,8 @@
     issued_at_ms: int
     # Body of the request.
     body: bytes
+    # Whether the caller sent it before and got no answer.
+    resubmitted: bool = False
 
     @property
     def key(self) -> str:
@@ -65,6 +73,13 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Deadline:
     key: str
+    # Whether attempts that wait for a grant were withdrawn before.
+    withdrawn: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Hedge:
+    key: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,6 +92,10 @@
     sessions: dict[str, str]
     # Monotonic time of arrival.
     since: float
+    # Whether a submission with this id was sent before, here or elsewhere.
+    resubmitted: bool
+    # Monotonic time at which each attempt was sent.
+    sent_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Requests(task.Task):
@@ -86,20 +105,38 @@
         super().__init__(ctx, address)
         # Settings of the document in force.
         self.settings = types.ControlSettings()
+        self._revision = 0
         self._active: dict[str, _Active] = {}
         self._by_attempt: dict[str, str] = {}
+        # A restarted owner must not use the id of an attempt again, because
+        # a late answer would be taken for that of another request.
+        life = f'{ctx.rng.getrandbits(48):012x}'
+        self._attempt_prefix = f'{ctx.incarnation}:{life}'
         self._attempts = 0
+        self._budget = retry_budget.RetryBudget(self.settings.retry_budget)
+        self._latencies = retry_budget.Latencies()
+        self._hedges: set[str] = set()
         self._claims = claim_path.ClaimPath(self)
         self._kept: collections.OrderedDict[
             str, tuple[str, outcomes.Outcome]
         ] = collections.OrderedDict()
 
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        if event.revision >= self._revision:
+            self.settings, self._revision = event.settings, event.revision
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the requests in flight and their attempts."""
         return {
             **super().dump(),
             'in_flight': len(self._active),
             'kept': len(self._kept),
+            'retry_budget': {
+                'tokens': round(self._budget.tokens, 3),
+                'spent': self._budget.spent,
+                'declined': self._budget.declined,
+            },
             'oldest': [
                 {
                     'request': key,
@@ -123,6 +160,7 @@
             if active.submit.digest() != digest:
                 self._reply(question, Conflict(submit.key))
             else:
+                active.resubmitted |= submit.resubmitted
                 active.waiters.append(question)
             return
         kept = self._kept.get(submit.key)
@@ -144,9 +182,10 @@
             max_attempts=self.settings.max_attempts,
         )
         self._active[submit.key] = _Active(
-            submit, state, [question], {}, since=now
+            submit, state, [question], {}, now, submit.resubmitted
         )
         self.after(submit.budget_s, _Deadline(submit.key))
+        self._prepare_repeats(submit)
         if not submit.idempotent:
             self._claim(submit)
             return
@@ -182,10 +221,10 @@
         kept = self._kept.get(key)
         self._claims.reply(event.session, token, kept[1] if kept else None)
 
-    def _attempt(self, key: str, avoid: frozenset[str]) -> None:
+    def _attempt(self, key: str, avoid: frozenset[str]) -> str:
         active = self._active[key]
         self._attempts += 1
-        attempt = f'{self.ctx.incarnation}:{self._attempts}'
+        attempt = f'{self._attempt_prefix}:{self._attempts}'
         self._by_attempt[attempt] = key
         active.state.begin(attempt)
         left = active.state.deadline - self.now()
@@ -204,6 +243,7 @@
             self._apply(
                 key, active.state.not_sent(attempt, 'entry is overloaded')
             )
+        return attempt
 
     @task.handles(membership.Dispatched)
     def _on_dispatched(self, event: membership.Dispatched) -> None:
@@ -215,11 +255,13 @@
             return
         active.state.placed(event.attempt, event.instance)
         active.sessions[event.attempt] = event.session
+        active.sent_at[event.attempt] = self.now()
 
     @task.handles(membership.NotDispatched)
     def _on_not_dispatched(self, event: membership.NotDispatched) -> None:
         active = self._find(event.attempt)
         if active is not None:
+            self._refund_hedge(event.attempt)
             self._apply(
                 active.submit.key,
                 active.state.not_sent(event.attempt, event.reason),
@@ -235,7 +277,7 @@
         if active is None or msg.attempt not in active.sessions:
             self.ctx.metrics.count('answer_late')
             return
-        self._release(active, msg.attempt)
+        self._release(active, msg.attempt, dispatch.infer_result(msg))
         key, state = active.submit.key, active.state
         if isinstance(msg, messages.Refused):
             self._apply(
@@ -286,34 +328,100 @@
             return  # The timer belongs to an earlier submission of the id.
         if self._claims.cancel(event.key):
             self.after(claim_path.CANCEL_LIMIT_S, event)
-        else:
-            self._apply(event.key, active.state.expired())
+            return
+        if not event.withdrawn and self._withdraw(active):
+            self.after(WITHDRAW_S, _Deadline(event.key, withdrawn=True))
+            return
+        self._apply(event.key, active.state.expired())
+
+    def _withdraw(self, active: _Active) -> bool:
+        """Ask for the attempts without an endpoint back; tell if any is."""
+        unplaced = [
+            attempt
+            for attempt, state in active.state.attempts.items()
+            if state is request_state.AttemptState.PENDING
+            and attempt not in active.state.instances
+        ]
+        for attempt in unplaced:
+            self.send(addresses.MEMBERSHIP, membership.Withdraw(attempt))
+        return bool(unplaced)
 
     def _find(self, attempt: str) -> _Active | None:
         key = self._by_attempt.get(attempt)
         return None if key is None else self._active.get(key)
 
-    def _release(self, active: _Active, attempt: str) -> None:
-        if active.sessions.pop(attempt, None) is not None:
-            instance = active.state.instances[attempt]
-            self.send(addresses.MEMBERSHIP, membership.AttemptEnded(instance))
+    def _release(
+        self, active: _Active, attempt: str, result: dispatch.Result = 'none'
+    ) -> None:
+        if active.sessions.pop(attempt, None) is None:
+            return
+        took_s = self.now() - active.sent_at.pop(attempt, self.now())
+        if result == 'ok':
+            self._latencies.add(took_s)
+        ended = membership.AttemptEnded(
+            active.state.instances[attempt],
+            active.submit.key,
+            result,
+            took_s,
+        )
+        self.send(addresses.MEMBERSHIP, ended)
 
     def _apply(self, key: str, step: request_state.Step) -> None:
         if isinstance(step, request_state.Wait):
             return
-        if isinstance(step, request_state.TryAgain):
+        if not isinstance(step, request_state.TryAgain):
+            self._finish(key, step)
+        elif self._budget.spend():
             self.ctx.metrics.count('retry')
             self._attempt(key, step.avoid)
+        else:
+            self.ctx.metrics.count('retry_declined')
+            state = self._active[key].state
+            self._apply(key, state.decline('retry budget is used up'))
+
+    def _prepare_repeats(self, submit: Submit) -> None:
+        """Count a new request in the budget and set the hedge timer."""
+        self._budget.share = self.settings.retry_budget
+        self._budget.deposit()
+        delay_s = retry_budget.infer_hedge_delay(
+            self.settings.hedge_s,
+            self.settings.hedge_quantile,
+            self._latencies,
+        )
+        if submit.idempotent and delay_s is not None:
+            if delay_s < submit.budget_s:
+                self.after(delay_s, _Hedge(submit.key))
+
+    @task.handles(_Hedge)
+    def _on_hedge(self, event: _Hedge) -> None:
+        active = self._active.get(event.key)
+        if active is None or not active.state.can_hedge():
             return
-        self._finish(key, step)
+        # An attempt that still waits for a grant is not hedged.
+        if not active.sessions or not self._budget.spend():
+            return
+        self.ctx.metrics.count('hedge')
+        avoid = frozenset(active.state.instances.values())
+        attempt = self._attempt(event.key, avoid)
+        if event.key in self._active:
+            self._hedges.add(attempt)
+
+    def _refund_hedge(self, attempt: str) -> None:
+        if attempt in self._hedges:
+            self._hedges.remove(attempt)
+            self._budget.refund()
 
     def _finish(self, key: str, outcome: outcomes.Outcome | Conflict) -> None:
         active = self._active.pop(key)
+        if isinstance(outcome, outcomes.NotRun):
+            outcome = infer_refusal(outcome, active)
+        self._withdraw(active)
         self._claims.finish(key, outcome)
         for attempt in list(active.sessions):
             self._release(active, attempt)
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
+            self._hedges.discard(attempt)
         # A submission that lost its claim keeps nothing: the winner does.
         if isinstance(outcome, outcomes.Done) or (
             isinstance(outcome, outcomes.Unknown) and active.state.attempts
@@ -330,3 +438,19 @@
 
     def _reply(self, question: ask.Ask, value: typing.Any) -> None:
         self.send(question.sender, ask.Answer(question.token, value))
+
+
+def infer_refusal(
+    outcome: outcomes.NotRun, active: _Active
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Return what a refusal may say about all submissions of the id.
+
+    An earlier submission may have run at another entry. Only a claim that
+    was won, and then not used, proves that none did.
+    """
+    claimed = not active.submit.idempotent and bool(active.state.attempts)
+    if not active.resubmitted or claimed:
+        return outcome
+    return outcomes.Unknown(
+        f'not run now: {outcome.reason}; an earlier submission may have run'
+    )
--- a/packages/entry/src/kcr_entry/work/supervisor.py
+++ b/packages/entry/src/kcr_entry/work/supervisor.py
@@ -3,7 +3,9 @@
 from collections import abc
 
 from kcr_entry.work import claims
+from kcr_entry.work import fences
 from kcr_entry.work import requests
+from kcr_entry.work import tasks
 from kcr_runtime import supervisor
 
 
@@ -15,4 +17,6 @@
         return (
             supervisor.ChildSpec('claims', claims.Claims),
             supervisor.ChildSpec('requests', requests.Requests),
+            supervisor.ChildSpec('tasks', tasks.Tasks),
+            supervisor.ChildSpec('fences', fences.Fences),
         )
