Ask the winner of a claim over any of its sessions

Two entries may have two sessions, because both sides dial. The claims task kept the newest by the winner's incarnation, and forgot the winner when that one closed; a loser then waited without an answer until its deadline. It now keeps the incarnation behind each session.

A new test guards the answer to a repeat while the log is down.

--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -20,7 +20,7 @@
 from kcr_entry.front import operator_routes
 from kcr_entry.front import replies
 from kcr_entry.front import task_routes
-from kcr_entry.work import requests
+from kcr_entry.work import submit as submit_model
 from kcr_runtime import ask
 from kcr_runtime import process
 from kcr_runtime import task
@@ -177,7 +177,7 @@
             http.SERVICE_UNAVAILABLE,
             {'outcome': 'not_run', 'reason': value.reason},
         )
-    if isinstance(value, requests.Conflict):
+    if isinstance(value, submit_model.Conflict):
         return replies.respond(
             req,
             http.CONFLICT,
--- a/packages/entry/src/kcr_entry/front/models.py
+++ b/packages/entry/src/kcr_entry/front/models.py
@@ -7,7 +7,7 @@
 
 from kcr_core import messages
 from kcr_core import types
-from kcr_entry.work import requests
+from kcr_entry.work import submit as submit_model
 
 # Longest deadline of a request, in milliseconds.
 MAX_DEADLINE_MS = 300_000
@@ -48,12 +48,12 @@
             )
         return self
 
-    def to_submit(self) -> requests.Submit:
+    def to_submit(self) -> submit_model.Submit:
         """Return the request as a data class."""
         issued = self.issued_at_ms
         if issued is None:
             issued = int(time.time() * 1000)
-        return requests.Submit(
+        return submit_model.Submit(
             request_id=self.id,
             caller=self.caller,
             service=self.service,
--- a/packages/entry/src/kcr_entry/work/claim_path.py
+++ b/packages/entry/src/kcr_entry/work/claim_path.py
@@ -10,6 +10,7 @@
 from kcr_core import outcomes
 from kcr_entry import addresses
 from kcr_entry.work import claims
+from kcr_entry.work import submit as submit_model
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
@@ -40,11 +41,14 @@
         # Sessions and tokens of other entries that wait, by request.
         self._queries: dict[str, list[tuple[str, str]]] = {}
 
-    def ask(self, request: str, digest: str, issued_at_ms: int) -> bool:
+    def ask(self, submit: submit_model.Submit) -> bool:
         """Ask for a claim; return False when it cannot be asked for."""
         self._asked += 1
+        request = submit.key
         question = f'{self._life}:{self._asked}'
-        claim = claims.Claim(question, request, digest, issued_at_ms)
+        claim = claims.Claim(
+            question, request, submit.digest(), submit.issued_at_ms
+        )
         if not self.owner.send(addresses.CLAIMS, claim):
             return False
         self._questions[request] = question
@@ -99,13 +103,16 @@
         for name, token in self._queries.pop(request, ()):
             self.reply(name, token, value)
 
-    def hold(self, event: session.Received) -> None:
-        """Answer the query of another entry when the request ends."""
+    def query(
+        self, event: session.Received, is_active: bool, kept: typing.Any
+    ) -> None:
+        """Answer another entry, at the end of the request if it is active."""
+        if not is_active:
+            self.reply(event.session, event.msg.token, kept)
+            return
         waiting = self._queries.setdefault(event.msg.request, [])
         if len(waiting) >= MAX_QUERIES:
-            reason = 'too many entries ask'
-            unknown = outcomes.Unknown(reason)
-            self.reply(event.session, event.msg.token, unknown)
+            self.reply(event.session, event.msg.token, None)
             return
         waiting.append((event.session, event.msg.token))
 
@@ -136,3 +143,18 @@
     if isinstance(result, claimant.TooOld):
         return outcomes.Unknown('issued_at_ms is older than the dedupe window')
     return result
+
+
+def infer_refusal(
+    outcome: outcomes.NotRun, resubmitted: bool, claimed: bool
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Return what a refusal may say about all submissions of the id.
+
+    An earlier submission may have run at another entry. Only a claim that
+    was won, and then not used, proves that none did.
+    """
+    if not resubmitted or claimed:
+        return outcome
+    return outcomes.Unknown(
+        f'not run now: {outcome.reason}; an earlier submission may have run'
+    )
--- a/packages/entry/src/kcr_entry/work/claims.py
+++ b/packages/entry/src/kcr_entry/work/claims.py
@@ -101,7 +101,8 @@
         self._claimant = claimant.Claimant(ctx.incarnation, life, self._table)
         self._position = 0
         self._released: set[str] = set()
-        # Session of each connected entry by its incarnation.
+        # Incarnation of the entry behind each session; two entries may have
+        # two sessions, because both sides dial.
         self._peers: dict[str, str] = {}
         # Session that was asked for the outcome of each lost claim.
         self._queries: dict[str, str] = {}
@@ -209,12 +210,11 @@
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
         if event.hello.role == 'entry':
-            self._peers[event.hello.incarnation] = event.session
+            self._peers[event.session] = event.hello.incarnation
 
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
-        if self._peers.get(event.hello.incarnation) == event.session:
-            del self._peers[event.hello.incarnation]
+        self._peers.pop(event.session, None)
         self._stop_queries(event.session)
 
     @task.handles(session.SendRefused)
@@ -283,11 +283,14 @@
             self._on_append_ended(events.AppendEnded(token, refused))
 
     def _ask_winner(self, step: claimant.Contended) -> None:
-        name = self._peers.get(step.entry)
         query = messages.OutcomeQuery(step.request, step.question)
-        if name is not None and self.send(name, session.Send(query)):
-            self._queries[step.question] = name
-        elif step.entry != self.ctx.incarnation:
+        for name, incarnation in self._peers.items():
+            if incarnation != step.entry:
+                continue
+            if self.send(name, session.Send(query)):
+                self._queries[step.question] = name
+                return
+        if step.entry != self.ctx.incarnation:
             self.after(RELEASE_WAIT_S, _Patience(step.question))
 
     def _deliver(self, ended: Ended) -> None:
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import hashlib
 import typing
 
 from kcr_core import claimant
@@ -17,6 +16,7 @@
 from kcr_entry.fleet import membership
 from kcr_entry.work import claim_path
 from kcr_entry.work import claims
+from kcr_entry.work import submit as submit_model
 from kcr_runtime import ask
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -30,46 +30,6 @@
 WITHDRAW_S = 0.02
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Submit:
-    """Ask for a request to be run."""
-
-    # Id chosen by the caller, unique per caller.
-    request_id: str
-    # Who asks.
-    caller: str
-    # Service that is asked for.
-    service: str
-    # Time left for the answer, in seconds.
-    budget_s: float
-    # Whether it may run more than once.
-    idempotent: bool
-    # Unix time at which the caller issued it, in ms.
-    issued_at_ms: int
-    # Body of the request.
-    body: bytes
-    # Whether the caller sent it before and got no answer.
-    resubmitted: bool = False
-
-    @property
-    def key(self) -> str:
-        """Return the name that is unique across callers."""
-        return f'{self.caller}/{self.request_id}'
-
-    def digest(self) -> str:
-        """Return a digest of the content, to detect a changed repeat."""
-        head = f'{self.service}|{self.idempotent}|'.encode()
-        return hashlib.sha256(head + self.body).hexdigest()[:32]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Conflict:
-    """State that the id was used before with other content."""
-
-    # Key of the request.
-    key: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Deadline:
     key: str
@@ -84,7 +44,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Active:
-    submit: Submit
+    submit: submit_model.Submit
     state: request_state.RequestState
     # Questions that wait for the outcome.
     waiters: list[ask.Ask]
@@ -153,12 +113,12 @@
     @task.handles(ask.Ask)
     def _on_submit(self, question: ask.Ask) -> None:
         submit = question.body
-        assert isinstance(submit, Submit)
+        assert isinstance(submit, submit_model.Submit)
         digest = submit.digest()
         active = self._active.get(submit.key)
         if active is not None:
             if active.submit.digest() != digest:
-                self._reply(question, Conflict(submit.key))
+                self._reply(question, submit_model.Conflict(submit.key))
             else:
                 active.resubmitted |= submit.resubmitted
                 active.waiters.append(question)
@@ -166,14 +126,17 @@
         kept = self._kept.get(submit.key)
         if kept is not None:
             same = kept[0] == digest
-            self._reply(question, kept[1] if same else Conflict(submit.key))
+            self._reply(
+                question,
+                kept[1] if same else submit_model.Conflict(submit.key),
+            )
             return
         if len(self._active) >= IN_FLIGHT_LIMIT:
             self._reply(question, outcomes.NotRun('entry is full'))
             return
         self._begin(question, submit)
 
-    def _begin(self, question: ask.Ask, submit: Submit) -> None:
+    def _begin(self, question: ask.Ask, submit: submit_model.Submit) -> None:
         now = self.now()
         state = request_state.RequestState(
             key=submit.key,
@@ -186,15 +149,9 @@
         )
         self.after(submit.budget_s, _Deadline(submit.key))
         self._prepare_repeats(submit)
-        if not submit.idempotent:
-            self._claim(submit)
-            return
-        self._attempt(submit.key, frozenset())
-
-    def _claim(self, submit: Submit) -> None:
-        if not self._claims.ask(
-            submit.key, submit.digest(), submit.issued_at_ms
-        ):
+        if submit.idempotent:
+            self._attempt(submit.key, frozenset())
+        elif not self._claims.ask(submit):
             refusal = outcomes.NotRun('claims are not ready')
             self._finish(submit.key, refusal)
 
@@ -206,21 +163,13 @@
         key, value = taken
         if not isinstance(value, claimant.Won):
             changed = isinstance(value, claimant.Changed)
-            self._finish(key, Conflict(key) if changed else value)
+            self._finish(key, submit_model.Conflict(key) if changed else value)
             return
         state = self._active[key].state
         assert not state.attempts, 'request was sent before it was claimed'
         self.ctx.metrics.count('claim_used')
         self._attempt(key, frozenset())
 
-    def _on_outcome_query(self, event: session.Received) -> None:
-        key, token = event.msg.request, event.msg.token
-        if key in self._active:
-            self._claims.hold(event)
-            return
-        kept = self._kept.get(key)
-        self._claims.reply(event.session, token, kept[1] if kept else None)
-
     def _attempt(self, key: str, avoid: frozenset[str]) -> str:
         active = self._active[key]
         self._attempts += 1
@@ -271,7 +220,9 @@
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
         if isinstance(msg, messages.OutcomeQuery):
-            self._on_outcome_query(event)
+            kept = self._kept.get(msg.request)
+            is_active = msg.request in self._active
+            self._claims.query(event, is_active, kept[1] if kept else None)
             return
         active = self._find(msg.attempt)
         if active is None or msg.attempt not in active.sessions:
@@ -379,7 +330,7 @@
             state = self._active[key].state
             self._apply(key, state.decline('retry budget is used up'))
 
-    def _prepare_repeats(self, submit: Submit) -> None:
+    def _prepare_repeats(self, submit: submit_model.Submit) -> None:
         """Count a new request in the budget and set the hedge timer."""
         self._budget.share = self.settings.retry_budget
         self._budget.deposit()
@@ -411,10 +362,16 @@
             self._hedges.remove(attempt)
             self._budget.refund()
 
-    def _finish(self, key: str, outcome: outcomes.Outcome | Conflict) -> None:
+    def _finish(
+        self, key: str, outcome: outcomes.Outcome | submit_model.Conflict
+    ) -> None:
         active = self._active.pop(key)
         if isinstance(outcome, outcomes.NotRun):
-            outcome = infer_refusal(outcome, active)
+            outcome = claim_path.infer_refusal(
+                outcome,
+                active.resubmitted,
+                not active.submit.idempotent and bool(active.state.attempts),
+            )
         self._withdraw(active)
         self._claims.finish(key, outcome)
         for attempt in list(active.sessions):
@@ -438,19 +395,3 @@
 
     def _reply(self, question: ask.Ask, value: typing.Any) -> None:
         self.send(question.sender, ask.Answer(question.token, value))
-
-
-def infer_refusal(
-    outcome: outcomes.NotRun, active: _Active
-) -> outcomes.NotRun | outcomes.Unknown:
-    """Return what a refusal may say about all submissions of the id.
-
-    An earlier submission may have run at another entry. Only a claim that
-    was won, and then not used, proves that none did.
-    """
-    claimed = not active.submit.idempotent and bool(active.state.attempts)
-    if not active.resubmitted or claimed:
-        return outcome
-    return outcomes.Unknown(
-        f'not run now: {outcome.reason}; an earlier submission may have run'
-    )
--- a/tests/entry/test_at_most_once.py
+++ b/tests/entry/test_at_most_once.py
@@ -18,6 +18,7 @@
 from kcr_entry.log import reader
 from kcr_entry.work import claims
 from kcr_entry.work import requests
+from kcr_entry.work import submit as submit_model
 from kcr_runtime import ask
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -114,13 +115,17 @@
             world.start(node)
 
     def submit(
-        self, key: str, budget_s: float = 2.0, body: bytes = b'in'
+        self,
+        key: str,
+        budget_s: float = 2.0,
+        body: bytes = b'in',
+        resubmitted: bool = False,
     ) -> str:
         """Submit a non-idempotent request; return the token of the answer."""
         token = f'{key}:{len(self.caller.got)}:{self.ctx.rng.random()}'
         now_ms = int(self.world.wall() * 1000)
-        submit = requests.Submit(
-            key, 'c', 'web', budget_s, False, now_ms, body
+        submit = submit_model.Submit(
+            key, 'c', 'web', budget_s, False, now_ms, body, resubmitted
         )
         question = ask.Ask(token, 'caller', submit)
         assert self.ctx.directory.send(addresses.REQUESTS, question)
@@ -167,7 +172,7 @@
     world.run(0.2)
     assert entry.answer(first) == outcomes.Done(200, BODY)
     assert entry.answer(again) == outcomes.Done(200, BODY)
-    assert entry.answer(changed) == requests.Conflict('c/1')
+    assert entry.answer(changed) == submit_model.Conflict('c/1')
     assert Endpoint.runs == {'c/1': 1}
 
 
@@ -188,7 +193,7 @@
         assert two.answer(again) == outcomes.Done(200, BODY)
     else:
         assert isinstance(two.answer(again), outcomes.Unknown)
-    assert two.answer(changed) == requests.Conflict('c/1')
+    assert two.answer(changed) == submit_model.Conflict('c/1')
     assert Endpoint.runs == {'c/1': 1}
 
 
@@ -223,6 +228,41 @@
     assert not Endpoint.runs
 
 
+def test_repeat_while_the_log_is_down_is_unknown(
+    world: log_world.World,
+) -> None:
+    """Guard against "not run" about what ran at another entry."""
+    one, two = Entry(world, 'a'), Entry(world, 'b')
+    two.nodes[3].end()  # Its reader has not seen the claim of the other.
+    first = one.submit('1')
+    world.run(0.2)
+    assert one.answer(first) == outcomes.Done(200, BODY)
+    world.log.outage = 'refuse'
+    again = two.submit('1', resubmitted=True)
+    world.run(0.2)
+    assert isinstance(two.answer(again), outcomes.Unknown)
+
+
+def test_one_of_two_sessions_to_the_winner_is_enough(
+    world: log_world.World,
+) -> None:
+    """Guard against "unknown" after the close of a spare session."""
+    one, two = Entry(world, 'a'), Entry(world, 'b')
+    connect(one, two)
+    hello = make_hello('entry', 'a')
+    two.ctx.directory.send(
+        addresses.CLAIMS, session.Opened('fleet/spare', hello)
+    )
+    two.ctx.directory.send(
+        addresses.CLAIMS, session.Closed('fleet/spare', hello, 'closed')
+    )
+    one.submit('1')
+    world.run(0.2)
+    again = two.submit('1')
+    world.run(0.2)
+    assert two.answer(again) == outcomes.Done(200, BODY)
+
+
 def test_deadline_during_the_claim_releases_it(
     world: log_world.World,
 ) -> None:
