--- a/packages/cli/src/kcr_cli/__init__.py
+++ b/packages/cli/src/kcr_cli/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Hold the operators' command line."""
