--- a/packages/entry/src/kcr_entry/configuration/in_force.py
+++ b/packages/entry/src/kcr_entry/configuration/in_force.py
@@ -48,8 +48,8 @@
     addresses.REQUESTS,
     addresses.TASKS,
     addresses.CLAIMS,
-    'fleet/peers',
-    'work/fences',
+    addresses.PEERS,
+    addresses.FENCES,
 )
 
 
@@ -184,7 +184,7 @@
             document.convert_quotas(found),
         )
         self._deliver()
-        for name in self._peers:
+        for name in self._one_session_each():
             self._offer(name, with_text=False)
 
     def _deliver(self) -> None:
@@ -240,6 +240,13 @@
     def _on_send_refused(self, event: session.SendRefused) -> None:
         """Ignore it; a session that opens again asks again."""
 
+    def _one_session_each(self) -> tuple[str, ...]:
+        """Return one session per peer; two entries may dial each other."""
+        found = {
+            hello.incarnation: name for name, hello in self._peers.items()
+        }
+        return tuple(found.values())
+
     def _request(self, name: str) -> None:
         msg = messages.DocumentRequest(
             self._held.revision, self.ctx.cfg.environment
@@ -287,7 +294,7 @@
     def _on_fetch(self, msg: _Fetch) -> None:
         if self._held.revision >= msg.revision:
             return
-        for name in self._peers:
+        for name in self._one_session_each():
             self._request(name)
         if msg.revision == self._wanted:
             self.after(REDELIVER_S, msg)
@@ -307,7 +314,8 @@
 
     @task.handles(events.RevisionSeen)
     def _on_revision(self, event: events.RevisionSeen) -> None:
-        self._boot.sidecar_seen(event.revision)
+        if event.session not in self._peers:
+            self._boot.sidecar_seen(event.revision)
         self._want(event.revision)
 
     # Questions of operators.
