Announce the division of slots with the heartbeat that follows it

The sidecar divided after its heartbeat, so for a whole interval the entries filled slots that the sidecar had given to others. Ruled out: the size of the windows, which fit a load of 60%.

--- a/packages/emulator/src/kcr_emulator/bench_loop.py
+++ b/packages/emulator/src/kcr_emulator/bench_loop.py
@@ -170,6 +170,7 @@
 
     def _beat(self, heartbeat_s: float) -> None:
         self._seq += 1
+        self._grants.divide(self._room())
         for name, entry in self.entries.items():
             beat = messages.Heartbeat(
                 seq=self._seq,
@@ -181,7 +182,6 @@
                 latency_ms=self._latency_ms,
             )
             self._loop.after(NETWORK_S, entry.heard, self.name, beat)
-        self._grants.divide(self._room())
         delay_s = heartbeat_s * self._rng.uniform(0.9, 1.1)
         self._loop.after(delay_s, self._beat, heartbeat_s)
 
--- a/packages/sidecar/src/kcr_sidecar/links/announcer.py
+++ b/packages/sidecar/src/kcr_sidecar/links/announcer.py
@@ -10,6 +10,16 @@
 from kcr_sidecar.capacity import admission
 
 
+# Time between dividing the free slots and announcing them, in seconds. The
+# heartbeat must carry the new division: announced a whole interval later, the
+# entries fill slots that the sidecar has given to others meanwhile.
+DIVIDE_S = 0.005
+
+
+class _Divide:
+    pass
+
+
 class _Beat:
     pass
 
@@ -26,7 +36,7 @@
 
     def started(self) -> None:
         """Start the heartbeat timer."""
-        self.after(self.settings.heartbeat_s, _Beat())
+        self.after(self.settings.heartbeat_s, _Divide())
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the sessions and their heartbeat numbers."""
@@ -68,16 +78,19 @@
             for name in self._open:
                 self.send(name, session.Send(messages.Leaving('stopping')))
 
+    @task.handles(_Divide)
+    def _on_divide(self, msg: _Divide) -> None:
+        self._divide()
+        self.after(DIVIDE_S, _Beat())
+        jitter = self.ctx.rng.uniform(0.9, 1.1)
+        self.after(self.settings.heartbeat_s * jitter, _Divide())
+
     @task.handles(_Beat)
     def _on_beat(self, msg: _Beat) -> None:
         for name in self._open:
             self._beat(name)
-        self._divide()
-        jitter = self.ctx.rng.uniform(0.9, 1.1)
-        self.after(self.settings.heartbeat_s * jitter, _Beat())
 
     def _divide(self) -> None:
-        # The answer is announced with the next heartbeats.
         self.send(addresses.ADMISSION, admission.Divide(tuple(self._open)))
 
     def _beat(self, name: str) -> None:
