--- a/packages/core/src/kcr_core/dispatch.py
+++ b/packages/core/src/kcr_core/dispatch.py
@@ -24,7 +24,7 @@
 # Share of a new latency in the running mean of an endpoint.
 LATENCY_SHARE = 0.1
 # Usual latencies that are left at the deadline when waiting is given up.
-NEAR_LATENCIES = 2.0
+NEAR_LATENCIES = 5.0
 # Least time before the deadline at which waiting is given up, so that the
 # refusal reaches the caller in time.
 NEAR_S = 0.005
