Hedge after the 95% quantile while there is room

The hedge decision is made where the endpoints are known, so Offer and Dispatch carry whether an attempt is a hedge.

--- a/packages/core/src/kcr_core/dispatch.py
+++ b/packages/core/src/kcr_core/dispatch.py
@@ -5,6 +5,7 @@
 endpoint has granted a slot.
 """
 
+from collections import abc
 import dataclasses
 import heapq
 import random
@@ -28,6 +29,9 @@
 # Least time before the deadline at which waiting is given up, so that the
 # refusal reaches the caller in time.
 NEAR_S = 0.005
+# Mean load of the endpoints above which no hedge is sent: the extra load of
+# hedges raises the tail from there on.
+HEDGE_LOAD = 0.75
 
 Result = typing.Literal['ok', 'failed', 'refused', 'none']
 
@@ -44,6 +48,8 @@
     deadline: float
     # Instances that should not be chosen if another can be.
     avoid: frozenset[str]
+    # Whether it is a hedge, which is only sent while there is room.
+    hedge: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,9 +112,11 @@
     ) -> Decision:
         """Decide about a new attempt."""
         late = settings.endpoint_policy in endpoint_choice.LATE_BINDING
-        if late and self._queue:
+        if late and self._queue and not offer.hedge:
             return self._hold(offer)
         decision = self._decide(offer, settings, now)
+        if decision is None and offer.hedge:
+            return Rejected(offer.attempt, 'no slot for a hedge')
         return self._hold(offer) if decision is None else decision
 
     def advance(
@@ -178,6 +186,8 @@
             return self._send(offer, probe)
         fresh = [e for e in found if e.place.instance not in offer.avoid]
         options = [infer_candidate(e) for e in fresh or found]
+        if offer.hedge and infer_mean_load(options) > HEDGE_LOAD:
+            return Rejected(offer.attempt, 'no room for a hedge')
         budget_s = offer.deadline - now
         in_time = [
             c for c in options if endpoint_choice.is_in_time(c, budget_s)
@@ -228,6 +238,14 @@
     )
 
 
+def infer_mean_load(
+    candidates: abc.Sequence[endpoint_choice.Candidate],
+) -> float:
+    """Return the mean share of the slots that are in use."""
+    loads = [endpoint_choice.infer_load(c) for c in candidates]
+    return sum(loads) / max(1, len(loads))
+
+
 def infer_result(msg: messages.Message) -> Result:
     """Return what an answer says about the health of its endpoint."""
     if isinstance(msg, messages.Refused):
--- a/packages/core/src/kcr_core/types.py
+++ b/packages/core/src/kcr_core/types.py
@@ -188,7 +188,7 @@
     # Quantile of recent latency after which a request is hedged; 0 for none.
     hedge_quantile: typing.Annotated[
         float, annotated_types.Ge(0.0), annotated_types.Lt(1.0)
-    ] = 0.0
+    ] = 0.95
     # Name of the endpoint choice policy.
     endpoint_policy: Id = 'least_cost'
     # Name of the placement policy.
--- a/packages/emulator/src/kcr_emulator/bench_loop.py
+++ b/packages/emulator/src/kcr_emulator/bench_loop.py
@@ -259,12 +259,15 @@
             self._loop.after(delay_s, self._hedge, key)
         self._attempt(key, frozenset())
 
-    def _attempt(self, key: str, avoid: frozenset[str]) -> str:
+    def _attempt(
+        self, key: str, avoid: frozenset[str], hedge: bool = False
+    ) -> str:
         active = self._active[key]
         attempt = f'{key}:{len(active.state.attempts)}'
         active.state.begin(attempt)
         self._by_attempt[attempt] = key
-        offer = dispatch.Offer(attempt, 's', active.state.deadline, avoid)
+        deadline = active.state.deadline
+        offer = dispatch.Offer(attempt, 's', deadline, avoid, hedge)
         self._carry_out(
             self._dispatcher.offer(offer, self._settings, self._loop.now)
         )
@@ -352,7 +355,8 @@
             return
         number = len(active.state.attempts)
         active.hedges.add(f'{key}:{number}')
-        self._attempt(key, frozenset(active.state.instances.values()))
+        avoid = frozenset(active.state.instances.values())
+        self._attempt(key, avoid, hedge=True)
 
     def _expire(self, key: str) -> None:
         active = self._active.get(key)
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -24,6 +24,8 @@
     msg: messages.Execute
     # Instances that should not be chosen if another can be.
     avoid: frozenset[str]
+    # Whether the attempt is a hedge.
+    hedge: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -160,6 +162,7 @@
             service=req.msg.service,
             deadline=now + req.msg.budget_ms / 1000.0,
             avoid=req.avoid,
+            hedge=req.hedge,
         )
         decision = self._dispatcher.offer(offer, self.settings, now)
         self._held[offer.attempt] = req
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -172,7 +172,9 @@
             return
         self._attempt(submit.key, frozenset())
 
-    def _attempt(self, key: str, avoid: frozenset[str]) -> str:
+    def _attempt(
+        self, key: str, avoid: frozenset[str], hedge: bool = False
+    ) -> str:
         active = self._active[key]
         self._attempts += 1
         attempt = f'{self.ctx.incarnation}:{self._attempts}'
@@ -189,7 +191,7 @@
         )
         self.ctx.metrics.count('attempt')
         if not self.send(
-            addresses.MEMBERSHIP, membership.Dispatch(msg, avoid)
+            addresses.MEMBERSHIP, membership.Dispatch(msg, avoid, hedge)
         ):
             self._apply(
                 key, active.state.not_sent(attempt, 'entry is overloaded')
@@ -347,7 +349,7 @@
             return
         self.ctx.metrics.count('hedge')
         avoid = frozenset(active.state.instances.values())
-        attempt = self._attempt(event.key, avoid)
+        attempt = self._attempt(event.key, avoid, hedge=True)
         if event.key in self._active:
             self._hedges.add(attempt)
 
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -133,3 +133,16 @@
         owner.view.closed(f'session-i{number}')
     found = owner.view.sample('s', 16, 0.0, random.Random(1))
     assert [e.place.instance for e in found] == ['i39']
+
+
+@pytest.mark.parametrize('policy', ['two_choices', 'least_cost', 'granted'])
+def test_hedge_is_refused_without_room(policy: str) -> None:
+    """Guard against hedges that add load to a loaded fleet."""
+    owner = make_dispatcher()
+    for endpoint in owner.view.endpoints.values():
+        endpoint.in_flight = CAPACITY.slots
+    offer = dispatch.Offer('a', 's', 9.0, frozenset(), hedge=True)
+    settings = types.ControlSettings(endpoint_policy=policy)
+    decision = owner.offer(offer, settings, 0.0)
+    assert isinstance(decision, dispatch.Rejected)
+    assert not owner.waiting()
