--- a/packages/document/src/kcr_document/checks.py
+++ b/packages/document/src/kcr_document/checks.py
@@ -5,6 +5,7 @@
 import typing
 
 from kcr_core import endpoint_choice
+from kcr_core import placement
 from kcr_core import registry
 from kcr_core import types
 from kcr_document import models
@@ -20,6 +21,7 @@
 # Registry of each policy field.
 REGISTRIES: dict[str, registry.Registry[typing.Any]] = {
     'endpoint': endpoint_choice.POLICIES,
+    'placement': placement.POLICIES,
 }
 
 Found = abc.Iterator[problems.Problem]
--- a/packages/entry/src/kcr_entry/configuration/processes.py
+++ b/packages/entry/src/kcr_entry/configuration/processes.py
@@ -134,7 +134,8 @@
         follower = self._followers.get(event.session)
         if follower is None:
             return
-        if event.revision < follower.revision:
+        sidecar = follower.hello.role == 'sidecar'
+        if sidecar and event.revision < follower.revision:
             self.ctx.metrics.count('revision_went_down')
             self.log.error(
                 'revision went down',
@@ -146,10 +147,8 @@
         self._report(event.session)
 
     def _report(self, name: str) -> None:
-        follower = self._followers[name]
-        if follower.hello.role == 'sidecar':
-            seen = events.RevisionSeen(name, follower.revision)
-            self.send(addresses.IN_FORCE, seen)
+        seen = events.RevisionSeen(name, self._followers[name].revision)
+        self.send(addresses.IN_FORCE, seen)
 
     @task.handles(ask.Ask)
     def _on_ask(self, req: ask.Ask) -> None:
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -170,7 +170,9 @@
         self.ctx.metrics.count('claim_used')
         self._attempt(key, frozenset())
 
-    def _attempt(self, key: str, avoid: frozenset[str]) -> str:
+    def _attempt(
+        self, key: str, avoid: frozenset[str], hedge: bool = False
+    ) -> str:
         active = self._active[key]
         self._attempts += 1
         attempt = f'{self._attempt_prefix}:{self._attempts}'
@@ -187,7 +189,7 @@
         )
         self.ctx.metrics.count('attempt')
         if not self.send(
-            addresses.MEMBERSHIP, membership.Dispatch(msg, avoid)
+            addresses.MEMBERSHIP, membership.Dispatch(msg, avoid, hedge)
         ):
             self._apply(
                 key, active.state.not_sent(attempt, 'entry is overloaded')
@@ -220,9 +222,8 @@
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
         if isinstance(msg, messages.OutcomeQuery):
-            kept = self._kept.get(msg.request)
-            is_active = msg.request in self._active
-            self._claims.query(event, is_active, kept[1] if kept else None)
+            _, kept = self._kept.get(msg.request, ('', None))
+            self._claims.query(event, msg.request in self._active, kept)
             return
         active = self._find(msg.attempt)
         if active is None or msg.attempt not in active.sessions:
@@ -353,7 +354,7 @@
             return
         self.ctx.metrics.count('hedge')
         avoid = frozenset(active.state.instances.values())
-        attempt = self._attempt(event.key, avoid)
+        attempt = self._attempt(event.key, avoid, hedge=True)
         if event.key in self._active:
             self._hedges.add(attempt)
 
