--- a/packages/core/src/kcr_core/homes.py
+++ b/packages/core/src/kcr_core/homes.py
@@ -77,7 +77,8 @@
     def rooms(self, now: float) -> list[placement.Room]:
         """Return the room of every known instance."""
         stale, self._stale = self._stale, set()
-        for instance in stale:
+        # In order of names, so that the order of the rooms can be repeated.
+        for instance in sorted(stale):
             self._refresh(instance, now)
         return list(self._rooms.values())
 
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -65,6 +65,8 @@
         # Settings of the document in force.
         self.settings = types.ControlSettings()
         self._view = membership.View(self.settings.heartbeat_s)
+        # Revision of the document in force; 0 for none.
+        self._revision = 0
         # Addresses of the entries of the region that are known.
         self._entries: tuple[str, ...] = (ctx.cfg.listen,)
         self._ledger: events.LedgerView | None = None
@@ -142,7 +144,7 @@
         fenced, age_ms = self._infer_vouch(endpoint)
         ack = messages.HeartbeatAck(
             seq=beat.seq,
-            revision=0,
+            revision=self._revision,
             log_age_ms=age_ms,
             fenced=fenced,
             entries=self._entries,
@@ -198,6 +200,12 @@
             if self._phases.get(instance) != phase:
                 self._publish(endpoint.session, instance)
 
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        self.settings, self._revision = event.settings, event.revision
+        self._view.heartbeat_s = event.settings.heartbeat_s
+        self._view.drained = frozenset(event.settings.drained)
+
     @task.handles(events.LogRead)
     @task.handles(events.LogGap)
     def _on_log(self, event: events.LogRead | events.LogGap) -> None:
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -4,6 +4,7 @@
 records; only what was read back from the log changes the state.
 """
 
+import dataclasses
 import time
 import typing
 
@@ -146,8 +147,18 @@
 
     @task.handles(events.SettingsInForce)
     def _on_settings(self, event: events.SettingsInForce) -> None:
-        self.settings = event.settings
         self.quotas = dict(event.quotas)
+        for target in (addresses.FENCES, addresses.PEERS):
+            self.send(target, event)
+        wanted = event.settings.placement_policy
+        if wanted not in placement.POLICIES.names():
+            held = self.settings.placement_policy
+            self.log.error('placement policy not known', name=wanted)
+            self.settings = dataclasses.replace(
+                event.settings, placement_policy=held
+            )
+            return
+        self.settings = event.settings
 
     @task.handles(events.PeersChanged)
     def _on_peers(self, event: events.PeersChanged) -> None:
