--- a/packages/core/src/kcr_core/homes.py
+++ b/packages/core/src/kcr_core/homes.py
@@ -2,6 +2,8 @@
 
 from collections import abc
 import dataclasses
+import math
+import random
 
 from kcr_core import fencing
 from kcr_core import ledger
@@ -10,6 +12,9 @@
 
 # Time in which a heartbeat shows a task that was placed, in seconds.
 RECENT_S = 3.0
+# Instances of which a policy is given a sample first. A choice among 9,100
+# took 27 ms, which is too long for each task of a wave.
+SAMPLE = 128
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,25 +35,39 @@
     running: frozenset[tuple[str, int]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Load:
+    declared: types.Demand
+    recent: types.Demand
+    until: float
+
+
 class Homes:
     """Decide which instances have room, from offers and the ledger."""
 
-    def __init__(self, state: ledger.Ledger) -> None:
+    def __init__(self, state: ledger.Ledger, rng: random.Random) -> None:
         # The ledger of the region.
         self.state = state
+        # Source of the samples of instances.
+        self.rng = rng
         # Newest offer of each instance.
         self.offers: dict[str, Offer] = {}
         # Demand of tasks whose append is under way, by key.
         self._promised: dict[str, tuple[str, types.Demand]] = {}
         self._rooms: dict[str, placement.Room] = {}
-        # Instances whose room must be computed again; those with tasks that
-        # were placed lately among them.
+        # Instances whose room must be computed again.
         self._stale: set[str] = set()
+        # Declared and recent demand of the tasks of each instance, and the
+        # time at which the recent part changes.
+        self._load: dict[str, _Load] = {}
 
     def offer(self, offer: Offer) -> None:
         """Take a newer offer of an instance."""
-        self.offers[offer.home.instance] = offer
-        self._stale.add(offer.home.instance)
+        instance = offer.home.instance
+        held = self.offers.get(instance)
+        self.offers[instance] = offer
+        if held is None or _room_part(held) != _room_part(offer):
+            self._stale.add(instance)
 
     def present(self, instance: str) -> fencing.Present | None:
         """Return the incarnation that an instance is known to have."""
@@ -69,10 +88,15 @@
     def follow(self, change: ledger.Change) -> None:
         """Note a change of the ledger."""
         task = self.state.live.get(change.key)
-        if change.before is not None:
-            self._stale.add(change.before.instance)
-        if task is not None and task.home is not None:
-            self._stale.add(task.home.instance)
+        for home in (change.before, task.home if task else None):
+            if home is not None:
+                self._load.pop(home.instance, None)
+                self._stale.add(home.instance)
+
+    def reset(self) -> None:
+        """Drop what was computed from the ledger before it was reset."""
+        self._load.clear()
+        self._stale.update(self.offers)
 
     def rooms(self, now: float) -> list[placement.Room]:
         """Return the room of every known instance."""
@@ -103,27 +127,33 @@
         avoid: abc.Container[str] = (),
     ) -> placement.Choice:
         """Return the home of a task, or why it has none."""
-        rooms = [
-            dataclasses.replace(room, open=False)
-            if room.home.instance in avoid
-            else room
-            for room in self.rooms(now)
-        ]
-        return placement.choose_home(
-            policy, spec, rooms, self.spread(spec.job)
-        )
+        rooms = self.rooms(now)
+        if avoid:
+            rooms = [
+                dataclasses.replace(room, open=False)
+                if room.home.instance in avoid
+                else room
+                for room in rooms
+            ]
+        spread = self.spread(spec.job)
+        if len(rooms) > 2 * SAMPLE:
+            some = self.rng.sample(rooms, SAMPLE)
+            choice = placement.choose_home(policy, spec, some, spread)
+            if isinstance(choice, placement.Placed):
+                return choice
+        return placement.choose_home(policy, spec, rooms, spread)
 
     def _refresh(self, instance: str, now: float) -> None:
         offer = self.offers.get(instance)
         if offer is None:
             return
-        declared, recent = types.Demand(), types.Demand()
-        for key in self.state.at.get(instance, {}):
-            task = self.state.live[key]
-            declared = declared.plus(task.spec.demand)
-            if now - task.since < RECENT_S:
-                recent = recent.plus(task.spec.demand)
-                self._stale.add(instance)
+        load = self._load.get(instance)
+        if load is None or now >= load.until:
+            load = self._infer_load(instance, now)
+            self._load[instance] = load
+        declared, recent = load.declared, load.recent
+        if load.until != math.inf:
+            self._stale.add(instance)
         for held, demand in self._promised.values():
             if held == instance:
                 declared = declared.plus(demand)
@@ -140,6 +170,21 @@
             open=offer.open and not fenced,
         )
 
+    def _infer_load(self, instance: str, now: float) -> '_Load':
+        declared, recent = types.Demand(), types.Demand()
+        until = math.inf
+        for key in self.state.at.get(instance, {}):
+            task = self.state.live[key]
+            declared = declared.plus(task.spec.demand)
+            if now - task.since < RECENT_S:
+                recent = recent.plus(task.spec.demand)
+                until = min(until, task.since + RECENT_S)
+        return _Load(declared, recent, until)
+
+
+def _room_part(offer: Offer) -> tuple[object, ...]:
+    return offer.home, offer.capacity, offer.free, offer.open
+
 
 def at_most(first: types.Demand, second: types.Demand) -> types.Demand:
     """Return the smaller quantity of each resource."""
--- a/packages/core/src/kcr_core/ledger.py
+++ b/packages/core/src/kcr_core/ledger.py
@@ -7,6 +7,7 @@
 import collections
 import dataclasses
 import hashlib
+import sys
 import typing
 
 from kcr_core import records
@@ -65,7 +66,7 @@
     written_ms: int
     # Monotonic time at which this reader learnt the epoch.
     since: float
-    # Epochs so far, newest last.
+    # Epochs so far, newest last; empty while only one is known.
     history: tuple[Move, ...] = ()
 
 
@@ -188,7 +189,7 @@
             return IGNORED
         self._insert(
             Live(
-                spec=item.spec,
+                spec=share_names(item.spec),
                 epoch=1,
                 home=item.home,
                 checkpoint='',
@@ -196,7 +197,6 @@
                 reason=item.reason,
                 written_ms=self._written(now_ms),
                 since=now,
-                history=(Move(1, item.home, item.reason),),
             )
         )
         return Change('accepted', key)
@@ -206,6 +206,7 @@
         if task is None or item.epoch != task.epoch + 1:
             return IGNORED
         before, epoch = task.home, task.epoch
+        history = list_moves(task)
         self._unplace(item.task, task)
         assert item.epoch > epoch, 'epoch does not grow'
         task.epoch, task.home = item.epoch, item.home
@@ -213,7 +214,7 @@
         task.reason, task.since = item.reason, now
         task.written_ms = self._written(now_ms)
         step = Move(item.epoch, item.home, item.reason)
-        task.history = (*task.history, step)[-HISTORY_LIMIT:]
+        task.history = (*history, step)[-HISTORY_LIMIT:]
         self._place(item.task, task)
         return Change('moved', item.task, before, epoch)
 
@@ -264,7 +265,8 @@
             before, epoch = task.home, task.epoch
             self._unplace(key, task)
             fresh = infer_live(item, now, self._written(now_ms))
-            fresh.history = (*task.history, *fresh.history)[-HISTORY_LIMIT:]
+            moves = (*list_moves(task), *list_moves(fresh))
+            fresh.history = moves[-HISTORY_LIMIT:]
             self.live[key] = fresh
             self._place(key, fresh)
             return Change('moved', key, before, epoch)
@@ -282,12 +284,12 @@
         if (before.instance, before.incarnation) in self.fences:
             # A reader of the fence may be moving the task already.
             return IGNORED
+        step = Move(task.epoch, item.home, 'adopted by a new incarnation')
+        task.history = (*list_moves(task), step)[-HISTORY_LIMIT:]
         self._unplace(key, task)
         task.home = item.home
         self._place(key, task)
         task.written_ms = self._written(now_ms)
-        step = Move(task.epoch, item.home, 'adopted by a new incarnation')
-        task.history = (*task.history, step)[-HISTORY_LIMIT:]
         return Change('adopted', key, before, task.epoch)
 
     def _fence(self, item: records.Fenced, now: float, now_ms: int) -> Change:
@@ -358,10 +360,26 @@
     return hashlib.sha256(repr(spec).encode()).hexdigest()[:32]
 
 
+def list_moves(task: Live) -> tuple[Move, ...]:
+    """Return the known epochs of a task, newest last."""
+    return task.history or (Move(task.epoch, task.home, task.reason),)
+
+
+def share_names(spec: types.TaskSpec) -> types.TaskSpec:
+    """Return the task with one copy of each name that many tasks have."""
+    return dataclasses.replace(
+        spec,
+        caller=sys.intern(spec.caller),
+        team=sys.intern(spec.team),
+        kind=sys.intern(spec.kind),
+        job=sys.intern(spec.job),
+    )
+
+
 def infer_live(item: records.Restated, now: float, written_ms: int) -> Live:
     """Return the live task that a restated record describes."""
     return Live(
-        spec=item.spec,
+        spec=share_names(item.spec),
         epoch=item.epoch,
         home=item.home,
         checkpoint=item.checkpoint,
@@ -369,7 +387,6 @@
         reason=item.reason,
         written_ms=written_ms,
         since=now,
-        history=(Move(item.epoch, item.home, item.reason),),
     )
 
 
--- a/packages/core/src/kcr_core/task_moves.py
+++ b/packages/core/src/kcr_core/task_moves.py
@@ -11,9 +11,12 @@
 from kcr_core import quotas
 from kcr_core import records
 from kcr_core import turns
+from kcr_core import types
 
 # Records that one look proposes; more follow at the next look.
 LOOK_LIMIT = 50
+# Demands without room that one look searches all instances for.
+SCAN_LIMIT = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +50,8 @@
         self.watched: set[str] = set()
         # Why each parked task waits, as last seen by this entry.
         self.why: dict[str, str] = {}
+        # Batch tasks that the looks since the last full one have seen.
+        self._seen = 0
 
     def follow(self, change: ledger.Change) -> None:
         """Note a change of the ledger."""
@@ -116,25 +121,53 @@
         return fencing.choose_end(task, None, f'{reason}; {choice.reason}')
 
     def choose_parked(self, look: Look) -> list[append_queue.Entry]:
-        """Return records that give parked tasks a home."""
+        """Return records that give parked tasks a home, urgent ones first.
+
+        A look that ends before all tasks were seen is continued by the next
+        one, so that no task is kept back by those before it.
+        """
+        order = quotas.order_waiting(
+            self.state.live[key] for key in self.state.parked
+        )
+        urgent = sum(task.spec.urgent for task in order)
+        if urgent + self._seen >= len(order):
+            self._seen = 0
+        order[urgent : urgent + self._seen] = []
+        failed: list[tuple[types.Demand, str]] = []
         found: list[append_queue.Entry] = []
-        waiting = [self.state.live[key] for key in self.state.parked]
-        for task in quotas.order_waiting(waiting):
-            if len(found) >= LOOK_LIMIT:
-                break
-            key, spec = task.spec.key, task.spec
-            if key in look.busy:
-                continue
-            choice = self.places.choose(look.policy, spec, look.now)
-            if not isinstance(choice, placement.Placed):
-                self.why[key] = choice.reason
-                self.turns.forget(key)
-                continue
-            if not self.turns.is_mine(key, look.now):
-                continue
-            self.places.promise(key, choice.home.instance, spec.demand)
-            item = records.Moved(
-                key, task.epoch + 1, choice.home, task.checkpoint, 'has room'
-            )
-            found.append(append_queue.Entry(key, item))
+        for task in order:
+            if len(found) >= LOOK_LIMIT or len(failed) >= SCAN_LIMIT:
+                return found
+            if not task.spec.urgent:
+                self._seen += 1
+            if task.spec.key not in look.busy:
+                self._place(task, look, failed, found)
+        self._seen = 0
         return found
+
+    def _place(
+        self,
+        task: ledger.Live,
+        look: Look,
+        failed: list[tuple[types.Demand, str]],
+        found: list[append_queue.Entry],
+    ) -> None:
+        key, spec = task.spec.key, task.spec
+        # What needs at least as much as a task without room has none either.
+        for demand, reason in failed:
+            if demand.fits(spec.demand):
+                self.why[key] = reason
+                return
+        choice = self.places.choose(look.policy, spec, look.now)
+        if not isinstance(choice, placement.Placed):
+            failed.append((spec.demand, choice.reason))
+            self.why[key] = choice.reason
+            self.turns.forget(key)
+            return
+        if not self.turns.is_mine(key, look.now):
+            return
+        self.places.promise(key, choice.home.instance, spec.demand)
+        item = records.Moved(
+            key, task.epoch + 1, choice.home, task.checkpoint, 'has room'
+        )
+        found.append(append_queue.Entry(key, item))
--- a/packages/entry/src/kcr_entry/work/submissions.py
+++ b/packages/entry/src/kcr_entry/work/submissions.py
@@ -270,7 +270,7 @@
             return task_outcomes.NoTask(key, self.owner.is_fresh())
         name, reason = self._infer_phase(key, task)
         return task_outcomes.TaskState(
-            key, name, task.epoch, task.home, reason, task.history
+            key, name, task.epoch, task.home, reason, ledger.list_moves(task)
         )
 
     def _infer_phase(self, key: str, task: ledger.Live) -> tuple[str, str]:
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -34,6 +34,10 @@
 COLLECT_S = 0.01
 # Time between two looks at parked and lost tasks, in seconds.
 LOOK_S = 0.25
+# The same while more tasks are parked than this: they are sorted each time,
+# and urgent work may still start within 2.6 s.
+LONG_LOOK_S = 1.0
+MANY_PARKED = 5000
 # Time between two looks for records to write again, in seconds.
 RESTATE_S = 5.0
 # Time between two batches of orders to the sidecars, in seconds.
@@ -72,7 +76,7 @@
         # The live tasks.
         self.state = ledger.Ledger()
         # Instances that can be homes.
-        self.places = homes.Homes(self.state)
+        self.places = homes.Homes(self.state, ctx.rng)
         # Which entry goes first.
         self.turns = turns.Turns(ctx.incarnation)
         # Finds the tasks that need another home.
@@ -174,6 +178,7 @@
     def _restart(self, position: int) -> None:
         """Drop the live tasks and take the stream from a position."""
         self.state.reset()
+        self.places.reset()
         self.orders.lines.clear()
         self.caught_up = False
         self.asked_at = None
@@ -344,7 +349,8 @@
 
     @task.handles(_Look)
     def _on_look(self, msg: _Look) -> None:
-        self.after(LOOK_S, _Look())
+        many = len(self.state.parked) > MANY_PARKED
+        self.after(LONG_LOOK_S if many else LOOK_S, _Look())
         homes_now = frozenset(self.state.homes)
         fenced = frozenset(self.state.fences)
         fresh = self.is_fresh()
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -1,6 +1,7 @@
 """Check the choice of homes and the quotas of teams."""
 
 import pathlib
+import random
 import typing
 
 import pytest
@@ -40,7 +41,7 @@
 def make_homes(case: dict[str, typing.Any]) -> homes.Homes:
     """Return the instances of a case with the tasks of its job."""
     state = ledger.Ledger()
-    places = homes.Homes(state)
+    places = homes.Homes(state, random.Random(1))
     for name, room in case['rooms'].items():
         places.offer(make_offer(name, room))
     for name, count in case.get('job', {}).items():
