--- a/packages/core/src/kcr_core/fencing.py
+++ b/packages/core/src/kcr_core/fencing.py
@@ -11,6 +11,7 @@
 import typing
 
 from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import records
 from kcr_core import types
 
@@ -173,8 +174,8 @@
 
 def judge_home(
     key: str,
-    task: ledger.Live,
-    fence: ledger.Fence | None,
+    task: live_task.Live,
+    fence: live_task.Fence | None,
     present: Present | None,
     now: float,
 ) -> Verdict:
@@ -182,7 +183,9 @@
     home = task.home
     if home is None:
         return STAY
-    replaced = present is not None and ledger.is_successor(home, present.home)
+    replaced = present is not None and live_task.is_successor(
+        home, present.home
+    )
     if replaced and present is not None:
         if (key, task.epoch) not in present.running:
             return Leave(f'sidecar of {home.instance} restarted without it')
@@ -217,7 +220,7 @@
 
 
 def choose_end(
-    task: ledger.Live, home: types.Home | None, reason: str
+    task: live_task.Live, home: types.Home | None, reason: str
 ) -> records.Moved | records.FinishedRecord:
     """Return the record that takes a task from a lost home.
 
--- a/packages/core/src/kcr_core/ledger.py
+++ b/packages/core/src/kcr_core/ledger.py
@@ -6,10 +6,9 @@
 
 import collections
 import dataclasses
-import hashlib
-import sys
 import typing
 
+from kcr_core import live_task
 from kcr_core import records
 from kcr_core import types
 
@@ -34,68 +33,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Move:
-    """Describe one epoch of a task."""
-
-    # The epoch.
-    epoch: int
-    # Its home; none while parked.
-    home: types.Home | None
-    # Why it began.
-    reason: str
-
-
-@dataclasses.dataclass(slots=True)
-class Live:
-    """Hold the state of a task that has not ended."""
-
-    # The task.
-    spec: types.TaskSpec
-    # Current epoch.
-    epoch: int
-    # Home of the epoch; none while parked.
-    home: types.Home | None
-    # Checkpoint to resume from; empty for none.
-    checkpoint: str
-    # Unix time of acceptance in ms.
-    at_ms: int
-    # Why it is parked or was moved.
-    reason: str
-    # Earliest Unix time at which its newest record was written, in ms.
-    written_ms: int
-    # Monotonic time at which this reader learnt the epoch.
-    since: float
-    # Epochs so far, newest last; empty while only one is known.
-    history: tuple[Move, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ended:
-    """Hold the outcome of a task that has ended."""
-
-    # Digest of the task as it was submitted.
-    digest: str
-    # Epoch that ended.
-    epoch: int
-    # `done`, `failed`, `unknown` or `cancelled`.
-    outcome: str
-    # Result or failure text.
-    detail: str
-
-
-@dataclasses.dataclass(slots=True)
-class Fence:
-    """Hold the fence of one incarnation as this reader knows it."""
-
-    # The record.
-    record: records.Fenced
-    # Monotonic time from which this reader may move the tasks.
-    movable_at: float
-    # Earliest Unix time at which the newest record was written, in ms.
-    written_ms: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
     """Report what one record did."""
@@ -118,15 +55,15 @@
 
     def __init__(self) -> None:
         # Live tasks by key, oldest first.
-        self.live: dict[str, Live] = {}
+        self.live: dict[str, live_task.Live] = {}
         # Ended tasks by key, oldest first.
-        self.ended: collections.OrderedDict[str, Ended] = (
+        self.ended: collections.OrderedDict[str, live_task.Ended] = (
             collections.OrderedDict()
         )
         # Fences by instance and incarnation.
-        self.fences: collections.OrderedDict[tuple[str, str], Fence] = (
-            collections.OrderedDict()
-        )
+        self.fences: collections.OrderedDict[
+            tuple[str, str], live_task.Fence
+        ] = collections.OrderedDict()
         # Keys of live tasks by the instance of their home.
         self.at: dict[str, dict[str, None]] = {}
         # Live tasks by instance and incarnation of their home.
@@ -188,8 +125,8 @@
         if key in self.live or key in self.ended:
             return IGNORED
         self._insert(
-            Live(
-                spec=share_names(item.spec),
+            live_task.Live(
+                spec=live_task.share_names(item.spec),
                 epoch=1,
                 home=item.home,
                 checkpoint='',
@@ -206,14 +143,14 @@
         if task is None or item.epoch != task.epoch + 1:
             return IGNORED
         before, epoch = task.home, task.epoch
-        history = list_moves(task)
+        history = live_task.list_moves(task)
         self._unplace(item.task, task)
         assert item.epoch > epoch, 'epoch does not grow'
         task.epoch, task.home = item.epoch, item.home
         task.checkpoint = item.checkpoint or task.checkpoint
         task.reason, task.since = item.reason, now
         task.written_ms = self._written(now_ms)
-        step = Move(item.epoch, item.home, item.reason)
+        step = live_task.Move(item.epoch, item.home, item.reason)
         task.history = (*history, step)[-HISTORY_LIMIT:]
         self._place(item.task, task)
         return Change('moved', item.task, before, epoch)
@@ -238,8 +175,11 @@
         keys.pop(key, None)
         if not keys:
             self.jobs.pop(task.spec.job, None)
-        self.ended[key] = Ended(
-            digest_spec(task.spec), task.epoch, outcome, detail[:DETAIL_LIMIT]
+        self.ended[key] = live_task.Ended(
+            live_task.digest_spec(task.spec),
+            task.epoch,
+            outcome,
+            detail[:DETAIL_LIMIT],
         )
         if len(self.ended) > ENDED_LIMIT:
             oldest, _ = self.ended.popitem(last=False)
@@ -256,7 +196,9 @@
             return IGNORED
         task = self.live.get(key)
         if task is None:
-            self._insert(infer_live(item, now, self._written(now_ms)))
+            self._insert(
+                live_task.infer_live(item, now, self._written(now_ms))
+            )
             return Change('restated', key)
         if item.epoch < task.epoch:
             return IGNORED
@@ -264,8 +206,8 @@
             # The records between were trimmed before they were read.
             before, epoch = task.home, task.epoch
             self._unplace(key, task)
-            fresh = infer_live(item, now, self._written(now_ms))
-            moves = (*list_moves(task), *list_moves(fresh))
+            fresh = live_task.infer_live(item, now, self._written(now_ms))
+            moves = (*live_task.list_moves(task), *live_task.list_moves(fresh))
             fresh.history = moves[-HISTORY_LIMIT:]
             self.live[key] = fresh
             self._place(key, fresh)
@@ -273,19 +215,25 @@
         return self._adopt(key, task, item, now_ms)
 
     def _adopt(
-        self, key: str, task: Live, item: records.Restated, now_ms: int
+        self,
+        key: str,
+        task: live_task.Live,
+        item: records.Restated,
+        now_ms: int,
     ) -> Change:
         if item.home == task.home:
             task.written_ms = self._written(now_ms)
             return Change('restated', key, task.home, task.epoch)
         before = task.home
-        if before is None or not is_successor(before, item.home):
+        if before is None or not live_task.is_successor(before, item.home):
             return IGNORED
         if (before.instance, before.incarnation) in self.fences:
             # A reader of the fence may be moving the task already.
             return IGNORED
-        step = Move(task.epoch, item.home, 'adopted by a new incarnation')
-        task.history = (*list_moves(task), step)[-HISTORY_LIMIT:]
+        step = live_task.Move(
+            task.epoch, item.home, 'adopted by a new incarnation'
+        )
+        task.history = (*live_task.list_moves(task), step)[-HISTORY_LIMIT:]
         self._unplace(key, task)
         task.home = item.home
         self._place(key, task)
@@ -302,12 +250,14 @@
             held.movable_at = min(held.movable_at, movable_at)
             held.written_ms = self._written(now_ms)
             return Change('fenced')
-        self.fences[name] = Fence(item, movable_at, self._written(now_ms))
+        self.fences[name] = live_task.Fence(
+            item, movable_at, self._written(now_ms)
+        )
         if len(self.fences) > FENCES_LIMIT:
             self.fences.popitem(last=False)
         return Change('fenced')
 
-    def _insert(self, task: Live) -> None:
+    def _insert(self, task: live_task.Live) -> None:
         key = task.spec.key
         assert key not in self.live, 'task has two states'
         self.live[key] = task
@@ -318,7 +268,7 @@
             self.jobs.setdefault(task.spec.job, {})[key] = None
         self._place(key, task)
 
-    def _place(self, key: str, task: Live) -> None:
+    def _place(self, key: str, task: live_task.Live) -> None:
         if task.home is None:
             self.parked[key] = None
         else:
@@ -326,7 +276,7 @@
             self.homes[task.home.instance, task.home.incarnation] += 1
         self._check(key, task)
 
-    def _unplace(self, key: str, task: Live) -> None:
+    def _unplace(self, key: str, task: live_task.Live) -> None:
         self._check(key, task)
         if task.home is None:
             del self.parked[key]
@@ -340,7 +290,7 @@
         if not keys:
             del self.at[task.home.instance]
 
-    def _check(self, key: str, task: Live) -> None:
+    def _check(self, key: str, task: live_task.Live) -> None:
         """Assert that the task is in exactly the place of its home."""
         self.checked += 1
         if task.home is None:
@@ -353,61 +303,3 @@
         # Records have no time of their own: the last accepted record before
         # one was written earlier, so its time is a lower bound.
         return min(self._clock_ms, now_ms)
-
-
-def digest_spec(spec: types.TaskSpec) -> str:
-    """Return a digest of a task, to detect a second use of its id."""
-    return hashlib.sha256(repr(spec).encode()).hexdigest()[:32]
-
-
-def list_moves(task: Live) -> tuple[Move, ...]:
-    """Return the known epochs of a task, newest last."""
-    return task.history or (Move(task.epoch, task.home, task.reason),)
-
-
-def share_names(spec: types.TaskSpec) -> types.TaskSpec:
-    """Return the task with one copy of each name that many tasks have."""
-    return dataclasses.replace(
-        spec,
-        caller=sys.intern(spec.caller),
-        team=sys.intern(spec.team),
-        kind=sys.intern(spec.kind),
-        job=sys.intern(spec.job),
-    )
-
-
-def infer_live(item: records.Restated, now: float, written_ms: int) -> Live:
-    """Return the live task that a restated record describes."""
-    return Live(
-        spec=share_names(item.spec),
-        epoch=item.epoch,
-        home=item.home,
-        checkpoint=item.checkpoint,
-        at_ms=item.at_ms,
-        reason=item.reason,
-        written_ms=written_ms,
-        since=now,
-    )
-
-
-def is_successor(old: types.Home | None, new: types.Home | None) -> bool:
-    """Tell whether `new` is provably a later incarnation of `old`."""
-    return (
-        old is not None
-        and new is not None
-        and old.instance == new.instance
-        and old.incarnation != new.incarnation
-        and 0 < old.controller_epoch < new.controller_epoch
-    )
-
-
-def make_restated(task: Live, home: types.Home | None) -> records.Restated:
-    """Return the record that repeats a live task with the given home."""
-    return records.Restated(
-        spec=task.spec,
-        epoch=task.epoch,
-        home=home,
-        checkpoint=task.checkpoint,
-        at_ms=task.at_ms,
-        reason=task.reason,
-    )
--- /dev/null
+++ b/packages/core/src/kcr_core/live_task.py
@@ -0,0 +1,128 @@
+"""Define the state of one durable task and what follows from it alone."""
+
+import dataclasses
+import hashlib
+import sys
+
+from kcr_core import records
+from kcr_core import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """Describe one epoch of a task."""
+
+    # The epoch.
+    epoch: int
+    # Its home; none while parked.
+    home: types.Home | None
+    # Why it began.
+    reason: str
+
+
+@dataclasses.dataclass(slots=True)
+class Live:
+    """Hold the state of a task that has not ended."""
+
+    # The task.
+    spec: types.TaskSpec
+    # Current epoch.
+    epoch: int
+    # Home of the epoch; none while parked.
+    home: types.Home | None
+    # Checkpoint to resume from; empty for none.
+    checkpoint: str
+    # Unix time of acceptance in ms.
+    at_ms: int
+    # Why it is parked or was moved.
+    reason: str
+    # Earliest Unix time at which its newest record was written, in ms.
+    written_ms: int
+    # Monotonic time at which this reader learnt the epoch.
+    since: float
+    # Epochs so far, newest last; empty while only one is known.
+    history: tuple[Move, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """Hold the outcome of a task that has ended."""
+
+    # Digest of the task as it was submitted.
+    digest: str
+    # Epoch that ended.
+    epoch: int
+    # `done`, `failed`, `unknown` or `cancelled`.
+    outcome: str
+    # Result or failure text.
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class Fence:
+    """Hold the fence of one incarnation as this reader knows it."""
+
+    # The record.
+    record: records.Fenced
+    # Monotonic time from which this reader may move the tasks.
+    movable_at: float
+    # Earliest Unix time at which the newest record was written, in ms.
+    written_ms: int
+
+
+def digest_spec(spec: types.TaskSpec) -> str:
+    """Return a digest of a task, to detect a second use of its id."""
+    return hashlib.sha256(repr(spec).encode()).hexdigest()[:32]
+
+
+def list_moves(task: Live) -> tuple[Move, ...]:
+    """Return the known epochs of a task, newest last."""
+    return task.history or (Move(task.epoch, task.home, task.reason),)
+
+
+def share_names(spec: types.TaskSpec) -> types.TaskSpec:
+    """Return the task with one copy of each name that many tasks have."""
+    return dataclasses.replace(
+        spec,
+        caller=sys.intern(spec.caller),
+        team=sys.intern(spec.team),
+        kind=sys.intern(spec.kind),
+        job=sys.intern(spec.job),
+    )
+
+
+def infer_live(item: records.Restated, now: float, written_ms: int) -> Live:
+    """Return the live task that a restated record describes."""
+    return Live(
+        spec=share_names(item.spec),
+        epoch=item.epoch,
+        home=item.home,
+        checkpoint=item.checkpoint,
+        at_ms=item.at_ms,
+        reason=item.reason,
+        written_ms=written_ms,
+        since=now,
+    )
+
+
+def is_successor(old: types.Home | None, new: types.Home | None) -> bool:
+    """Tell whether `new` is provably a later incarnation of `old`."""
+    return (
+        old is not None
+        and new is not None
+        and old.instance == new.instance
+        and old.incarnation != new.incarnation
+        and 0 < old.controller_epoch < new.controller_epoch
+    )
+
+
+def make_restated(task: Live, home: types.Home | None) -> records.Restated:
+    """Return the record that repeats a live task with the given home."""
+    return records.Restated(
+        spec=task.spec,
+        epoch=task.epoch,
+        home=home,
+        checkpoint=task.checkpoint,
+        at_ms=task.at_ms,
+        reason=task.reason,
+    )
--- a/packages/core/src/kcr_core/quotas.py
+++ b/packages/core/src/kcr_core/quotas.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import types
 
 
@@ -34,7 +34,7 @@
     return f'quota of team {team} would be exceeded: {", ".join(over)}'
 
 
-def order_waiting(tasks: abc.Iterable[ledger.Live]) -> list[ledger.Live]:
+def order_waiting(tasks: abc.Iterable[live_task.Live]) -> list[live_task.Live]:
     """Return waiting tasks in the order in which they get room."""
     return sorted(
         tasks, key=lambda t: (not t.spec.urgent, t.at_ms, t.spec.key)
--- a/packages/core/src/kcr_core/restating.py
+++ b/packages/core/src/kcr_core/restating.py
@@ -9,6 +9,7 @@
 import typing
 
 from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import records
 from kcr_core import turns
 
@@ -56,7 +57,7 @@
         if len(items) >= limit:
             return items
         if turn.is_due(key, task.written_ms):
-            items.append(ledger.make_restated(task, task.home))
+            items.append(live_task.make_restated(task, task.home))
     return items
 
 
--- a/packages/core/src/kcr_core/task_moves.py
+++ b/packages/core/src/kcr_core/task_moves.py
@@ -7,6 +7,7 @@
 from kcr_core import fencing
 from kcr_core import homes
 from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import placement
 from kcr_core import quotas
 from kcr_core import records
@@ -98,16 +99,16 @@
         return open_ends
 
     def _leave(
-        self, task: ledger.Live, verdict: fencing.Verdict, look: Look
+        self, task: live_task.Live, verdict: fencing.Verdict, look: Look
     ) -> records.Restated | records.Moved | records.FinishedRecord:
         if isinstance(verdict, fencing.Adopt):
-            return ledger.make_restated(task, verdict.home)
+            return live_task.make_restated(task, verdict.home)
         assert isinstance(verdict, fencing.Leave)
         return self.move(task, verdict.reason, look)
 
     def move(
         self,
-        task: ledger.Live,
+        task: live_task.Live,
         reason: str,
         look: Look,
         avoid: abc.Container[str] = (),
@@ -147,7 +148,7 @@
 
     def _place(
         self,
-        task: ledger.Live,
+        task: live_task.Live,
         look: Look,
         failed: list[tuple[types.Demand, str]],
         found: list[append_queue.Entry],
--- a/packages/core/src/kcr_core/task_outcomes.py
+++ b/packages/core/src/kcr_core/task_outcomes.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import types
 
 
@@ -22,7 +22,7 @@
     # Why it waits, or its result.
     reason: str
     # Epochs so far, newest last.
-    history: tuple[ledger.Move, ...] = ()
+    history: tuple[live_task.Move, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/entry/src/kcr_entry/work/reports.py
+++ b/packages/entry/src/kcr_entry/work/reports.py
@@ -7,6 +7,7 @@
 import typing
 
 from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import messages
 from kcr_core import placement
 from kcr_core import records
@@ -76,7 +77,7 @@
         self._report_current(event, task)
 
     def _report_current(
-        self, event: session.Received, task: ledger.Live
+        self, event: session.Received, task: live_task.Live
     ) -> None:
         msg, owner = event.msg, self.owner
         instance = event.hello.place.instance
@@ -102,7 +103,7 @@
             owner.places.settle(msg.task)
 
     def _make_moved(
-        self, task: ledger.Live, msg: messages.Evicted, instance: str
+        self, task: live_task.Live, msg: messages.Evicted, instance: str
     ) -> records.Moved:
         """Return the record of a task that has stopped for good."""
         owner = self.owner
--- a/packages/entry/src/kcr_entry/work/submissions.py
+++ b/packages/entry/src/kcr_entry/work/submissions.py
@@ -10,6 +10,7 @@
 
 from kcr_core import append_queue
 from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import outcomes
 from kcr_core import placement
 from kcr_core import quotas
@@ -103,7 +104,7 @@
             self._reply(question, self.describe(body.key))
 
     def _submit(self, question: ask.Ask, spec: types.TaskSpec) -> None:
-        key, digest = spec.key, ledger.digest_spec(spec)
+        key, digest = spec.key, live_task.digest_spec(spec)
         held = self._find_digest(key)
         if held is not None:
             self._reply(question, self._answer(key, held == digest))
@@ -270,10 +271,15 @@
             return task_outcomes.NoTask(key, self.owner.is_fresh())
         name, reason = self._infer_phase(key, task)
         return task_outcomes.TaskState(
-            key, name, task.epoch, task.home, reason, ledger.list_moves(task)
+            key,
+            name,
+            task.epoch,
+            task.home,
+            reason,
+            live_task.list_moves(task),
         )
 
-    def _infer_phase(self, key: str, task: ledger.Live) -> tuple[str, str]:
+    def _infer_phase(self, key: str, task: live_task.Live) -> tuple[str, str]:
         owner, home = self.owner, task.home
         if home is None:
             return 'parked', owner.mover.why.get(key, task.reason)
@@ -294,7 +300,7 @@
         if key in state.ended:
             return state.ended[key].digest
         task = state.live.get(key)
-        return None if task is None else ledger.digest_spec(task.spec)
+        return None if task is None else live_task.digest_spec(task.spec)
 
     def _answer(self, key: str, same: bool) -> typing.Any:
         if not same:
--- a/tests/core/test_homes_machine.py
+++ b/tests/core/test_homes_machine.py
@@ -14,6 +14,7 @@
 
 from kcr_core import fencing
 from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import records
 from kcr_core import types
 
@@ -204,7 +205,7 @@
                 self.now,
             )
             if isinstance(verdict, fencing.Adopt):
-                self.append(ledger.make_restated(task, verdict.home), how)
+                self.append(live_task.make_restated(task, verdict.home), how)
             elif isinstance(verdict, fencing.Leave):
                 target = self.sidecars[instance].home
                 item = fencing.choose_end(task, target, verdict.reason)
@@ -224,7 +225,7 @@
         if how == 'cancel':
             self.log.append(records.Cancelled(task.spec.key))
         else:
-            self.delayed.append(ledger.make_restated(task, task.home))
+            self.delayed.append(live_task.make_restated(task, task.home))
 
     @stateful.rule(
         number=ENTRIES,
