Check the task routes, the peers and a trimmed task stream

A hello with an address set the dial count before the address was dialed, and the directory alone told whether a session exists; a session that is being restarted is not in it, and starting it twice fails the supervisor's assertion.

--- a/packages/entry/src/kcr_entry/fleet/peers.py
+++ b/packages/entry/src/kcr_entry/fleet/peers.py
@@ -34,6 +34,7 @@
         # Revision of the document in force.
         self.revision = 0
         self._open: dict[str, messages.Hello] = {}
+        # Failed dials in a row of each dialed address.
         self._failed: dict[str, int] = {}
         self._asked_at: float | None = None
         self._seq = 0
@@ -74,8 +75,9 @@
             return
         self._open[event.session] = hello
         if hello.address:
-            self._failed[hello.address] = 0
-            self._learn((hello.address,))
+            self._dial(hello.address)
+            if hello.address in self._failed:
+                self._failed[hello.address] = 0
         self._publish()
         self._beat(event.session)
 
@@ -94,7 +96,9 @@
     @task.handles(session.DialFailed)
     def _on_dial_failed(self, event: session.DialFailed) -> None:
         target = event.target
-        self._failed[target] = self._failed.get(target, 0) + 1
+        if target not in self._failed:
+            return
+        self._failed[target] += 1
         learnt = target not in self.ctx.cfg.peers
         if learnt and self._failed[target] >= DIAL_TRIES:
             del self._failed[target]
@@ -108,7 +112,8 @@
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
         if isinstance(event.msg, messages.PeerHeartbeat):
-            self._learn(event.msg.entries)
+            for target in event.msg.entries:
+                self._dial(target)
 
     @task.handles(_Beat)
     def _on_beat(self, msg: _Beat) -> None:
@@ -133,23 +138,17 @@
         age_s = self.now() - self._asked_at
         return int(age_s * 1000) if age_s <= self.settings.isolation_s else -1
 
-    def _learn(self, targets: tuple[str, ...]) -> None:
-        for target in targets:
-            if target in self._mine:
-                continue
-            child = f'{addresses.PEER_SESSIONS}/{target}'
-            if child in self.ctx.directory.addresses():
-                continue
-            self._dial(target)
-
     def _dial(self, target: str) -> None:
-        if target in self._mine:
+        if target in self._mine or target in self._failed:
             return
-        known = len(self._failed)
-        if target not in self._failed and known >= PEERS_LIMIT:
+        if len(self._failed) >= PEERS_LIMIT:
             self.ctx.metrics.count('peer_refused')
             return
         self._failed[target] = 0
+        child = f'{addresses.PEER_SESSIONS}/{target}'
+        if child in self.ctx.directory.addresses():
+            # The session was started before this task was restarted.
+            return
         self.send(
             addresses.PEER_SESSIONS,
             supervisor.StartChild(make_spec(target)),
--- a/tests/entry/task_world.py
+++ b/tests/entry/task_world.py
@@ -37,14 +37,19 @@
 class Entry:
     """Hold the tasks of one entry that take part in durable tasks."""
 
-    def __init__(self, world: log_world.World, incarnation: str) -> None:
+    def __init__(
+        self,
+        world: log_world.World,
+        incarnation: str,
+        retention_s: float = 3600.0,
+    ) -> None:
         # World of the entry.
         self.world = world
         ctx = world.make_context(incarnation)
         cfg = std_types.SimpleNamespace(
             log='127.0.0.1:1',
             region='r1',
-            log_retention_s=3600.0,
+            log_retention_s=retention_s,
             listen=f'127.0.0.1:{incarnation}',
             peers=[],
         )
--- /dev/null
+++ b/tests/entry/test_peers.py
@@ -0,0 +1,108 @@
+"""Check which entries an entry dials and tells others about."""
+
+import types as std_types
+import typing
+
+import log_world
+import pytest
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry import events
+from kcr_entry.fleet import peers
+from kcr_runtime import supervisor
+from kcr_runtime import task
+from kcr_runtime.wire import session
+
+PLACE = types.Place('r1', 'z1', 'rack', 'e')
+
+
+class Fixture:
+    """Hold the task and the probes around it."""
+
+    def __init__(self, dialed: list[str]) -> None:
+        # World with a fake clock.
+        self.world = log_world.World()
+        ctx = self.world.make_context('me')
+        cfg = std_types.SimpleNamespace(
+            listen='127.0.0.1:1', region='r1', peers=dialed
+        )
+        self.ctx = task.Context(
+            ctx.reactor, ctx.directory, ctx.rng, cfg, ctx.metrics, 'me'
+        )
+        # Supervisor of the sessions.
+        self.sessions = log_world.Probe(self.ctx, addresses.PEER_SESSIONS)
+        # Task that hears of the peers.
+        self.tasks = log_world.Probe(self.ctx, addresses.TASKS)
+        self.ctx.directory.add(addresses.PEER_SESSIONS, self.sessions)
+        self.ctx.directory.add(addresses.TASKS, self.tasks)
+        self.world.start(peers.Peers(self.ctx, addresses.PEERS))
+        self.world.run(0.1)
+
+    def tell(self, event: typing.Any) -> None:
+        """Send an event to the task and let it be handled."""
+        assert self.ctx.directory.send(addresses.PEERS, event)
+        self.world.run(0.05)
+
+    def open(self, name: str, incarnation: str, address: str) -> None:
+        """Open a session with an entry."""
+        hello = messages.Hello(1, 'entry', 'e', incarnation, PLACE, address)
+        self.tell(session.Opened(name, hello))
+
+    def dialed(self) -> list[str]:
+        """Return the addresses that were dialed."""
+        started = self.sessions.of(supervisor.StartChild)
+        return [msg.spec.name for msg in started]
+
+    def stopped(self) -> list[str]:
+        """Return the sessions that were stopped."""
+        return [msg.name for msg in self.sessions.of(supervisor.StopChild)]
+
+    def view(self) -> events.PeersChanged:
+        """Return the newest view of the peers."""
+        found: events.PeersChanged = self.tasks.of(events.PeersChanged)[-1]
+        return found
+
+
+@pytest.fixture
+def fixture() -> Fixture:
+    """Return an entry with its own address and a peer in its settings."""
+    return Fixture(['127.0.0.1:1', '127.0.0.1:2'])
+
+
+def test_known_entries_are_dialed_once(fixture: Fixture) -> None:
+    """Guard against sessions to itself and doubled sessions."""
+    assert fixture.dialed() == ['127.0.0.1:2']
+    fixture.open('fleet/sessions/1', 'other', '127.0.0.1:3')
+    fixture.open('fleet/sessions/2', 'other', '127.0.0.1:3')
+    assert fixture.dialed() == ['127.0.0.1:2', '127.0.0.1:3']
+    assert [name for name, _ in fixture.view().sessions] == ['other']
+    assert fixture.view().addresses == ('127.0.0.1:1', '127.0.0.1:3')
+
+
+def test_session_with_itself_is_ended(fixture: Fixture) -> None:
+    """Guard against an entry that asks itself whether it hears a sidecar."""
+    fixture.open('fleet/peer_sessions/127.0.0.1:2', 'me', '127.0.0.1:2')
+    assert fixture.stopped() == ['127.0.0.1:2']
+    assert fixture.view().sessions == ()
+
+
+def test_dialed_addresses_are_bounded(fixture: Fixture) -> None:
+    """Guard against a peer that names entries without end."""
+    names = tuple(f'127.0.0.1:{port}' for port in range(100, 300))
+    beat = messages.PeerHeartbeat(1, 0, -1, names)
+    hello = messages.Hello(1, 'entry', 'e', 'x', PLACE)
+    fixture.tell(session.Received('fleet/sessions/1', hello, beat))
+    assert len(set(fixture.dialed())) == peers.PEERS_LIMIT
+
+
+def test_learnt_address_is_dropped_when_nobody_listens(
+    fixture: Fixture,
+) -> None:
+    """Guard against addresses of replaced entries that are kept for ever."""
+    fixture.open('fleet/sessions/1', 'other', '127.0.0.1:3')
+    for _ in range(peers.DIAL_TRIES):
+        fixture.tell(session.DialFailed('127.0.0.1:3', True))
+        fixture.tell(session.DialFailed('127.0.0.1:2', True))
+    assert fixture.stopped() == ['127.0.0.1:3']
--- /dev/null
+++ b/tests/entry/test_task_routes.py
@@ -0,0 +1,162 @@
+"""Check the HTTP interface of tasks against canned answers."""
+
+import json
+import typing
+
+import klein
+import pytest
+from treq import testing
+from twisted.internet import defer
+from twisted.web import client
+from twisted.web import iweb
+
+from kcr_core import live_task
+from kcr_core import outcomes
+from kcr_core import task_outcomes
+from kcr_core import types
+from kcr_entry.front import task_routes
+from kcr_entry.work import submissions
+
+HOME = types.Home('i', 'i-1', 1)
+STATE = task_outcomes.TaskState(
+    'c/t', 'running', 2, HOME, '', (live_task.Move(2, HOME, 'lost'),)
+)
+BODY = {
+    'id': 't',
+    'caller': 'c',
+    'team': 'x',
+    'kind': 'k',
+    'demand': {'processors': 1.5, 'memory_mb': 10, 'accelerators': 1},
+    'urgent': True,
+    'run_s': 3.5,
+    'job': 'j',
+    'payload': 'p',
+}
+
+
+class Front:
+    """Serve the routes with one canned answer."""
+
+    def __init__(self, answer: typing.Any) -> None:
+        # Questions that were asked.
+        self.asked: list[typing.Any] = []
+        self._answer = answer
+        app = klein.Klein()
+        task_routes.TaskRoutes(self._ask).add(app)
+        make_agent: typing.Any = testing.StubTreq
+        self._treq = make_agent(app.resource())
+
+    def _ask(self, address: str, body: typing.Any) -> typing.Any:
+        assert address == 'work/tasks'
+        self.asked.append(body)
+        return defer.succeed(self._answer)
+
+    def call(
+        self, method: str, path: str, body: str | None = None
+    ) -> tuple[int, typing.Any]:
+        """Return the status and the decoded body of a response."""
+        data = None if body is None else body.encode()
+        found: list[iweb.IResponse] = []
+        texts: list[bytes] = []
+        url = f'http://127.0.0.1{path}'
+        fut = self._treq.request(method, url, data=data)
+        fut.addCallback(found.append)
+        self._treq.flush()
+        read: typing.Any = client.readBody(found[0])
+        read.addCallback(texts.append)
+        self._treq.flush()
+        return found[0].code, json.loads(texts[0])
+
+
+def test_task_is_converted_to_a_data_class() -> None:
+    """Guard against a field that is lost on the way in."""
+    front = Front(task_outcomes.Accepted(STATE))
+    status, answer = front.call('POST', '/v1/tasks', json.dumps(BODY))
+    assert status == 200
+    assert answer['outcome'] == 'accepted'
+    assert answer['moves'] == [{'epoch': 2, 'home': 'i', 'reason': 'lost'}]
+    demand = types.Demand(1.5, 10.0, 1)
+    spec = types.TaskSpec(
+        't', 'c', 'x', 'k', demand, True, True, 3.5, 'j', 'p'
+    )
+    assert front.asked == [submissions.Submit(spec)]
+
+
+@pytest.mark.parametrize(
+    ('answer', 'status', 'outcome'),
+    [
+        (task_outcomes.Rejected('why'), 422, 'rejected'),
+        (task_outcomes.NotAccepted('why'), 503, 'not_accepted'),
+        (outcomes.NotRun('why'), 503, 'not_accepted'),
+        (task_outcomes.Uncertain('why'), 504, 'unknown'),
+        (task_outcomes.Conflict('c/t'), 409, 'conflict'),
+    ],
+)
+def test_each_outcome_has_its_status(
+    answer: typing.Any, status: int, outcome: str
+) -> None:
+    """Guard against a caller that takes a refusal for an acceptance."""
+    found = Front(answer).call('POST', '/v1/tasks', json.dumps(BODY))
+    assert found[0] == status
+    assert found[1]['outcome'] == outcome
+    assert found[1]['reason']
+
+
+@pytest.mark.parametrize(
+    ('change', 'field'),
+    [
+        ({'id': 'a/b'}, 'id'),
+        ({'caller': ''}, 'caller'),
+        ({'demand': {'processors': -1}}, 'demand.processors'),
+        ({'demand': {'accelerators': 1.5}}, 'demand.accelerators'),
+        ({'payload': 'x' * 5000}, 'payload'),
+        ({'urgnt': True}, 'urgnt'),
+    ],
+)
+def test_bad_field_is_named(change: dict[str, typing.Any], field: str) -> None:
+    """Guard against bad input that is accepted or refused without a name."""
+    front = Front(None)
+    text = json.dumps({**BODY, **change})
+    status, answer = front.call('POST', '/v1/tasks', text)
+    assert status == 400
+    assert answer['error'].startswith(field)
+    assert front.asked == []
+
+
+@pytest.mark.parametrize(
+    ('method', 'answer', 'status', 'part'),
+    [
+        ('GET', STATE, 200, ('state', 'running')),
+        ('GET', task_outcomes.NoTask('c/t', True), 404, None),
+        ('GET', task_outcomes.NoTask('c/t', False), 503, None),
+        ('DELETE', STATE, 200, ('outcome', 'ended')),
+        ('DELETE', task_outcomes.NoTask('c/t', True), 404, None),
+        (
+            'DELETE',
+            task_outcomes.TaskState('c/t', 'cancelled', 2, None, ''),
+            200,
+            ('outcome', 'cancelled'),
+        ),
+        (
+            'DELETE',
+            task_outcomes.NotAccepted('why'),
+            503,
+            ('outcome', 'not_cancelled'),
+        ),
+        ('DELETE', task_outcomes.Uncertain('y'), 504, ('outcome', 'unknown')),
+    ],
+)
+def test_state_and_cancel(
+    method: str,
+    answer: typing.Any,
+    status: int,
+    part: tuple[str, str] | None,
+) -> None:
+    """Guard against an untrue answer about a known or missing task."""
+    front = Front(answer)
+    found = front.call(method, '/v1/tasks/c/t')
+    assert found[0] == status
+    if part is not None:
+        assert found[1][part[0]] == part[1]
+    cls = submissions.Get if method == 'GET' else submissions.Cancel
+    assert front.asked == [cls('c/t')]
--- a/tests/entry/test_tasks.py
+++ b/tests/entry/test_tasks.py
@@ -11,6 +11,7 @@
 from kcr_entry import addresses
 from kcr_entry import events
 from kcr_entry.work import submissions
+from kcr_entry.work import tasks
 
 
 @pytest.fixture
@@ -337,3 +338,46 @@
     entry.ctx.directory.send(addresses.TASKS, read)
     world.run(0.2)
     assert sidecar.got(messages.Assign)[-1].epoch == 4
+
+
+def test_new_entry_reads_live_tasks_after_the_first_records_are_gone(
+    world: log_world.World,
+) -> None:
+    """Guard against a live task that no kept record holds any more."""
+    first = task_world.Entry(world, '1', retention_s=60.0)
+    world.run(1.5)
+    sidecar = task_world.Sidecar(first, 'i')
+    first.submit('s', task_world.make_spec('t'))
+    first.submit('u', task_world.make_spec('u'))
+    world.run(1.0)
+    done = messages.Finished('c/u', 1, 'done')
+    sidecar.report(addresses.TASKS, done)
+    world.run(1.0)
+    stream = world.log.streams[task_world.STREAM]
+    written = stream.last
+    # The Unix clock does not move here, so the records are made older.
+    first.tasks.state.live['c/t'].written_ms -= 45_000
+    world.run(6.0)
+    assert stream.last == written + 1
+    stream.trim(written + 1)
+    second = task_world.Entry(world, '2', retention_s=60.0)
+    world.run(2.5)
+    assert task_world.read_tasks(second) == {'c/t': 1}
+    assert second.tasks.caught_up
+
+
+def test_owner_that_was_restarted_reads_the_stream_again(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against a restart that loses the live tasks."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    entry.tasks.end()
+    entry.tasks = tasks.Tasks(entry.ctx, addresses.TASKS)
+    entry.tasks.begin()
+    world.run(0.5)
+    assert task_world.read_tasks(entry) == {'c/t': 1}
+    sidecar.beat()
+    world.run(2.0)
+    assert entry.tasks.caught_up
