Follow a long fence by a short one, and repeat stops at connection

An entry that never met a sidecar could write the fence with the wait of an hour first, and the entry that knew the sidecar wrote none after it. A stop that was sent while no session was open was lost, although the sidecar could hold the assignment still. 118 tests pass.

--- a/packages/core/src/kcr_core/fencing.py
+++ b/packages/core/src/kcr_core/fencing.py
@@ -82,15 +82,17 @@
     def step(
         self,
         homes: abc.Collection[Name],
-        fenced: abc.Container[Name],
+        waits: abc.Mapping[Name, float],
         peers: abc.Collection[str],
         fresh: bool,
         now: float,
     ) -> list[Action]:
         """Return the questions and fences that are due.
 
-        `homes` are the incarnations that live tasks name; `fresh` tells
-        whether the view of the log is.
+        `homes` are the incarnations that live tasks name, `waits` those of
+        the fences in the log; `fresh` tells whether the view of the log is.
+        A fence with a long wait is followed by one with a short wait from an
+        entry that knew the sidecar.
         """
         self._forget(homes)
         actions: list[Action] = []
@@ -99,7 +101,9 @@
             last = self.heard.get(name, since)
             silent = now - last >= self.settings.failure_timeout_s
             held = now < self.vouched.get(name, now)
-            if name in fenced or not silent or held or not fresh:
+            wait = self.infer_wait(name)
+            fenced = name in waits and waits[name] <= wait
+            if fenced or not silent or held or not fresh:
                 self._queries.pop(name, None)
                 continue
             if now < self.fences_from:
--- a/packages/core/src/kcr_core/ledger.py
+++ b/packages/core/src/kcr_core/ledger.py
@@ -248,6 +248,8 @@
             # Each record allows moves after its own wait, so the earliest
             # end counts.
             held.movable_at = min(held.movable_at, movable_at)
+            if item.wait_s < held.record.wait_s:
+                held.record = item
             held.written_ms = self._written(now_ms)
             return Change('fenced')
         self.fences[name] = live_task.Fence(
--- a/packages/core/src/kcr_core/task_dispatch.py
+++ b/packages/core/src/kcr_core/task_dispatch.py
@@ -8,6 +8,10 @@
 
 # Messages that a session is given in one tick; a connection holds 256.
 TICK_MESSAGES = 64
+# Stops that are remembered for a sidecar that connects again, and instances
+# for which they are; the sidecar's lost authority covers what is dropped.
+STOPS_LIMIT = 64
+STOPPED_LIMIT = 10_000
 
 Order = messages.Assign | messages.StopTask
 
@@ -34,6 +38,9 @@
         self.state = state
         # Lines by instance.
         self.lines: dict[str, Line] = {}
+        # Epochs to stop by instance and key, oldest first. A sidecar that was
+        # away may still hold an assignment that it has not started.
+        self._stops: dict[str, dict[str, int]] = {}
 
     def connect(
         self,
@@ -47,6 +54,7 @@
         self.lines[instance] = line
         for key in self.state.at.get(instance, {}):
             self._assign(line, key)
+        line.stop.update(self._stops.get(instance, {}))
         for key, epoch in running:
             if self._is_over(key, epoch):
                 line.stop[key] = epoch
@@ -63,16 +71,27 @@
         over = change.effect in ('moved', 'cancelled')
         task = self.state.live.get(change.key)
         home = task.home if task is not None else None
-        if over and before is not None and before.instance in self.lines:
-            # The same instance starts a later epoch only if none runs.
+        # The same instance starts a later epoch only if none runs.
+        if over and before is not None:
             if home is None or home.instance != before.instance:
-                self.lines[before.instance].stop[change.key] = change.epoch
+                self._stop(before.instance, change.key, change.epoch)
         if task is None or task.home is None:
             return
         line = self.lines.get(task.home.instance)
         if line is not None and change.effect != 'restated':
             self._assign(line, change.key)
 
+    def _stop(self, instance: str, key: str, epoch: int) -> None:
+        held = self._stops.setdefault(instance, {})
+        held[key] = epoch
+        if len(held) > STOPS_LIMIT:
+            del held[next(iter(held))]
+        if len(self._stops) > STOPPED_LIMIT:
+            del self._stops[next(iter(self._stops))]
+        line = self.lines.get(instance)
+        if line is not None:
+            line.stop[key] = epoch
+
     def again(self, session: str, order: Order) -> None:
         """Queue an order again that the session did not take."""
         for line in self.lines.values():
--- a/packages/entry/src/kcr_entry/events.py
+++ b/packages/entry/src/kcr_entry/events.py
@@ -1,5 +1,6 @@
 """Define the messages between the parts of an entry."""
 
+from collections import abc
 import dataclasses
 import typing
 
@@ -161,8 +162,8 @@
 
     # Homes by instance and incarnation.
     homes: frozenset[tuple[str, str]]
-    # Fenced sidecars by instance and incarnation.
-    fenced: frozenset[tuple[str, str]]
+    # Waits of the fenced sidecars by instance and incarnation, in seconds.
+    waits: abc.Mapping[tuple[str, str], float]
     # Whether the view of the log is fresh.
     fresh: bool
 
--- a/packages/entry/src/kcr_entry/work/fences.py
+++ b/packages/entry/src/kcr_entry/work/fences.py
@@ -26,7 +26,7 @@
         # Settings of the document in force.
         self.settings = types.ControlSettings()
         self._watch = fencing.Watch(self.settings, self.now())
-        self._view = events.HomesChanged(frozenset(), frozenset(), False)
+        self._view = events.HomesChanged(frozenset(), {}, False)
         self._peers: dict[str, str] = {}
 
     def started(self) -> None:
@@ -76,7 +76,7 @@
         self.after(STEP_S, _Step())
         view = self._view
         for action in self._watch.step(
-            view.homes, view.fenced, self._peers, view.fresh, self.now()
+            view.homes, view.waits, self._peers, view.fresh, self.now()
         ):
             if isinstance(action, fencing.AskPeers):
                 self._ask(action)
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -313,7 +313,7 @@
     def _on_fence_due(self, event: events.FenceDue) -> None:
         item = event.item
         name = (item.instance, item.incarnation)
-        if not self.is_fresh() or name in self.state.fences:
+        if not self.is_fresh():
             return
         if self.append('/'.join(name), item, urgent=True):
             self.log.warning(
@@ -352,9 +352,12 @@
         many = len(self.state.parked) > MANY_PARKED
         self.after(LONG_LOOK_S if many else LOOK_S, _Look())
         homes_now = frozenset(self.state.homes)
-        fenced = frozenset(self.state.fences)
+        waits = {
+            name: fence.record.wait_s
+            for name, fence in self.state.fences.items()
+        }
         fresh = self.is_fresh()
-        view = events.HomesChanged(homes_now, fenced, fresh)
+        view = events.HomesChanged(homes_now, waits, fresh)
         self.send(addresses.FENCES, view)
         if not fresh:
             return
--- a/tests/core/test_fencing.py
+++ b/tests/core/test_fencing.py
@@ -15,10 +15,11 @@
     now: float,
     peers: tuple[str, ...] = (),
     fresh: bool = True,
-    fenced: frozenset[fencing.Name] = frozenset(),
+    wait_s: float | None = None,
 ) -> list[fencing.Action]:
     """Return what the watch asks for at `now`."""
-    return watch.step(HOMES, fenced, peers, fresh, now)
+    waits = {} if wait_s is None else {NAME: wait_s}
+    return watch.step(HOMES, waits, peers, fresh, now)
 
 
 def test_new_entry_waits_before_it_fences() -> None:
@@ -35,7 +36,10 @@
     watch.hear(NAME, 20.0)
     assert step(watch, 24.9) == []
     assert step(watch, 25.0) == [records.Fenced('i', 'a', 17.0)]
-    assert step(watch, 26.0, fenced=HOMES) == []
+    assert step(watch, 26.0, wait_s=17.0) == []
+    # An entry that did not know the sidecar was first with a long wait.
+    fence = [records.Fenced('i', 'a', 17.0)]
+    assert step(watch, 26.0, wait_s=3607.0) == fence
 
 
 def test_stale_view_fences_nothing() -> None:
--- a/tests/entry/test_tasks.py
+++ b/tests/entry/test_tasks.py
@@ -227,6 +227,22 @@
     assert messages.StopTask('c/t', 1) in sidecar.got(messages.StopTask)
 
 
+def test_sidecar_that_was_away_hears_of_the_cancellation(
+    world: log_world.World, entry: task_world.Entry
+) -> None:
+    """Guard against a cancelled task that a sidecar starts later."""
+    sidecar = task_world.Sidecar(entry, 'i')
+    entry.submit('s', task_world.make_spec('t'))
+    world.run(1.0)
+    sidecar.close()
+    entry.ask('x', submissions.Cancel('c/t'))
+    world.run(1.0)
+    again = task_world.Sidecar(entry, 'i')
+    world.run(0.1)
+    assert again.got(messages.StopTask) == [messages.StopTask('c/t', 1)]
+    assert again.got(messages.Assign) == []
+
+
 def test_tasks_are_assigned_again_while_the_log_is_down(
     world: log_world.World, entry: task_world.Entry
 ) -> None:
