--- a/packages/document/src/kcr_document/models.py
+++ b/packages/document/src/kcr_document/models.py
@@ -191,7 +191,7 @@
     """Choose policies by their names in the registries."""
 
     endpoint: str = pydantic.Field(
-        'two_choices', description='endpoint choice policy', max_length=64
+        'least_cost', description='endpoint choice policy', max_length=64
     )
     placement: str = pydantic.Field(
         'spread', description='placement policy', max_length=64
--- a/packages/entry/src/kcr_entry/events.py
+++ b/packages/entry/src/kcr_entry/events.py
@@ -1,5 +1,6 @@
 """Define the messages between the parts of an entry."""
 
+from collections import abc
 import dataclasses
 import typing
 
@@ -130,6 +131,14 @@
         return self.place.instance, self.incarnation
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointForgotten:
+    """Report that an instance was gone for so long that it is dropped."""
+
+    # Name of the instance.
+    instance: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeersChanged:
     """Report the other entries of the region that are connected."""
@@ -161,8 +170,8 @@
 
     # Homes by instance and incarnation.
     homes: frozenset[tuple[str, str]]
-    # Fenced sidecars by instance and incarnation.
-    fenced: frozenset[tuple[str, str]]
+    # Waits of the fenced sidecars by instance and incarnation, in seconds.
+    waits: abc.Mapping[tuple[str, str], float]
     # Whether the view of the log is fresh.
     fresh: bool
 
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -12,6 +12,10 @@
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
+# Time after which an instance that is gone is dropped, in seconds. 770
+# instances are replaced a day, so about 32 are kept after they are gone.
+FORGET_S = 3600.0
+
 
 # Largest time between looks at the attempts that wait for a grant, in seconds.
 LOOK_S = 0.05
@@ -241,6 +245,11 @@
             phase = self._view.phase(endpoint, now)
             if self._phases.get(instance) != phase:
                 self._publish(endpoint.session, instance)
+            if phase == 'gone' and now - endpoint.heard_at > FORGET_S:
+                self._view.forget(instance)
+                self._phases.pop(instance, None)
+                event = events.EndpointForgotten(instance)
+                self.send(addresses.TASKS, event)
 
     @task.handles(events.LogRead)
     @task.handles(events.LogGap)
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -88,7 +88,7 @@
         add(self._app, 'GET', '/healthz', self._get_health)
         add(self._app, 'GET', '/v1/dump', self._get_dump)
         add(self._app, 'POST', '/v1/requests', self._post_request)
-        task_routes.TaskRoutes(self._ask).add(self._app)
+        task_routes.TaskRoutes(self._ask_open).add(self._app)
         operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
 
     @task.handles(Drain)
@@ -137,6 +137,14 @@
         self._questions.pop(token, None)
         return outcomes.Unknown('the entry lost track of the request')
 
+    async def _ask_open(self, address: str, body: typing.Any) -> typing.Any:
+        """Ask, and keep a draining entry up until the answer is there."""
+        self._open_requests += 1
+        try:
+            return await self._ask(address, body)
+        finally:
+            self._open_requests -= 1
+
     def _get_health(self, req: iweb.IRequest) -> bytes:
         if self._draining:
             return replies.respond(req, 503, {'status': 'draining'})
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -1,6 +1,7 @@
 """Check the choice of homes and the quotas of teams."""
 
 import pathlib
+import random
 import typing
 
 import pytest
@@ -40,7 +41,7 @@
 def make_homes(case: dict[str, typing.Any]) -> homes.Homes:
     """Return the instances of a case with the tasks of its job."""
     state = ledger.Ledger()
-    places = homes.Homes(state)
+    places = homes.Homes(state, random.Random(1))
     for name, room in case['rooms'].items():
         places.offer(make_offer(name, room))
     for name, count in case.get('job', {}).items():
@@ -57,13 +58,13 @@
 def test_home_is_chosen_by_policy(case: dict[str, typing.Any]) -> None:
     """Guard against a wrong home and against an untrue reason."""
     places = make_homes(case)
-    demand = parse_demand(case['demand'])
-    spec = types.TaskSpec('t', 'c', 'x', 'k', demand, job='j')
-    policy = placement.POLICIES.get(case['policy'])
+    name, text, *home = case['choose'].split()
+    spec = types.TaskSpec('t', 'c', 'x', 'k', parse_demand(text), job='j')
+    policy = placement.POLICIES.get(name)
     choice = places.choose(policy, spec, 100.0)
-    if 'home' in case:
+    if home:
         assert isinstance(choice, placement.Placed)
-        assert choice.home.instance == case['home']
+        assert choice.home.instance == home[0]
     elif 'waits' in case:
         assert isinstance(choice, placement.NoRoom)
         assert case['waits'] in choice.reason
