--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -4,6 +4,7 @@
 records; only what was read back from the log changes the state.
 """
 
+import dataclasses
 import time
 import typing
 
@@ -33,6 +34,10 @@
 COLLECT_S = 0.01
 # Time between two looks at parked and lost tasks, in seconds.
 LOOK_S = 0.25
+# The same while more tasks are parked than this: they are sorted each time,
+# and urgent work may still start within 2.6 s.
+LONG_LOOK_S = 1.0
+MANY_PARKED = 5000
 # Time between two looks for records to write again, in seconds.
 RESTATE_S = 5.0
 # Time between two batches of orders to the sidecars, in seconds.
@@ -71,7 +76,7 @@
         # The live tasks.
         self.state = ledger.Ledger()
         # Instances that can be homes.
-        self.places = homes.Homes(self.state)
+        self.places = homes.Homes(self.state, ctx.rng)
         # Which entry goes first.
         self.turns = turns.Turns(ctx.incarnation)
         # Finds the tasks that need another home.
@@ -146,8 +151,18 @@
 
     @task.handles(events.SettingsInForce)
     def _on_settings(self, event: events.SettingsInForce) -> None:
-        self.settings = event.settings
         self.quotas = dict(event.quotas)
+        for target in (addresses.FENCES, addresses.PEERS):
+            self.send(target, event)
+        wanted = event.settings.placement_policy
+        if wanted not in placement.POLICIES.names():
+            held = self.settings.placement_policy
+            self.log.error('placement policy not known', name=wanted)
+            self.settings = dataclasses.replace(
+                event.settings, placement_policy=held
+            )
+            return
+        self.settings = event.settings
 
     @task.handles(events.PeersChanged)
     def _on_peers(self, event: events.PeersChanged) -> None:
@@ -163,6 +178,7 @@
     def _restart(self, position: int) -> None:
         """Drop the live tasks and take the stream from a position."""
         self.state.reset()
+        self.places.reset()
         self.orders.lines.clear()
         self.caught_up = False
         self.asked_at = None
@@ -242,15 +258,22 @@
         ):
             self._connect(event)
 
+    @task.handles(events.EndpointForgotten)
+    def _on_forgotten(self, event: events.EndpointForgotten) -> None:
+        self._seen.pop(event.instance, None)
+        self.places.forget(event.instance)
+
     def _connect(self, event: events.EndpointSeen) -> None:
         if event.phase == 'gone':
             return
         self.mover.watched.add(event.place.instance)
+        running = offers.list_running(event)
+        self.reports.count_unknown(running)
         self.orders.connect(
             event.place.instance,
             event.incarnation,
             event.session,
-            offers.list_running(event),
+            running,
         )
         self._start_orders()
 
@@ -297,7 +320,7 @@
     def _on_fence_due(self, event: events.FenceDue) -> None:
         item = event.item
         name = (item.instance, item.incarnation)
-        if not self.is_fresh() or name in self.state.fences:
+        if not self.is_fresh():
             return
         if self.append('/'.join(name), item, urgent=True):
             self.log.warning(
@@ -333,11 +356,15 @@
 
     @task.handles(_Look)
     def _on_look(self, msg: _Look) -> None:
-        self.after(LOOK_S, _Look())
+        many = len(self.state.parked) > MANY_PARKED
+        self.after(LONG_LOOK_S if many else LOOK_S, _Look())
         homes_now = frozenset(self.state.homes)
-        fenced = frozenset(self.state.fences)
+        waits = {
+            name: fence.record.wait_s
+            for name, fence in self.state.fences.items()
+        }
         fresh = self.is_fresh()
-        view = events.HomesChanged(homes_now, fenced, fresh)
+        view = events.HomesChanged(homes_now, waits, fresh)
         self.send(addresses.FENCES, view)
         if not fresh:
             return
