Keep a claim when a later use of its id is released

An id may be used again after its window. The claim of that later use replaced the earlier claim in the table; when it was released, nothing held for the request, and a late submission with a time of issue inside the first window could be sent a second time. The table now keeps the earlier claims of a request (four at most; beyond, the floor rises) and restores them.

The focused test fails without the change:

E assert (None is not None) FAILED test_release_of_a_later_use_of_the_id_restores_the_earlier_claim 1 failed, 17 passed

--- a/packages/core/src/kcr_core/claims.py
+++ b/packages/core/src/kcr_core/claims.py
@@ -18,6 +18,8 @@
 # Share of the table at which this process makes no new claims, so that the
 # claims of other processes still fit.
 FULL_SHARE = 0.9
+# Older claims that are remembered per request.
+MAX_OLDER = 4
 # Released claims that are remembered per request.
 MAX_RELEASED = 8
 
@@ -58,6 +60,9 @@
     # Entries and names of released claims, so that a late repeat of such a
     # claim does not count.
     released: tuple[tuple[str, str], ...] = ()
+    # Claims whose window has passed for the claim in force, oldest first.
+    # When that one is released, they still hold for older times of issue.
+    older: tuple[Claim, ...] = ()
 
 
 class Table:
@@ -129,22 +134,30 @@
         # Few entries make all claims, so their names are shared.
         entry = sys.intern(item.entry)
         claim = Claim(item.token, entry, item.digest, until)
-        released = slot.released if slot else ()
-        self._put(item.request, _Slot(claim, until, released))
+        if slot is None:
+            self._put(item.request, _Slot(claim, until))
+            return
+        older = slot.older
+        if slot.claim is not None:
+            older = (*older, slot.claim)
+        if len(older) > MAX_OLDER:
+            self.floor_ms = max(self.floor_ms, older[0].until_ms)
+            older = older[1:]
+        self._put(item.request, _Slot(claim, until, slot.released, older))
 
     def _apply_released(self, item: records.Released) -> None:
         slot = self._slots.get(item.request)
         if slot is None:
             slot = _Slot(None, item.until_ms)
-        claim = slot.claim
         name = (item.entry, item.token)
-        if claim is not None and (claim.entry, claim.token) == name:
-            claim = None
+        held = (*slot.older, slot.claim) if slot.claim else slot.older
+        left = [c for c in held if (c.entry, c.token) != name]
         released = slot.released
         if name not in released:
             released = (*released, name)[-MAX_RELEASED:]
         until = max(slot.until_ms, item.until_ms)
-        self._put(item.request, _Slot(claim, until, released))
+        claim = left.pop() if left else None
+        self._put(item.request, _Slot(claim, until, released, tuple(left)))
 
     def _put(self, request: str, slot: _Slot) -> None:
         held = self._slots.get(request)
--- a/tests/core/test_claims.py
+++ b/tests/core/test_claims.py
@@ -303,6 +303,19 @@
     assert two.table.holder('c/1') is None
 
 
+def test_release_of_a_later_use_of_the_id_restores_the_earlier_claim() -> None:
+    """Guard against a second run after the id was claimed for a later use."""
+    table = claims.Table()
+    issued = 1_000_000
+    later = issued + WINDOW_MS + 1
+    table.apply(records.Claimed('c/1', 'd', 'a', issued, 'a:1'))
+    table.apply(records.Claimed('c/1', 'd', 'b', later, 'b:1'))
+    table.apply(records.Released('c/1', 'b', 'b:1'))
+    blocking = table.blocking('c/1', issued + WINDOW_MS)
+    assert blocking is not None and blocking.token == 'a:1'
+    assert table.blocking('c/1', later) is None
+
+
 def test_other_content_is_a_conflict() -> None:
     """Guard against running an id with other content."""
     one, two = make_pair()
