--- a/packages/core/src/kcr_core/claims.py
+++ b/packages/core/src/kcr_core/claims.py
@@ -12,7 +12,7 @@
 
 from kcr_core import records
 
-# Requests whose claims are remembered. A claim takes about 630 bytes, and is
+# Requests whose claims are remembered. A claim takes about 640 bytes, and is
 # kept for twice the dedupe window.
 MAX_REQUESTS = 30_000
 # Share of the table at which this process makes no new claims, so that the
