Add the pure decisions of a task's home

Cause: the sidecar had no authority, reservations or task states. Authority, sizes, ledger and the state machine of tasks are pure and take now.

A randomised machine runs two homes, their workers, the log and an entry with late, lost and repeated messages, restarts, pauses and fences. It found two faults while it was written: a cancellation before the worker's list was read was reported as stopped although the worker ran the task, and a start command on its way at the loss of authority was not barred by a new controller epoch. Both are corrected.

--- /dev/null
+++ b/packages/core/src/kcr_core/authority.py
@@ -0,0 +1,97 @@
+"""Decide whether a sidecar may run tasks.
+
+Entries confirm the authority by answering heartbeats. All times are on the
+monotonic clock of the sidecar.
+"""
+
+import dataclasses
+
+from kcr_core import types
+
+# Entry processes that are remembered; the sidecar dials no more addresses.
+MAX_ENTRIES = 64
+# An `until` that lies before every time.
+NEVER = float('-inf')
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    # Incarnation of the entry process.
+    incarnation: str
+    # Time from which its last vouch counts.
+    vouched_at: float = NEVER
+
+
+class Authority:
+    """Hold the vouches that the sidecar got."""
+
+    def __init__(self, settings: types.ControlSettings) -> None:
+        # Settings of the document in force.
+        self.settings = settings
+        # Whether the log holds a fence for this incarnation.
+        self.fenced = False
+        # Time from which the last vouch with a fresh log view counts.
+        self.fresh_at = NEVER
+        self._entries: dict[str, _Entry] = {}
+
+    def opened(self, target: str, incarnation: str) -> bool:
+        """Note the process at an address; return False at the bound.
+
+        A new process at an address proves that the older one there is dead.
+        """
+        held = self._entries.get(target)
+        if held is not None and held.incarnation == incarnation:
+            return True
+        if held is None and len(self._entries) >= MAX_ENTRIES:
+            return False
+        self._entries[target] = _Entry(incarnation)
+        return True
+
+    def refused(self, target: str) -> None:
+        """Drop the process at an address that refuses connections."""
+        self._entries.pop(target, None)
+
+    def vouched(
+        self,
+        target: str,
+        incarnation: str,
+        sent_at: float,
+        log_age_ms: int,
+        fenced: bool,
+    ) -> None:
+        """Take the answer to the heartbeat that was sent at `sent_at`."""
+        if fenced:
+            self.fenced = True
+            return
+        counted = sent_at - max(0, log_age_ms) / 1000.0
+        if log_age_ms >= 0:
+            self.fresh_at = max(self.fresh_at, counted)
+        entry = self._entries.get(target)
+        if entry is not None and entry.incarnation == incarnation:
+            entry.vouched_at = max(entry.vouched_at, counted)
+
+    def until(self) -> float:
+        """Return the time at which the authority ends without new vouches.
+
+        An incarnation that never had a vouch with a fresh view has no
+        outage limit to count from, and so no authority.
+        """
+        if self.fenced:
+            return NEVER
+        fresh = self.fresh_at + self.settings.isolation_s
+        if not self._entries:
+            return fresh
+        oldest = min(entry.vouched_at for entry in self._entries.values())
+        everyone = min(
+            oldest + self.settings.isolation_s,
+            self.fresh_at + self.settings.outage_s,
+        )
+        return max(fresh, everyone)
+
+    def is_authorized(self, now: float) -> bool:
+        """Tell whether tasks may run at `now`."""
+        return now < self.until()
+
+    def known(self) -> tuple[str, ...]:
+        """Return the addresses of the known entry processes."""
+        return tuple(sorted(self._entries))
--- /dev/null
+++ b/packages/core/src/kcr_core/task_control.py
@@ -0,0 +1,212 @@
+"""Take the worker's answers into the state of the tasks at their home.
+
+Nothing is assumed about a command without an answer; the worker's list
+tells, and only a list that was asked after the command was settled.
+"""
+
+import typing
+
+from kcr_core import resources
+from kcr_core import room
+from kcr_core import task_actions as actions
+from kcr_core import task_held
+from kcr_core import task_home
+from kcr_core import types
+
+Phase = task_held.Phase
+
+
+class Control(task_home.Home):
+    """Own the tasks, the reservations and the view of the worker."""
+
+    def begin(self, controller_epoch: int, now: float) -> None:
+        """Ask for the list after the controller lease was taken."""
+        self.controller_epoch = controller_epoch
+        self._list_open = True
+        self._list_asked_at = now
+        self._out.append(actions.AskList(self._next_mark(), False))
+
+    def listed(self, listing: actions.Listing, now: float) -> None:
+        """Take the worker's list; the first one rebuilds the state."""
+        self._list_open = False
+        self.controller_epoch = max(
+            self.controller_epoch, listing.controller_epoch
+        )
+        found = {task.holder: task for task in listing.tasks}
+        for task in listing.tasks:
+            self._take_listed(task, now)
+        for holder, held in list(self.tasks.items()):
+            if holder not in found and held.is_alive():
+                self._take_absent(held, listing, now)
+        self.ready = True
+        for msg in self._early_stops.values():
+            self.stop_task(msg, now)
+        self._early_stops.clear()
+        self.tick(now)
+
+    def _take_listed(self, task: actions.WorkerTask, now: float) -> None:
+        held = self.tasks.get(task.holder)
+        if held is None and task.holder in self.ended:
+            # The command to forget it was lost, or the list is older.
+            if task.state != 'running':
+                self._out.append(actions.Forget(task.holder))
+            return
+        if held is None or held.phase is Phase.WAITING:
+            held = self._adopt(task, now)
+        if held.phase is Phase.ENDED:
+            return
+        if task.state != 'running':
+            self._conclude(held, task, now)
+        elif held.phase is Phase.STARTING:
+            self._confirm_start(held, now)
+
+    def _adopt(self, task: actions.WorkerTask, now: float) -> task_held.Held:
+        held = task_held.Held(task.spec, task.epoch, task.checkpoint, now)
+        held.phase = Phase.RUNNING
+        held.started_at = held.renewed_at = now
+        held.renewed_at -= self.settings.task_lease_s
+        held.mark = self._next_mark()
+        self.tasks[task.holder] = held
+        self.ended.note(task.holder)
+        self.counts['adopted'] += 1
+        for other in self._other_epochs(held):
+            if other.epoch < held.epoch:
+                self.evict(other.holder, 'a newer epoch runs', now)
+        if task.state == 'running':
+            self.ledger.adopt(task.holder, task.reserved)
+            self._relieve(now)
+        return held
+
+    def _take_absent(
+        self, held: task_held.Held, listing: actions.Listing, now: float
+    ) -> None:
+        if held.phase is Phase.STARTING:
+            if held.unsure and listing.controller_epoch > held.sent_epoch:
+                self._not_started(held, now)
+            return
+        if held.mark < listing.mark:
+            self._conclude(held, None, now)
+
+    def start_answered(
+        self,
+        holder: resources.Holder,
+        result: actions.StartResult,
+        now: float,
+    ) -> None:
+        """Take the answer to a start; `refused` proves it had no effect."""
+        held = self.tasks.get(holder)
+        if held is None or held.phase is not Phase.STARTING:
+            return
+        if result == 'started':
+            self._confirm_start(held, now)
+        elif result == 'refused':
+            self._not_started(held, now)
+        else:
+            held.unsure = True
+            self.counts['start_unsure'] += 1
+        self._admit(now)
+
+    def _confirm_start(self, held: task_held.Held, now: float) -> None:
+        held.phase = Phase.RUNNING
+        held.unsure = False
+        held.at_worker = True
+        held.mark = self._next_mark()
+        if held.stop_reason:
+            self._stop(held, now)
+            return
+        self._report_started(held)
+
+    def _not_started(self, held: task_held.Held, now: float) -> None:
+        self.ledger.release(held.holder)
+        held.phase = Phase.WAITING
+        held.unsure = False
+        held.retry_at = now + task_home.START_S
+        if held.stop_reason:
+            report = task_held.infer_report(held, 'stopped', '', '')
+            self._end(held, report, now)
+
+    def stop_answered(
+        self,
+        holder: resources.Holder,
+        task: actions.WorkerTask | None,
+        now: float,
+    ) -> None:
+        """Take the worker's word that an epoch does not run any more.
+
+        `task` is none when the worker does not know the epoch.
+        """
+        held = self.tasks.get(holder)
+        if held is None or held.phase is not Phase.STOPPING:
+            return
+        if task is not None and task.state == 'running':
+            return
+        self._conclude(held, task, now)
+        self._admit(now)
+
+    def renewed(self, holder: resources.Holder, result: str) -> None:
+        """Take the answer to a renewal: `renewed`, `refused`, `unknown`."""
+        held = self.tasks.get(holder)
+        if held is None or held.renewing is None:
+            return
+        told, held.renewing = held.renewing, None
+        if result != 'renewed' or held.phase is not Phase.RUNNING:
+            return
+        # Only what the worker was told may be given to another task.
+        wanted = held.wanted or self.ledger.needed(holder)
+        self.ledger.resize(holder, wanted.at_least(told))
+
+    def measured(
+        self, usages: typing.Iterable[actions.Usage], now: float
+    ) -> None:
+        """Take lagging measurements; reservations follow them."""
+        for usage in usages:
+            held = self.tasks.get(usage.holder)
+            if held is None or held.phase is not Phase.RUNNING:
+                continue
+            self.sizes.observe(held.spec.kind, usage.used, now)
+            self._fit(held, usage.used, now)
+        self._relieve(now)
+        self._admit(now)
+
+    def _fit(
+        self, held: task_held.Held, used: types.Demand, now: float
+    ) -> None:
+        wanted = self._estimate(held.spec, now).at_least(used)
+        reserved = self.ledger.held(held.holder)
+        assert reserved is not None, 'running task without reservation'
+        held.wanted = wanted
+        self.ledger.resize(held.holder, wanted.at_least(reserved))
+        assert used.fits(self.ledger.needed(held.holder)), (
+            'reservation is below measured use'
+        )
+
+    def _relieve(self, now: float) -> None:
+        if not self.ledger.is_short():
+            return
+        for victim in room.choose_victims(
+            self.tasks.values(),
+            self.ledger,
+            types.Demand(),
+            spare_urgent=False,
+        ):
+            self.evict(victim.holder, 'the tasks need more room', now)
+
+    def _conclude(
+        self,
+        held: task_held.Held,
+        task: actions.WorkerTask | None,
+        now: float,
+    ) -> None:
+        if self.ledger.held(held.holder) is not None:
+            self.ledger.release(held.holder)
+        held.at_worker = task is not None
+        if task is None:
+            report = task_held.infer_report(held, 'lost', '', '')
+        else:
+            report = task_held.infer_report(
+                held, task.state, task.checkpoint, task.detail
+            )
+        self._end(held, report, now)
+
+    def _report_started(self, held: task_held.Held) -> None:
+        self._answer_again(held, 0.0)
--- /dev/null
+++ b/tests/core/home_model.py
@@ -0,0 +1,195 @@
+"""Model workers, the log and entries around the task control of homes."""
+
+import collections
+import dataclasses
+
+from kcr_core import authority
+from kcr_core import messages
+from kcr_core import task_actions as actions
+from kcr_core import task_control
+from kcr_core import types
+
+SETTINGS = types.ControlSettings()
+CAPACITY = types.Demand(8.0, 8000.0, 1)
+# The sidecar asks for the same time.
+CONTROLLER_TTL_S = 5.0
+FENCE_WAIT_S = (
+    SETTINGS.isolation_s + SETTINGS.task_lease_s + SETTINGS.allowance_s
+)
+
+
+@dataclasses.dataclass
+class Run:
+    """Hold one epoch at a modelled worker."""
+
+    task: actions.WorkerTask
+    lease_until: float
+
+
+class Worker:
+    """Start whatever it is given and keep count."""
+
+    def __init__(self, starts: collections.Counter[tuple[str, int]]) -> None:
+        self.controller_epoch = 0
+        self.controller_until = 0.0
+        self.runs: dict[tuple[str, int], Run] = {}
+        self.starts = starts
+
+    def lapse(self, now: float) -> None:
+        """Stop tasks whose lease has ended."""
+        for holder, run in self.runs.items():
+            if run.task.state == 'running' and now >= run.lease_until:
+                self.end(holder, 'stopped')
+
+    def end(self, holder: tuple[str, int], state: actions.WorkerState) -> None:
+        """End a running epoch."""
+        run = self.runs[holder]
+        if run.task.state == 'running':
+            run.task = dataclasses.replace(
+                run.task, state=state, checkpoint=f'c{holder[1]}'
+            )
+
+    def control(self, advance: bool, now: float) -> None:
+        """Renew the controller lease, or take it under a new epoch."""
+        if advance or now >= self.controller_until:
+            self.controller_epoch += 1
+        self.controller_until = now + CONTROLLER_TTL_S
+
+    def running(self) -> list[actions.WorkerTask]:
+        """Return the tasks that run."""
+        tasks = [run.task for run in self.runs.values()]
+        return [task for task in tasks if task.state == 'running']
+
+    def start(self, cmd: actions.Start, now: float) -> actions.StartResult:
+        """Start an epoch unless the controller epoch is old."""
+        if cmd.controller_epoch < self.controller_epoch:
+            return 'refused'
+        if now >= self.controller_until:
+            return 'refused'
+        if cmd.holder in self.runs:
+            return 'unknown'
+        self.starts[cmd.holder] += 1
+        task = actions.WorkerTask(
+            *cmd.holder, 'running', cmd.spec, cmd.reserved
+        )
+        self.runs[cmd.holder] = Run(task, now + SETTINGS.task_lease_s)
+        return 'started'
+
+
+class Instance:
+    """Join a home, its authority and its worker; commands may be late."""
+
+    def __init__(
+        self, name: str, starts: collections.Counter[tuple[str, int]]
+    ) -> None:
+        self.name = name
+        self.lives = 0
+        self.worker = Worker(starts)
+        self.paused = False
+        self.connected = True
+        self.prompt = True
+        # Life, time of sending and command, oldest first.
+        self.pending: list[tuple[int, float, actions.Action]] = []
+        self.reports: list[messages.Message] = []
+        self.restart(0.0)
+
+    @property
+    def incarnation(self) -> str:
+        """Return the incarnation of the sidecar."""
+        return f'{self.name}-{self.lives}'
+
+    def restart(self, now: float) -> None:
+        """Begin a new life; commands of the older one may still arrive."""
+        self.lives += 1
+        self.paused = False
+        self.reports = []
+        self.authority = authority.Authority(SETTINGS)
+        self.authority.opened('entry', 'e1')
+        self.control = task_control.Control(
+            self.incarnation, CAPACITY, SETTINGS
+        )
+        self.worker.control(True, now)
+        self.control.begin(self.worker.controller_epoch, now)
+        self.collect(now)
+
+    def collect(self, now: float) -> None:
+        """Queue what the control asked for."""
+        for action in self.control.take():
+            if isinstance(action, actions.Report):
+                self.reports.append(action.msg)
+            else:
+                self.pending.append((self.lives, now, action))
+
+    def deliver(self, index: int, answer: bool, now: float) -> None:
+        """Carry out one command; its answer may be lost."""
+        life, sent_at, action = self.pending.pop(index)
+        lost = not answer or life != self.lives or self.paused
+        if isinstance(action, actions.Start):
+            result = self.worker.start(action, now)
+            if life == self.lives and not self.paused:
+                self.control.start_answered(
+                    action.holder, 'unknown' if lost else result, now
+                )
+        elif isinstance(action, actions.AskList):
+            if life == self.lives:
+                self.list(action, lost, now)
+        elif now - sent_at < SETTINGS.allowance_s:
+            # The fence's wait allows for no longer delivery.
+            self.command(action, life, lost, now)
+        self.collect(now)
+
+    def list(self, ask: actions.AskList, lost: bool, now: float) -> None:
+        """Answer a question for the list."""
+        self.worker.control(ask.barrier, now)
+        if lost:
+            return
+        tasks = tuple(run.task for run in self.worker.runs.values())
+        listing = actions.Listing(
+            ask.mark, self.worker.controller_epoch, tasks
+        )
+        self.control.listed(listing, now)
+
+    def command(
+        self, action: actions.Action, life: int, lost: bool, now: float
+    ) -> None:
+        """Carry out a renewal, a stop or a forget of the current life."""
+        if life != self.lives:
+            return
+        assert isinstance(
+            action, (actions.Renew, actions.Stop, actions.Forget)
+        )
+        run = self.worker.runs.get(action.holder)
+        if isinstance(action, actions.Renew):
+            result = 'refused'
+            if run is not None and run.task.state == 'running':
+                run.lease_until = now + SETTINGS.task_lease_s
+                run.task = dataclasses.replace(
+                    run.task, reserved=action.reserved
+                )
+                result = 'renewed'
+            self.control.renewed(action.holder, 'unknown' if lost else result)
+        elif isinstance(action, actions.Stop):
+            if run is not None:
+                self.worker.end(action.holder, 'stopped')
+            if not lost:
+                self.control.stop_answered(
+                    action.holder, run.task if run else None, now
+                )
+        else:
+            self.worker.runs.pop(action.holder, None)
+
+    def step(self, now: float, log_age_ms: int, fenced: bool) -> None:
+        """Let one step of time pass at this instance."""
+        self.worker.lapse(now)
+        if self.paused:
+            return
+        if self.prompt:
+            self.worker.control(False, now)
+        if self.connected:
+            self.authority.vouched('entry', 'e1', now, log_age_ms, fenced)
+        self.control.set_authority(
+            self.authority.until(), self.authority.fenced, now
+        )
+        self.collect(now)
+        while self.prompt and self.pending:
+            self.deliver(0, True, now)
--- /dev/null
+++ b/tests/core/test_task_control_machine.py
@@ -0,0 +1,295 @@
+"""Check the promises about tasks with faults at any moment."""
+
+import collections
+
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from kcr_core import messages
+from kcr_core import task_actions as actions
+from kcr_core import types
+from tests.core import home_model
+
+PICK = strategies.integers(0, 11)
+SIDE = strategies.integers(0, 1)
+STEP_S = 0.5
+
+
+class Homes(stateful.RuleBasedStateMachine):
+    """Run two homes, their workers, the log and an entry with faults."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 1000.0
+        self.starts: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self.homes = [
+            home_model.Instance('i0', self.starts),
+            home_model.Instance('i1', self.starts),
+        ]
+        self.specs: dict[str, types.TaskSpec] = {}
+        # Current epoch, home and incarnation by task, as in the log.
+        self.log: dict[str, tuple[int, int, str]] = {}
+        self.ended: set[str] = set()
+        self.fences: dict[str, float] = {}
+        self.log_up = True
+        self.sent: list[tuple[int, messages.Assign]] = []
+
+    @stateful.rule(
+        side=SIDE,
+        urgent=strategies.booleans(),
+        cores=strategies.sampled_from([0.5, 1.0, 3.0, 8.0]),
+        pick=PICK,
+    )
+    def submit(self, side: int, urgent: bool, cores: float, pick: int) -> None:
+        """Accept a task with a home."""
+        if not self.log_up or len(self.specs) > 40:
+            return
+        spec = types.TaskSpec(
+            f't{len(self.specs)}',
+            'c',
+            'team',
+            f'k{pick % 3}',
+            types.Demand(cores, 100.0, pick // 11),
+            urgent,
+            restartable=bool(pick % 2),
+        )
+        self.specs[spec.key] = spec
+        self.move(spec.key, 1, side)
+
+    def move(self, key: str, epoch: int, side: int) -> None:
+        """Append a record that gives an epoch to a home."""
+        self.log[key] = (epoch, side, self.homes[side].incarnation)
+        msg = messages.Assign(
+            self.specs[key], epoch, self.homes[side].incarnation
+        )
+        self.sent.append((side, msg))
+        if self.homes[side].connected:
+            self.assign(side, msg)
+
+    def assign(self, side: int, msg: messages.Assign) -> None:
+        """Deliver an assignment."""
+        home = self.homes[side]
+        if not home.paused:
+            home.control.assign(msg, self.now)
+            home.collect(self.now)
+
+    @stateful.rule(pick=PICK)
+    def assign_again(self, pick: int) -> None:
+        """Deliver any earlier assignment once more."""
+        if self.sent:
+            self.assign(*self.sent[pick % len(self.sent)])
+
+    @stateful.rule(pick=PICK)
+    def cancel(self, pick: int) -> None:
+        """Cancel a task; the home hears of it."""
+        if not self.log or not self.log_up:
+            return
+        key = sorted(self.log)[pick % len(self.log)]
+        epoch, side, _ = self.log[key]
+        self.ended.add(key)
+        home = self.homes[side]
+        if not home.paused and home.connected:
+            home.control.stop_task(messages.StopTask(key, epoch), self.now)
+            home.collect(self.now)
+
+    @stateful.rule(side=SIDE, pick=PICK, answer=strategies.booleans())
+    def deliver(self, side: int, pick: int, answer: bool) -> None:
+        """Deliver a pending command out of order, or lose its answer."""
+        home = self.homes[side]
+        if home.pending:
+            home.deliver(pick % len(home.pending), answer, self.now)
+
+    @stateful.rule(side=SIDE, pick=PICK)
+    def give_up(self, side: int, pick: int) -> None:
+        """Let a start time out while the command is still on its way."""
+        home = self.homes[side]
+        home.prompt = False
+        self.submit(side, pick % 2 == 0, 0.5, pick)
+        starts = [
+            action
+            for life, _, action in home.pending
+            if isinstance(action, actions.Start) and life == home.lives
+        ]
+        if starts and not home.paused:
+            home.control.start_answered(
+                starts[pick % len(starts)].holder, 'unknown', self.now
+            )
+            home.collect(self.now)
+
+    @stateful.rule(
+        side=SIDE, pick=PICK, state=strategies.sampled_from(['done', 'failed'])
+    )
+    def end(self, side: int, pick: int, state: actions.WorkerState) -> None:
+        """End a running task at its worker."""
+        worker = self.homes[side].worker
+        running = worker.running()
+        if running:
+            worker.end(running[pick % len(running)].holder, state)
+
+    @stateful.rule(side=SIDE, pick=PICK)
+    def evict(self, side: int, pick: int) -> None:
+        """Ask a home to evict any of its tasks, perhaps again."""
+        home = self.homes[side]
+        held = sorted(home.control.tasks)
+        if held and not home.paused:
+            home.control.evict(held[pick % len(held)], 'noisy', self.now)
+            home.collect(self.now)
+
+    @stateful.rule(side=SIDE, factor=strategies.floats(0.1, 3.0))
+    def measure(self, side: int, factor: float) -> None:
+        """Report a use that differs from the declared one."""
+        home = self.homes[side]
+        if home.paused:
+            return
+        usages = [
+            actions.Usage(task.holder, task.spec.demand.scaled(factor))
+            for task in home.worker.running()
+        ]
+        home.control.measured(usages, self.now)
+        home.collect(self.now)
+
+    @stateful.rule(side=SIDE)
+    def read_all(self, side: int) -> None:
+        """Take all reports of a home in the order in which they came."""
+        for _ in range(len(self.homes[side].reports)):
+            self.read_report(side, 0, False)
+
+    @stateful.rule(side=SIDE, pick=PICK, keep=strategies.booleans())
+    def read_report(self, side: int, pick: int, keep: bool) -> None:
+        """Take a report into the log and acknowledge it; it may repeat."""
+        home = self.homes[side]
+        if not (self.log_up and home.connected and home.reports):
+            return
+        index = pick % len(home.reports)
+        report = home.reports[index]
+        if not keep:
+            home.reports.pop(index)
+        if not isinstance(report, (messages.Evicted, messages.Finished)):
+            return
+        current = self.log.get(report.task)
+        if report.task not in self.ended and current:
+            if current[0] == report.epoch:
+                self.apply(report, pick % 2)
+        if not home.paused:
+            ack = messages.ReportAck(report.task, report.epoch)
+            home.control.acknowledge(ack)
+            home.collect(self.now)
+
+    def apply(self, report: messages.Message, side: int) -> None:
+        """Append the record that follows from a report."""
+        if isinstance(report, messages.Finished):
+            self.ended.add(report.task)
+        else:
+            self.move(report.task, report.epoch + 1, side)
+
+    @stateful.rule(side=SIDE)
+    def toggle_prompt(self, side: int) -> None:
+        """Hold the commands of a home back, or let them pass."""
+        self.homes[side].prompt = not self.homes[side].prompt
+
+    @stateful.rule(side=SIDE)
+    def toggle_connected(self, side: int) -> None:
+        """Cut a home off from the entries, or join it again."""
+        home = self.homes[side]
+        home.connected = not home.connected
+
+    @stateful.rule(side=SIDE)
+    def toggle_paused(self, side: int) -> None:
+        """Freeze a sidecar, or let it go on."""
+        self.homes[side].paused = not self.homes[side].paused
+
+    @stateful.rule()
+    def toggle_log(self) -> None:
+        """Take the log down or up."""
+        self.log_up = not self.log_up
+
+    @stateful.rule(side=SIDE)
+    def restart(self, side: int) -> None:
+        """Kill a sidecar and start a new incarnation."""
+        self.homes[side].restart(self.now)
+
+    @stateful.rule(side=SIDE)
+    def fence(self, side: int) -> None:
+        """Fence an incarnation that is cut off or frozen."""
+        home = self.homes[side]
+        if self.log_up and (home.paused or not home.connected):
+            self.fences.setdefault(
+                home.incarnation, self.now + home_model.FENCE_WAIT_S
+            )
+
+    @stateful.rule(side=SIDE)
+    def recover(self, side: int) -> None:
+        """End all faults of a home and give it work and time."""
+        home = self.homes[side]
+        home.paused, home.connected, home.prompt = False, True, True
+        self.log_up = True
+        if home.incarnation in self.fences:
+            home.restart(self.now)
+        self.advance(3)
+        for number in range(2):
+            self.submit(side, False, 1.0, number)
+        self.advance(2)
+
+    @stateful.rule(steps=strategies.sampled_from([1, 3, 14, 40]))
+    def advance(self, steps: int) -> None:
+        """Let time pass."""
+        for _ in range(steps):
+            self.now += STEP_S
+            for home in self.homes:
+                age_ms = 0 if self.log_up else -1
+                home.step(self.now, age_ms, self.is_fenced(home))
+            self.move_fenced()
+            self.check_places()
+
+    def is_fenced(self, home: home_model.Instance) -> bool:
+        """Tell whether this life or an older one is in a fence's wait."""
+        if not self.log_up:
+            return False
+        waits = [
+            due
+            for incarnation, due in self.fences.items()
+            if incarnation.startswith(home.name)
+        ]
+        own = home.incarnation in self.fences
+        return own or any(self.now <= due for due in waits)
+
+    def move_fenced(self) -> None:
+        """Move the tasks of fenced incarnations after the wait."""
+        if not self.log_up:
+            return
+        for key, (epoch, side, incarnation) in list(self.log.items()):
+            due = self.fences.get(incarnation)
+            if due is None or self.now <= due or key in self.ended:
+                continue
+            if self.homes[1 - side].incarnation in self.fences:
+                continue
+            self.move(key, epoch + 1, 1 - side)
+
+    @stateful.invariant()
+    def check_places(self) -> None:
+        """Guard against one task in two places and double starts."""
+        running: collections.Counter[str] = collections.Counter()
+        for home in self.homes:
+            home.worker.lapse(self.now)
+            total = types.Demand()
+            for task in home.worker.running():
+                running[task.task] += 1
+                total = total.plus(task.reserved)
+            slack = types.Demand(1e-6, 1e-6)
+            assert total.fits(home_model.CAPACITY.plus(slack)), (
+                'worker was given more than the instance has'
+            )
+        assert all(n == 1 for n in running.values()), running
+        assert all(n == 1 for n in self.starts.values()), self.starts
+
+
+TestHomes = Homes.TestCase
+TestHomes.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=60,
+)
