Run durable tasks at the sidecar through the worker

Cause: the sidecar served requests only. The worker adapter owns the controller lease and the HTTP client, the task control owns the tasks and reports through the sessions, the announcer feeds the authority, and the drain of requests and tasks is in one place.

--- a/packages/core/src/kcr_core/task_control.py
+++ b/packages/core/src/kcr_core/task_control.py
@@ -22,6 +22,9 @@
     def begin(self, controller_epoch: int, now: float) -> None:
         """Ask for the list after the controller lease was taken."""
         self.controller_epoch = controller_epoch
+        for held in self.tasks.values():
+            # A restarted adapter gives no answer to an older command.
+            held.unsure = held.phase is Phase.STARTING
         self._list_open = True
         self._list_asked_at = now
         self._out.append(actions.AskList(self._next_mark(), False))
--- a/packages/emulator/src/kcr_emulator/serve.py
+++ b/packages/emulator/src/kcr_emulator/serve.py
@@ -6,6 +6,8 @@
 from twisted.internet import reactor as default_reactor
 
 from kcr_emulator import runner as runner_emulator
+from kcr_emulator import worker as worker_emulator
+from kcr_emulator import worker_state
 
 
 def runner(
@@ -24,9 +26,48 @@
     reactor.run()
 
 
+def worker(
+    *,
+    port: int,
+    processors: float = 16.0,
+    memory_mb: float = 60_000.0,
+    accelerators: int = 0,
+    min_factor: float = 0.5,
+    max_factor: float = 2.0,
+    lag_s: float = 1.0,
+    seed: int = 1,
+) -> None:
+    """Serve an emulated worker of the platform.
+
+    :param port: port on the loopback address
+    :param processors: cores of the instance
+    :param memory_mb: MiB of memory of the instance
+    :param accelerators: accelerators of the instance
+    :param min_factor: least factor of real over declared size and run time
+    :param max_factor: largest factor of real over declared size and run time
+    :param lag_s: age of reported use in seconds
+    :param seed: seed of failures and lost answers
+    """
+    reactor: typing.Any = default_reactor
+    span = (min_factor, max_factor)
+    machine = worker_state.Machine(
+        {
+            'processors': processors,
+            'memory_mb': memory_mb,
+            'accelerators': accelerators,
+        },
+        worker_state.Factors(span, span),
+        lag_s,
+        seed,
+    )
+    emulator = worker_emulator.WorkerEmulator(reactor, machine, seed)
+    reactor.listenTCP(port, emulator.site(), interface='127.0.0.1')
+    reactor.run()
+
+
 def main() -> None:
     """Run the command line."""
-    defopt.run([runner])
+    defopt.run([runner, worker])
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/worker_state.py
@@ -0,0 +1,203 @@
+"""Hold the state of an emulated worker and count broken promises."""
+
+import collections
+import dataclasses
+import random
+import typing
+
+# Share of the declared size that a task uses while it starts.
+RAMP_S = 1.0
+# Times of use that are kept for the lagging report.
+MAX_HISTORY = 64
+# Resources that are counted.
+RESOURCES = ('processors', 'memory_mb', 'accelerators')
+
+
+@dataclasses.dataclass(slots=True)
+class Factors:
+    """Say how far real sizes and run times are from the declared ones."""
+
+    # Bounds of the factor on declared processors and memory.
+    size: tuple[float, float] = (0.5, 2.0)
+    # Bounds of the factor on declared run times.
+    run: tuple[float, float] = (0.5, 2.0)
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Hold one epoch of a task."""
+
+    # Key of the task.
+    task: str
+    # Epoch under which it was started.
+    epoch: int
+    # Specification as it was given.
+    spec: dict[str, typing.Any]
+    # Reservation that the controller told.
+    reserved: dict[str, float]
+    # Real size.
+    size: dict[str, float]
+    # Real run time in seconds; infinite for a task that runs on.
+    run_s: float
+    # Work that is done, in seconds.
+    done_s: float
+    # Time of the last progress.
+    at: float
+    # Time at which the lease ends.
+    lease_until: float
+    # `running`, `done`, `failed` or `stopped`.
+    state: str = 'running'
+    # Share of full speed.
+    speed: float = 1.0
+    # Last checkpoint.
+    checkpoint: str = ''
+    # Result or failure text.
+    detail: str = ''
+    # Recent times and uses, for the lagging report.
+    history: collections.deque[tuple[float, dict[str, float]]] = (
+        dataclasses.field(
+            default_factory=lambda: collections.deque(maxlen=MAX_HISTORY)
+        )
+    )
+
+
+class Machine:
+    """Run whatever it is given and count overcommitment and repeats."""
+
+    def __init__(
+        self,
+        capacity: dict[str, float],
+        factors: Factors,
+        lag_s: float,
+        seed: int,
+    ) -> None:
+        # What the instance has.
+        self.capacity = capacity
+        # How far declared values are off.
+        self.factors = factors
+        # Age of the reported use, in seconds.
+        self.lag_s = lag_s
+        # Share of tasks that fail when they end.
+        self.failing = 0.0
+        # Epochs by task; one of each task at most in the table.
+        self.runs: dict[str, Run] = {}
+        # Starts by task and epoch.
+        self.starts: collections.Counter[str] = collections.Counter()
+        # Moments at which real sizes exceeded the capacity.
+        self.overcommitted = 0
+        # Moments at which reservations exceeded the capacity.
+        self.overgranted = 0
+        # Running intervals by task: epoch, start and end in Unix ms.
+        self.intervals: dict[str, list[list[int]]] = {}
+        self._rng = random.Random(seed)
+
+    def start(
+        self, task: str, body: dict[str, typing.Any], now: float, unix_ms: int
+    ) -> tuple[int, str]:
+        """Start an epoch; return the status and the reason."""
+        held = self.runs.get(task)
+        epoch = int(body['epoch'])
+        if held is not None and held.state == 'running':
+            if held.epoch == epoch:
+                return 200, 'runs already'
+            return 409, f'epoch {held.epoch} runs'
+        if held is not None and held.epoch >= epoch:
+            return 409, f'epoch {held.epoch} has ended'
+        run = self._make(task, epoch, body, now)
+        self.runs[task] = run
+        self.starts[f'{task}:{epoch}'] += 1
+        self.intervals.setdefault(task, []).append([epoch, unix_ms, 0])
+        self._count()
+        return 200, 'started'
+
+    def _make(
+        self, task: str, epoch: int, body: dict[str, typing.Any], now: float
+    ) -> Run:
+        spec = body['spec']
+        # The same task has the same real size wherever it runs.
+        rng = random.Random(f'{task}:{spec["kind"]}')
+        factor = rng.uniform(*self.factors.size)
+        size = {
+            name: spec['demand'][name]
+            * (1 if name == 'accelerators' else factor)
+            for name in RESOURCES
+        }
+        run_s = spec['run_s'] * rng.uniform(*self.factors.run)
+        return Run(
+            task=task,
+            epoch=epoch,
+            spec=spec,
+            reserved=body['reserved'],
+            size=size,
+            run_s=run_s or float('inf'),
+            done_s=float(body['checkpoint'] or 0.0),
+            at=now,
+            lease_until=now + body['lease_s'],
+        )
+
+    def step(self, now: float, unix_ms: int) -> None:
+        """Let time pass: progress, ends and lapsed leases."""
+        for run in list(self.runs.values()):
+            if run.state != 'running':
+                continue
+            self._progress(run, now)
+            if now >= run.lease_until:
+                run.detail = 'lease lapsed'
+                self._end(run, 'stopped', unix_ms)
+            elif run.done_s >= run.run_s:
+                failed = self._rng.random() < self.failing
+                self._end(run, 'failed' if failed else 'done', unix_ms)
+        self._count()
+
+    def _progress(self, run: Run, now: float) -> None:
+        run.done_s += (now - run.at) * run.speed
+        run.at = now
+        share = min(1.0, run.done_s / RAMP_S) * run.speed
+        used = {
+            'processors': run.size['processors'] * share,
+            'memory_mb': run.size['memory_mb'],
+            'accelerators': run.size['accelerators'],
+        }
+        run.history.append((now, used))
+
+    def _end(self, run: Run, state: str, unix_ms: int) -> None:
+        run.state = state
+        run.checkpoint = f'{run.done_s:.3f}'
+        self.intervals[run.task][-1][2] = unix_ms
+
+    def checkpoint(self, run: Run, now: float) -> str:
+        """Keep the progress and return it as text."""
+        if run.state == 'running':
+            self._progress(run, now)
+            run.checkpoint = f'{run.done_s:.3f}'
+        return run.checkpoint
+
+    def stop(self, run: Run, now: float, unix_ms: int) -> None:
+        """Stop an epoch; one that has ended stays as it is."""
+        if run.state == 'running':
+            self._progress(run, now)
+            self._end(run, 'stopped', unix_ms)
+
+    def usage(self, now: float) -> list[dict[str, typing.Any]]:
+        """Return the use of running tasks as it was before the lag."""
+        out = []
+        for run in self.runs.values():
+            old = [used for at, used in run.history if at <= now - self.lag_s]
+            if run.state == 'running' and old:
+                out.append(
+                    {'task': run.task, 'epoch': run.epoch, 'used': old[-1]}
+                )
+        return out
+
+    def _count(self) -> None:
+        running = [r for r in self.runs.values() if r.state == 'running']
+        for name in RESOURCES:
+            limit = self.capacity[name] + 1e-6
+            if sum(run.size[name] for run in running) > limit:
+                self.overcommitted += 1
+                break
+        for name in RESOURCES:
+            limit = self.capacity[name] + 1e-6
+            if sum(run.reserved[name] for run in running) > limit:
+                self.overgranted += 1
+                break
--- a/packages/runtime/src/kcr_runtime/process.py
+++ b/packages/runtime/src/kcr_runtime/process.py
@@ -4,6 +4,7 @@
 `Drained` to the process when nothing is left, or the bound ends it.
 """
 
+import dataclasses
 import json
 import logging
 import random
@@ -30,6 +31,14 @@
     """Tell the process that the role has nothing left to do."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fatal:
+    """Tell the process to end with a failure."""
+
+    # Why it cannot go on.
+    reason: str
+
+
 def configure_logs(process: str, incarnation: str) -> None:
     """Write log lines as JSON to standard error."""
     structlog.configure(
@@ -85,10 +94,15 @@
         return self.status
 
     def post(self, msg: typing.Any) -> bool:
-        """Accept the report that the role is drained."""
+        """Accept the report that the role is drained or cannot go on."""
         if isinstance(msg, Drained):
             self._stop()
             return True
+        if isinstance(msg, Fatal):
+            self._log.error('process cannot go on', reason=msg.reason)
+            self.status = 1
+            self._stop()
+            return True
         return False
 
     def begin(self) -> None:
--- a/packages/sidecar/src/kcr_sidecar/capacity/admission.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -9,11 +9,12 @@
 
 from kcr_core import messages
 from kcr_core import slots
+from kcr_core import types
 from kcr_runtime import http_client
-from kcr_runtime import process
 from kcr_runtime import task
 from kcr_runtime.wire import session
 from kcr_sidecar import addresses
+from kcr_sidecar import events
 from kcr_sidecar.platform import runner
 
 # Time between questions about calls of an older incarnation, in seconds.
@@ -24,10 +25,6 @@
 LATENCY_SHARE = 0.2
 
 
-class Drain:
-    """Ask for all new attempts to be refused, and report when idle."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotsLoad:
     """Report the use of the slots to the announcer."""
@@ -64,6 +61,8 @@
     def __init__(self, ctx: task.Context, address: str) -> None:
         super().__init__(ctx, address)
         cfg = ctx.cfg
+        # Settings of the document in force.
+        self.settings = types.ControlSettings()
         self._slots = slots.Slots(cfg.slots, cfg.connections)
         self._attempts: dict[str, _Attempt] = {}
         self._ready = False
@@ -177,10 +176,14 @@
             self._run(self._slots.advance(self.now()))
         self.after(ADVANCE_S, _Advance())
         if self._draining and not self._attempts:
-            self.send(process.PROCESS_ADDRESS, process.Drained())
+            self.send(addresses.SHUTDOWN, events.PartDrained(self.address))
+
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, msg: events.SettingsInForce) -> None:
+        self.settings = msg.settings
 
-    @task.handles(Drain)
-    def _on_drain(self, msg: Drain) -> None:
+    @task.handles(events.BeginDrain)
+    def _on_begin_drain(self, msg: events.BeginDrain) -> None:
         self._draining = True
         self._run(self._slots.drain())
 
--- a/packages/sidecar/src/kcr_sidecar/capacity/supervisor.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/supervisor.py
@@ -4,6 +4,8 @@
 
 from kcr_runtime import supervisor
 from kcr_sidecar.capacity import admission
+from kcr_sidecar.capacity import shutdown
+from kcr_sidecar.capacity import task_control
 
 
 class Capacity(supervisor.Supervisor):
@@ -11,4 +13,8 @@
 
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the owners."""
-        return (supervisor.ChildSpec('admission', admission.Admission),)
+        return (
+            supervisor.ChildSpec('shutdown', shutdown.Shutdown),
+            supervisor.ChildSpec('admission', admission.Admission),
+            supervisor.ChildSpec('task_control', task_control.TaskControl),
+        )
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
@@ -0,0 +1,225 @@
+"""Own the durable tasks of the instance and report them to the entries."""
+
+import collections
+import dataclasses
+import typing
+
+from kcr_core import messages
+from kcr_core import resources
+from kcr_core import task_actions as actions
+from kcr_core import task_control
+from kcr_core import types
+from kcr_runtime import process
+from kcr_runtime import task
+from kcr_runtime.wire import session
+from kcr_sidecar import addresses
+from kcr_sidecar.capacity import shutdown
+from kcr_sidecar import events
+from kcr_sidecar.platform import worker
+
+# Time between looks at leases, reports and waiting tasks, in seconds.
+TICK_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TasksLoad:
+    """Report the tasks of the instance to the announcer."""
+
+    # Resources that are not reserved.
+    free: types.Demand
+    # Tasks that wait for room.
+    waiting: int
+    # Epoch of the controller lease; 0 until the worker's list was read.
+    controller_epoch: int
+    # Epochs that run or whose end is not durable yet.
+    running: tuple[types.RunningTask, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvictTask:
+    """Ask for an epoch to be checkpointed and stopped."""
+
+    # Epoch of the task.
+    holder: resources.Holder
+    # Why.
+    reason: str
+
+
+class _Tick:
+    pass
+
+
+class TaskControl(task.Task):
+    """Own the state of the tasks at their home."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        resources_here = ctx.cfg.capacity().resources
+        self._control = task_control.Control(
+            ctx.incarnation, resources_here, types.ControlSettings()
+        )
+        self._sessions: list[str] = []
+        self._senders: dict[resources.Holder, str] = {}
+        self._counted: collections.Counter[str] = collections.Counter()
+        self._load: TasksLoad | None = None
+
+    def started(self) -> None:
+        """Start the timer."""
+        self.on_failure = self._fail
+        self.post(_Tick())
+
+    def _fail(self, exc: BaseException) -> None:
+        # What an incarnation started is not known after a restart, so only a
+        # new incarnation may go on.
+        self.log.error('task control failed', exc_info=exc)
+        reason = f'task control failed: {exc}'
+        self.send(process.PROCESS_ADDRESS, process.Fatal(reason))
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the held tasks and the reservations."""
+        control = self._control
+        return {
+            **super().dump(),
+            'ready': control.ready,
+            'authorized': control.is_authorized(self.now()),
+            'fenced': control.fenced,
+            'tasks': {
+                f'{key}:{epoch}': held.phase.value
+                for (key, epoch), held in control.tasks.items()
+            },
+            'reserved': dataclasses.asdict(control.ledger.total()),
+            'ended': len(control.ended),
+            'counts': dict(control.counts),
+        }
+
+    @task.handles(session.Opened)
+    def _on_opened(self, event: session.Opened) -> None:
+        self._sessions.append(event.session)
+
+    @task.handles(session.Closed)
+    def _on_closed(self, event: session.Closed) -> None:
+        if event.session in self._sessions:
+            self._sessions.remove(event.session)
+
+    @task.handles(session.DialFailed)
+    def _on_dial_failed(self, event: session.DialFailed) -> None:
+        """Ignore it; the announcer counts it."""
+
+    @task.handles(session.SendRefused)
+    def _on_send_refused(self, event: session.SendRefused) -> None:
+        """Ignore it; reports are repeated until they are acknowledged."""
+
+    @task.handles(session.Received)
+    def _on_received(self, event: session.Received) -> None:
+        msg, now = event.msg, self.now()
+        if isinstance(msg, messages.Assign):
+            self._senders[msg.spec.key, msg.epoch] = event.session
+            self._control.assign(msg, now)
+        elif isinstance(msg, messages.StopTask):
+            self._control.stop_task(msg, now)
+        elif isinstance(msg, messages.ReportAck):
+            self._control.acknowledge(msg)
+        self._carry_out()
+
+    @task.handles(events.AuthorityChanged)
+    def _on_authority(self, msg: events.AuthorityChanged) -> None:
+        if msg.fenced and not self._control.fenced:
+            self.log.error('incarnation is fenced; the process will end')
+            self.send(addresses.SHUTDOWN, shutdown.Drain())
+        self._control.set_authority(msg.until, msg.fenced, self.now())
+        self._carry_out()
+
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, msg: events.SettingsInForce) -> None:
+        self._control.settings = msg.settings
+        self._control.sizes.factor = msg.settings.unknown_size_factor
+
+    @task.handles(worker.ControllerTaken)
+    def _on_controller(self, msg: worker.ControllerTaken) -> None:
+        self.log.info('controller lease taken', epoch=msg.epoch)
+        self._control.begin(msg.epoch, self.now())
+        self._carry_out()
+
+    @task.handles(actions.Listing)
+    def _on_listing(self, listing: actions.Listing) -> None:
+        rebuilt = not self._control.ready
+        self._control.listed(listing, self.now())
+        if rebuilt:
+            self.log.info('tasks rebuilt', tasks=len(self._control.tasks))
+        self._carry_out()
+
+    @task.handles(worker.StartEnded)
+    def _on_start_ended(self, msg: worker.StartEnded) -> None:
+        self._control.start_answered(msg.holder, msg.result, self.now())
+        self._carry_out()
+
+    @task.handles(worker.RenewEnded)
+    def _on_renew_ended(self, msg: worker.RenewEnded) -> None:
+        self._control.renewed(msg.holder, msg.result)
+        self._carry_out()
+
+    @task.handles(worker.StopEnded)
+    def _on_stop_ended(self, msg: worker.StopEnded) -> None:
+        self._control.stop_answered(msg.holder, msg.task, self.now())
+        self._carry_out()
+
+    @task.handles(worker.Measured)
+    def _on_measured(self, msg: worker.Measured) -> None:
+        self._control.measured(msg.usages, self.now())
+        self._carry_out()
+
+    @task.handles(EvictTask)
+    def _on_evict(self, msg: EvictTask) -> None:
+        self._control.evict(msg.holder, msg.reason, self.now())
+        self._carry_out()
+
+    @task.handles(events.BeginDrain)
+    def _on_begin_drain(self, msg: events.BeginDrain) -> None:
+        self._control.drain(self.now())
+        self._carry_out()
+
+    @task.handles(_Tick)
+    def _on_tick(self, msg: _Tick) -> None:
+        self._control.tick(self.now())
+        self._carry_out()
+        self._count()
+        if self._control.draining and self._control.is_drained():
+            self.send(addresses.SHUTDOWN, events.PartDrained(self.address))
+        self.after(TICK_S, _Tick())
+
+    def _carry_out(self) -> None:
+        for action in self._control.take():
+            if isinstance(action, actions.Report):
+                self._report(action.msg)
+            else:
+                self.send(addresses.WORKER, action)
+        self._announce()
+
+    def _report(self, msg: messages.Message) -> None:
+        if not self._sessions:
+            return
+        name = self._senders.pop((msg.task, msg.epoch), '')
+        if name not in self._sessions:
+            # A repeated report may reach another entry than the first one.
+            name = self.ctx.rng.choice(self._sessions)
+        self.send(name, session.Send(msg))
+
+    def _announce(self) -> None:
+        control = self._control
+        epoch = control.controller_epoch if control.ready else 0
+        load = TasksLoad(
+            control.ledger.free(), control.waiting(), epoch, control.running()
+        )
+        if load != self._load:
+            self._load = load
+            self.send(addresses.ANNOUNCER, load)
+
+    def _count(self) -> None:
+        for name, value in self._control.counts.items():
+            if value > self._counted[name]:
+                amount = value - self._counted[name]
+                self.ctx.metrics.count(f'task_{name}', amount)
+                self._counted[name] = value
+        for holder in list(self._senders):
+            if holder not in self._control.tasks:
+                del self._senders[holder]
--- a/packages/sidecar/src/kcr_sidecar/events.py
+++ b/packages/sidecar/src/kcr_sidecar/events.py
@@ -23,3 +23,18 @@
     authorized: bool
     # Whether the incarnation is fenced for good.
     fenced: bool
+    # Monotonic time at which the authority ends without a new vouch.
+    until: float = float('-inf')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeginDrain:
+    """Ask a part to refuse new work and to end what it has."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartDrained:
+    """Report that a part has nothing left to do."""
+
+    # Address of the part.
+    part: str
--- a/packages/sidecar/src/kcr_sidecar/links/announcer.py
+++ b/packages/sidecar/src/kcr_sidecar/links/announcer.py
@@ -1,46 +1,91 @@
-"""Announce the endpoint to the entries and send heartbeats."""
+"""Announce the endpoint to the entries, send heartbeats, take vouches."""
 
+import collections
+import dataclasses
 import typing
 
+from kcr_core import authority
 from kcr_core import messages
 from kcr_core import types
+from kcr_runtime import settings
+from kcr_runtime import supervisor
 from kcr_runtime import task
 from kcr_runtime.wire import session
+from kcr_sidecar import addresses
 from kcr_sidecar.capacity import admission
+from kcr_sidecar.capacity import task_control
+from kcr_sidecar import events
+from kcr_sidecar.links import routes
+
+# Heartbeats without an answer whose send time is kept, per session.
+MAX_OPEN_BEATS = 64
 
 
 class _Beat:
     pass
 
 
+@dataclasses.dataclass(slots=True)
+class _Link:
+    # Address that was dialed.
+    target: str
+    # Incarnation of the entry.
+    incarnation: str
+    # Number of the last heartbeat.
+    seq: int = 0
+    # Send times of heartbeats without an answer.
+    sent: collections.OrderedDict[int, float] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
 class Announcer(task.Task):
-    """Own the heartbeats of the sidecar."""
+    """Own the heartbeats and the authority of the sidecar."""
 
     def __init__(self, ctx: task.Context, address: str) -> None:
         super().__init__(ctx, address)
         # Settings of the document in force.
         self.settings = types.ControlSettings()
-        self._open: dict[str, int] = {}
+        self._revision = 0
+        self._open: dict[str, _Link] = {}
         self._load = admission.SlotsLoad(0, 0, 0.0, False)
+        self._tasks = task_control.TasksLoad(types.Demand(), 0, 0, ())
+        self._authority = authority.Authority(self.settings)
+        self._learnt: set[str] = set()
+        self._told: tuple[float, bool] | None = None
 
     def started(self) -> None:
         """Start the heartbeat timer."""
         self.after(self.settings.heartbeat_s, _Beat())
 
     def dump(self) -> dict[str, typing.Any]:
-        """Return the sessions and their heartbeat numbers."""
-        return {**super().dump(), 'sessions': dict(self._open)}
+        """Return the sessions, the known entries and the authority."""
+        return {
+            **super().dump(),
+            'sessions': {name: link.seq for name, link in self._open.items()},
+            'entries': list(self._authority.known()),
+            'learnt': sorted(self._learnt),
+            'authorized': self._authority.is_authorized(self.now()),
+            'fenced': self._authority.fenced,
+        }
 
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
-        self._open[event.session] = 0
+        target = event.session.rpartition('/')[2]
+        self._open[event.session] = _Link(target, event.hello.incarnation)
+        self._authority.opened(target, event.hello.incarnation)
+        self._announce(event.session)
+        self._beat(event.session)
+        self._tell_authority()
+
+    def _announce(self, name: str) -> None:
         state = messages.EndpointState(
             service=self.ctx.cfg.service,
             capacity=self.ctx.cfg.capacity(),
-            controller_epoch=0,
+            controller_epoch=self._tasks.controller_epoch,
+            running=self._tasks.running,
         )
-        self.send(event.session, session.Send(state))
-        self._beat(event.session)
+        self.send(name, session.Send(state))
 
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
@@ -49,6 +94,14 @@
     @task.handles(session.DialFailed)
     def _on_dial_failed(self, event: session.DialFailed) -> None:
         self.ctx.metrics.count('dial_failed')
+        if not event.refused:
+            return
+        self._authority.refused(event.target)
+        self._tell_authority()
+        if event.target in self._learnt:
+            self._learnt.discard(event.target)
+            stop = supervisor.StopChild(event.target)
+            self.send(addresses.SESSIONS, stop)
 
     @task.handles(session.SendRefused)
     def _on_send_refused(self, event: session.SendRefused) -> None:
@@ -56,7 +109,42 @@
 
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
-        """Take the entry's answer to a heartbeat."""
+        ack, link = event.msg, self._open.get(event.session)
+        assert isinstance(ack, messages.HeartbeatAck)
+        if link is None or ack.seq not in link.sent:
+            self.ctx.metrics.count('ack_unmatched')
+            return
+        self._authority.vouched(
+            link.target,
+            event.hello.incarnation,
+            link.sent.pop(ack.seq),
+            ack.log_age_ms,
+            ack.fenced,
+        )
+        self._tell_authority()
+        for target in ack.entries:
+            self._learn(target)
+
+    def _learn(self, target: str) -> None:
+        known = self._learnt.union(self.ctx.cfg.entries)
+        if target in known or not settings.ADDRESS.match(target):
+            return
+        if len(known) >= authority.MAX_ENTRIES:
+            self.ctx.metrics.count('entry_not_dialed')
+            return
+        self._learnt.add(target)
+        spec = routes.make_spec(self.ctx, target)
+        self.send(addresses.SESSIONS, supervisor.StartChild(spec))
+
+    def _tell_authority(self) -> None:
+        current = (self._authority.until(), self._authority.fenced)
+        if current == self._told:
+            return
+        self._told = current
+        changed = events.AuthorityChanged(
+            self._authority.is_authorized(self.now()), current[1], current[0]
+        )
+        self.send(addresses.TASK_CONTROL, changed)
 
     @task.handles(admission.SlotsLoad)
     def _on_load(self, load: admission.SlotsLoad) -> None:
@@ -66,6 +154,22 @@
             for name in self._open:
                 self.send(name, session.Send(messages.Leaving('stopping')))
 
+    @task.handles(task_control.TasksLoad)
+    def _on_tasks_load(self, load: task_control.TasksLoad) -> None:
+        rebuilt = load.controller_epoch and not self._tasks.controller_epoch
+        self._tasks = load
+        if rebuilt:
+            # A state with controller epoch 0 says nothing of the tasks.
+            for name in self._open:
+                self._announce(name)
+
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, msg: events.SettingsInForce) -> None:
+        self.settings = msg.settings
+        self._revision = msg.revision
+        self._authority.settings = msg.settings
+        self._tell_authority()
+
     @task.handles(_Beat)
     def _on_beat(self, msg: _Beat) -> None:
         for name in self._open:
@@ -74,14 +178,18 @@
         self.after(self.settings.heartbeat_s * jitter, _Beat())
 
     def _beat(self, name: str) -> None:
-        self._open[name] += 1
+        link = self._open[name]
+        link.seq += 1
+        link.sent[link.seq] = self.now()
+        if len(link.sent) > MAX_OPEN_BEATS:
+            link.sent.popitem(last=False)
         beat = messages.Heartbeat(
-            seq=self._open[name],
-            revision=0,
+            seq=link.seq,
+            revision=self._revision,
             active=self._load.active,
             granted=0,
-            free=types.Demand(),
-            waiting=self._load.waiting,
+            free=self._tasks.free,
+            waiting=self._tasks.waiting,
             latency_ms=self._load.latency_ms,
             draining=self._load.draining,
         )
--- a/packages/sidecar/src/kcr_sidecar/platform/supervisor.py
+++ b/packages/sidecar/src/kcr_sidecar/platform/supervisor.py
@@ -4,6 +4,7 @@
 
 from kcr_runtime import supervisor
 from kcr_sidecar.platform import runner
+from kcr_sidecar.platform import worker
 
 
 class Platform(supervisor.Supervisor):
@@ -11,4 +12,7 @@
 
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the adapters."""
-        return (supervisor.ChildSpec('runner', runner.Runner),)
+        return (
+            supervisor.ChildSpec('runner', runner.Runner),
+            supervisor.ChildSpec('worker', worker.Worker),
+        )
--- a/packages/sidecar/src/kcr_sidecar/role.py
+++ b/packages/sidecar/src/kcr_sidecar/role.py
@@ -2,7 +2,7 @@
 
 from kcr_runtime import roles
 from kcr_sidecar import addresses
-from kcr_sidecar.capacity import admission
+from kcr_sidecar.capacity import shutdown
 from kcr_sidecar import settings
 from kcr_sidecar import supervisor
 
@@ -10,7 +10,7 @@
     roles.Role(
         options=settings.SidecarOptions,
         root=supervisor.Root,
-        drain_task=addresses.ADMISSION,
-        drain=admission.Drain,
+        drain_task=addresses.SHUTDOWN,
+        drain=shutdown.Drain,
     )
 )
--- /dev/null
+++ b/tests/core/test_task_control.py
@@ -0,0 +1,216 @@
+"""Check single decisions about tasks at their home."""
+
+import typing
+
+import pytest
+
+from kcr_core import messages
+from kcr_core import task_actions as actions
+from kcr_core import task_control
+from kcr_core import task_held
+from kcr_core import types
+
+SETTINGS = types.ControlSettings()
+CAPACITY = types.Demand(8.0, 8000.0, 1)
+Phase = task_held.Phase
+
+
+def make_spec(
+    name: str, cores: float = 1.0, urgent: bool = False
+) -> types.TaskSpec:
+    """Return a task."""
+    demand = types.Demand(cores, 100.0)
+    return types.TaskSpec(name, 'c', 'team', 'kind', demand, urgent)
+
+
+def make_home(*listed: actions.WorkerTask) -> task_control.Control:
+    """Return a home with authority that has read the worker's list."""
+    home = task_control.Control('me', CAPACITY, SETTINGS)
+    home.begin(1, 0.0)
+    home.set_authority(1000.0, False, 0.0)
+    home.listed(actions.Listing(1, 1, listed), 0.0)
+    home.take()
+    return home
+
+
+def assign(
+    home: task_control.Control,
+    spec: types.TaskSpec,
+    now: float,
+    incarnation: str = 'me',
+    epoch: int = 1,
+) -> list[actions.Action]:
+    """Assign a task and return what the home decided."""
+    home.assign(messages.Assign(spec, epoch, incarnation), now)
+    return home.take()
+
+
+def run(home: task_control.Control, spec: types.TaskSpec, now: float) -> None:
+    """Assign a task and let the worker confirm its start."""
+    assign(home, spec, now)
+    home.start_answered((spec.key, 1), 'started', now)
+    home.take()
+
+
+def find(
+    decided: list[actions.Action], cls: type[typing.Any]
+) -> list[typing.Any]:
+    """Return the actions or reported messages of one class."""
+    flat = [a.msg if isinstance(a, actions.Report) else a for a in decided]
+    return [item for item in flat if isinstance(item, cls)]
+
+
+def test_nothing_starts_before_the_list() -> None:
+    """Guard against overcommitting beside tasks that still run."""
+    home = task_control.Control('me', CAPACITY, SETTINGS)
+    home.set_authority(1000.0, False, 0.0)
+    assert not find(assign(home, make_spec('a'), 0.0), actions.Start)
+    old = actions.WorkerTask(
+        'c/old', 1, 'running', make_spec('old'), types.Demand(7.0, 100.0)
+    )
+    home.listed(actions.Listing(1, 1, (old,)), 0.0)
+    assert not find(home.take(), actions.Start)
+
+
+def test_absence_from_list_is_no_proof_without_barrier() -> None:
+    """Guard against a late start command after its task was moved."""
+    home = make_home()
+    assign(home, make_spec('a'), 0.0)
+    home.start_answered(('c/a', 1), 'unknown', 1.0)
+    home.tick(2.0)
+    asked = find(home.take(), actions.AskList)[0]
+    assert asked.barrier
+    home.listed(actions.Listing(asked.mark, 1, ()), 2.0)
+    assert home.waiting() == 0
+    home.listed(actions.Listing(asked.mark, 2, ()), 2.0)
+    assert home.waiting() == 1
+
+
+def test_older_list_does_not_end_a_running_task() -> None:
+    """Guard against reporting a running task as lost."""
+    home = make_home()
+    run(home, make_spec('a'), 0.0)
+    home.listed(actions.Listing(1, 1, ()), 0.1)
+    assert home.tasks['c/a', 1].phase is Phase.RUNNING
+    home.listed(actions.Listing(99, 1, ()), 0.2)
+    assert find(home.take(), messages.Evicted)
+
+
+def test_assignment_repeats_start_nothing() -> None:
+    """Guard against starting an epoch twice, before or after its end."""
+    home = make_home()
+    run(home, make_spec('a'), 0.0)
+    assert not find(assign(home, make_spec('a'), 1.0), actions.Start)
+    ended = actions.WorkerTask('c/a', 1, 'done', make_spec('a'))
+    home.listed(actions.Listing(99, 1, (ended,)), 2.0)
+    home.acknowledge(messages.ReportAck('c/a', 1))
+    assert not find(assign(home, make_spec('a'), 3.0), actions.Start)
+
+
+def test_record_of_another_incarnation_starts_nothing() -> None:
+    """Guard against starting what was given to an older incarnation."""
+    home = make_home()
+    decided = assign(home, make_spec('a'), 0.0, incarnation='older')
+    assert not find(decided, actions.Start)
+    assert find(decided, messages.TaskWait)
+
+
+def test_urgent_task_evicts_batch_and_waits_for_the_stop() -> None:
+    """Guard against overcommitting when an urgent task needs room."""
+    home = make_home()
+    run(home, make_spec('batch', 4.0), 0.0)
+    decided = assign(home, make_spec('urgent', 1.0, True), 1.0)
+    assert find(decided, actions.Stop) == [actions.Stop(('c/batch', 1))]
+    assert not find(decided, actions.Start)
+    ended = actions.WorkerTask(
+        'c/batch', 1, 'stopped', make_spec('batch', 4.0), checkpoint='7'
+    )
+    home.stop_answered(('c/batch', 1), ended, 2.0)
+    decided = home.take()
+    assert find(decided, messages.Evicted)[0].checkpoint == '7'
+    assert find(decided, actions.Start)[0].holder == ('c/urgent', 1)
+
+
+def test_finish_wins_over_eviction() -> None:
+    """Guard against running a task again that ended while it was evicted."""
+    home = make_home()
+    run(home, make_spec('a'), 0.0)
+    assert home.evict(('c/a', 1), 'noisy', 1.0)
+    assert not home.evict(('c/a', 1), 'noisy again', 1.0)
+    ended = actions.WorkerTask('c/a', 1, 'done', make_spec('a'))
+    home.stop_answered(('c/a', 1), ended, 2.0)
+    home.stop_answered(('c/a', 1), None, 2.0)
+    decided = home.take()
+    assert len(find(decided, messages.Finished)) == 1
+    assert not find(decided, messages.Evicted)
+
+
+def test_cancel_before_start_is_final() -> None:
+    """Guard against a late assignment that starts a cancelled task."""
+    home = make_home()
+    home.stop_task(messages.StopTask('c/a', 1), 0.0)
+    assert find(home.take(), messages.Evicted)
+    assert not find(assign(home, make_spec('a'), 1.0), actions.Start)
+
+
+def test_cancel_before_the_list_stops_the_running_task() -> None:
+    """Guard against forgetting a task that an older incarnation started."""
+    home = task_control.Control('me', CAPACITY, SETTINGS)
+    home.set_authority(1000.0, False, 0.0)
+    home.stop_task(messages.StopTask('c/a', 1), 0.0)
+    assert not find(home.take(), messages.Evicted)
+    task = actions.WorkerTask('c/a', 1, 'running', make_spec('a'))
+    home.listed(actions.Listing(1, 1, (task,)), 0.0)
+    assert find(home.take(), actions.Stop)
+
+
+def test_reports_repeat_until_acknowledged() -> None:
+    """Guard against losing the end of a task."""
+    home = make_home()
+    run(home, make_spec('a'), 0.0)
+    ended = actions.WorkerTask('c/a', 1, 'done', make_spec('a'))
+    home.listed(actions.Listing(99, 1, (ended,)), 1.0)
+    home.take()
+    home.tick(4.0)
+    assert find(home.take(), messages.Finished)
+    home.acknowledge(messages.ReportAck('c/a', 1))
+    assert find(home.take(), actions.Forget)
+    home.tick(8.0)
+    assert not find(home.take(), messages.Finished)
+
+
+@pytest.mark.parametrize('fenced', [False, True])
+def test_lost_authority_stops_everything(fenced: bool) -> None:
+    """Guard against running on after the tasks may have been moved."""
+    home = make_home()
+    run(home, make_spec('a'), 0.0)
+    home.set_authority(5.0, fenced, 6.0)
+    decided = home.take()
+    assert find(decided, actions.Stop)
+    assert not find(decided, actions.Renew)
+    assert not find(assign(home, make_spec('b'), 7.0), actions.Start)
+
+
+def test_reservation_follows_measured_use() -> None:
+    """Guard against giving away room that a running task uses."""
+    home = make_home()
+    run(home, make_spec('a', 1.0), 0.0)
+    run(home, make_spec('b', 1.0), 0.0)
+    used = types.Demand(5.0, 100.0)
+    home.measured([actions.Usage(('c/a', 1), used)], 1.0)
+    held = home.ledger.held(('c/a', 1))
+    assert held is not None and used.fits(held)
+    home.measured([actions.Usage(('c/b', 1), used)], 2.0)
+    assert find(home.take(), actions.Stop)
+
+
+def test_drain_ends_with_the_last_acknowledgement() -> None:
+    """Guard against a shutdown that loses reports of its tasks."""
+    home = make_home()
+    run(home, make_spec('a'), 0.0)
+    home.drain(1.0)
+    assert find(home.take(), actions.Stop)
+    home.stop_answered(('c/a', 1), None, 2.0)
+    assert not home.is_drained()
+    home.acknowledge(messages.ReportAck('c/a', 1))
+    assert home.is_drained()
--- a/tests/core/test_task_control_machine.py
+++ b/tests/core/test_task_control_machine.py
@@ -102,6 +102,15 @@
         if home.pending:
             home.deliver(pick % len(home.pending), answer, self.now)
 
+    @stateful.rule(side=SIDE)
+    def overtake(self, side: int) -> None:
+        """Let the worker's list overtake the commands sent before it."""
+        home = self.homes[side]
+        for index, (_, _, action) in enumerate(home.pending):
+            if isinstance(action, actions.AskList):
+                home.deliver(index, True, self.now)
+                return
+
     @stateful.rule(side=SIDE, pick=PICK)
     def give_up(self, side: int, pick: int) -> None:
         """Let a start time out while the command is still on its way."""
