Check sizes, the ledger and single decisions about tasks

Cause: a process-level trial with an emulated worker found three faults. The emulator's routes shared one endpoint name, so every path was answered by the last handler; the first question for the list was never repeated; the shutdown told the process at every tick that it was drained. After a restart, a guess from the declared size made adopted tasks grow; they now keep what they had until their kind is measured.

--- a/packages/core/src/kcr_core/resources.py
+++ b/packages/core/src/kcr_core/resources.py
@@ -29,6 +29,8 @@
     def __init__(self, capacity: types.Demand) -> None:
         # What the instance offers to tasks.
         self.capacity = capacity
+        # Times that the sum was compared with the capacity.
+        self.checks = 0
         self._reserved: dict[Holder, _Reservation] = {}
 
     def reserve(self, holder: Holder, demand: types.Demand) -> bool:
@@ -105,6 +107,7 @@
         return self.capacity.minus(self.total())
 
     def _check(self) -> None:
+        self.checks += 1
         slack = types.Demand(TOLERANCE, TOLERANCE)
         assert self.total().fits(self.capacity.plus(slack)), (
             'instance is overcommitted'
--- a/packages/core/src/kcr_core/sizes.py
+++ b/packages/core/src/kcr_core/sizes.py
@@ -53,12 +53,16 @@
         peak.at = now
         peak.samples += 1
 
+    def is_measured(self, kind: str) -> bool:
+        """Tell whether a kind has enough measurements."""
+        peak = self._kinds.get(kind)
+        return peak is not None and peak.samples >= MIN_SAMPLES
+
     def estimate(self, spec: types.TaskSpec, now: float) -> types.Demand:
         """Return the reservation for a task that does not run yet."""
-        peak = self._kinds.get(spec.kind)
-        if peak is None or peak.samples < MIN_SAMPLES:
+        if not self.is_measured(spec.kind):
             return spec.demand.scaled(max(1.0, self.factor))
-        measured = _decayed(peak, now).scaled(1.0 + MARGIN)
+        measured = _decayed(self._kinds[spec.kind], now).scaled(1.0 + MARGIN)
         # Accelerators are whole and exclusive, so use says little of them.
         count = max(measured.accelerators, spec.demand.accelerators)
         return dataclasses.replace(measured, accelerators=count)
--- a/packages/core/src/kcr_core/task_control.py
+++ b/packages/core/src/kcr_core/task_control.py
@@ -174,9 +174,13 @@
     def _fit(
         self, held: task_held.Held, used: types.Demand, now: float
     ) -> None:
-        wanted = self._estimate(held.spec, now).at_least(used)
         reserved = self.ledger.held(held.holder)
         assert reserved is not None, 'running task without reservation'
+        wanted = used.at_least(reserved)
+        # After a restart the kinds are not measured, and a guess from the
+        # declared size would evict adopted tasks that run well.
+        if self.sizes.is_measured(held.spec.kind):
+            wanted = used.at_least(self._estimate(held.spec, now))
         held.wanted = wanted
         self.ledger.resize(held.holder, wanted.at_least(reserved))
         assert used.fits(self.ledger.needed(held.holder)), (
--- a/packages/core/src/kcr_core/task_home.py
+++ b/packages/core/src/kcr_core/task_home.py
@@ -266,20 +266,25 @@
     def _ask_list(self, now: float) -> None:
         unsure = any(held.unsure for held in self.tasks.values())
         limit = LIST_LIMIT_S if self._list_open else LIST_S
-        if not self.ready or now - self._list_asked_at < limit:
+        if not self.controller_epoch or now - self._list_asked_at < limit:
             return
         self._list_open = True
         self._list_asked_at = now
         self._out.append(actions.AskList(self._next_mark(), unsure))
 
     def _admit(self, now: float) -> None:
-        if not self.ready or self.draining or not self.is_authorized(now):
-            return
         waiting = [
             held
             for held in self.tasks.values()
             if held.phase is Phase.WAITING and now >= held.retry_at
         ]
+        if not self.ready or not self.is_authorized(now):
+            reason = 'the home has no authority to run tasks'
+            if not self.ready:
+                reason = "the worker's list of tasks was not read yet"
+            for held in waiting:
+                self._wait(held, reason)
+            return
         waiting.sort(key=lambda h: (not h.spec.urgent, h.arrived_at))
         for held in waiting:
             if any(o.is_alive() for o in self._other_epochs(held)):
@@ -319,6 +324,7 @@
         assert not any(o.is_alive() for o in self._other_epochs(held)), (
             'task would run in two places'
         )
+        self.counts['place_checks'] += 1
         held.phase = Phase.STARTING
         held.started_at = held.renewed_at = now
         held.sent_epoch = self.controller_epoch
@@ -371,6 +377,8 @@
         now: float,
     ) -> None:
         assert held.report is None, 'end of an epoch is reported twice'
+        assert self.ledger.held(held.holder) is None, 'ended task holds room'
+        self.counts['end_checks'] += 1
         held.phase = Phase.ENDED
         held.unsure = False
         held.report = report
--- a/packages/emulator/src/kcr_emulator/worker.py
+++ b/packages/emulator/src/kcr_emulator/worker.py
@@ -89,7 +89,8 @@
             req.setResponseCode(status)
             return json.dumps(value).encode()
 
-        self._app.route(path, methods=[method])(serve)
+        endpoint = handler.__name__
+        self._app.route(path, methods=[method], endpoint=endpoint)(serve)
 
     async def _lose(self, req: iweb.IRequest) -> bytes:
         typing.cast(typing.Any, req).transport.abortConnection()
--- a/packages/sidecar/src/kcr_sidecar/capacity/shutdown.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/shutdown.py
@@ -54,6 +54,8 @@
 
     @task.handles(events.PartDrained)
     def _on_part_drained(self, msg: events.PartDrained) -> None:
+        if msg.part not in self._left:
+            return
         self._left.discard(msg.part)
         if not self._left:
             self.send(process.PROCESS_ADDRESS, process.Drained())
--- a/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
@@ -90,6 +90,7 @@
             'reserved': dataclasses.asdict(control.ledger.total()),
             'ended': len(control.ended),
             'counts': dict(control.counts),
+            'capacity_checks': control.ledger.checks,
         }
 
     @task.handles(session.Opened)
--- /dev/null
+++ b/tests/core/test_sizes.py
@@ -0,0 +1,80 @@
+"""Check the reservations by kind and the ledger of the instance."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from kcr_core import resources
+from kcr_core import sizes
+from kcr_core import types
+
+CAPACITY = types.Demand(8.0, 8000.0, 2)
+SPEC = types.TaskSpec('t', 'c', 'team', 'kind', types.Demand(2.0, 100.0, 1))
+
+
+def test_unmeasured_kind_gets_the_safety_factor() -> None:
+    """Guard against trusting declared sizes."""
+    owner = sizes.Sizes(2.0)
+    assert owner.estimate(SPEC, 0.0) == types.Demand(4.0, 200.0, 1)
+
+
+def test_measured_kind_gets_a_decaying_peak() -> None:
+    """Guard against holding the room of an old peak for ever."""
+    owner = sizes.Sizes(2.0)
+    for used in (0.5, 1.0, 0.5):
+        owner.observe('kind', types.Demand(used, 50.0), 0.0)
+    assert owner.estimate(SPEC, 0.0) == types.Demand(1.25, 62.5, 1)
+    later = owner.estimate(SPEC, sizes.HALF_LIFE_S)
+    assert later == types.Demand(0.625, 31.25, 1)
+
+
+def test_kinds_are_bounded() -> None:
+    """Guard against memory that grows with the names of kinds."""
+    owner = sizes.Sizes(2.0)
+    for number in range(sizes.MAX_KINDS + 9):
+        owner.observe(f'k{number}', types.Demand(), 0.0)
+    assert len(owner.kinds()) == sizes.MAX_KINDS
+
+
+STEPS = strategies.tuples(
+    strategies.sampled_from(['reserve', 'adopt', 'resize', 'release']),
+    strategies.integers(0, 9),
+    strategies.floats(0.0, 12.0),
+)
+
+
+@settings(derandomize=True)
+@given(strategies.lists(STEPS, max_size=60))
+def test_ledger_never_exceeds_the_capacity(
+    steps: list[tuple[str, int, float]],
+) -> None:
+    """Guard against overcommitment by any order of changes."""
+    ledger = resources.Ledger(CAPACITY)
+    for action, pick, cores in steps:
+        holder = (f't{pick}', 1)
+        demand = types.Demand(cores, cores * 900.0, pick % 3)
+        if ledger.held(holder) is None:
+            if action == 'reserve':
+                ledger.reserve(holder, demand)
+            elif action == 'adopt':
+                ledger.adopt(holder, demand)
+        elif action == 'resize':
+            ledger.resize(holder, demand)
+        elif action == 'release':
+            ledger.release(holder)
+        assert ledger.total().processors <= CAPACITY.processors + 1e-6
+        assert ledger.total().memory_mb <= CAPACITY.memory_mb + 1e-6
+        assert ledger.total().accelerators <= CAPACITY.accelerators
+
+
+def test_short_task_leaves_no_room_and_grows_later() -> None:
+    """Guard against admitting beside a task that needs more than it has."""
+    ledger = resources.Ledger(types.Demand(8.0, 8000.0))
+    assert ledger.reserve(('a', 1), types.Demand(3.0, 10.0))
+    assert ledger.reserve(('b', 1), types.Demand(4.0, 10.0))
+    ledger.resize(('a', 1), types.Demand(6.0, 10.0))
+    assert ledger.is_short()
+    assert not ledger.reserve(('c', 1), types.Demand(0.5, 10.0))
+    ledger.release(('b', 1))
+    assert not ledger.is_short()
+    assert ledger.held(('a', 1)) == types.Demand(6.0, 10.0)
