--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/demo.py
@@ -0,0 +1,273 @@
+"""Run the whole system on loopback, kill parts of it, check every promise.
+
+The exit status is 0 only if nothing ran twice, nothing was overcommitted,
+nothing was lost, and no refusal was false, as counted by the stand-ins.
+"""
+
+import dataclasses
+import random
+import signal
+import subprocess
+import sys
+import time
+import typing
+
+import defopt
+
+from kcr_emulator import documents
+from kcr_emulator import harness
+from kcr_emulator import http
+from kcr_emulator import load_tool
+from kcr_emulator import tally
+
+# Time for which requests are sent, in seconds.
+LOAD_S = 18.0
+# Tasks that are submitted.
+TASKS = 40
+# Limits of the single steps, in seconds.
+READY_LIMIT_S = 15.0
+TASKS_LIMIT_S = 40.0
+# Outcomes after which a task does not change.
+ENDED = ('done', 'failed', 'cancelled', 'unknown')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """Plan one failure of the demo."""
+
+    # Time after the start of the load, in seconds.
+    at_s: float
+    # What happens, for the progress line.
+    text: str
+    # Process that it happens to.
+    process: str
+    # Signal that is sent.
+    signum: signal.Signals
+    # Time until the process is started again, in seconds; none for never.
+    back_s: float | None
+
+
+def plan_failures(rng: random.Random) -> list[Step]:
+    """Return the kills and the drain, at moments that the seed decides."""
+    term, kill = signal.SIGTERM, signal.SIGKILL
+    return sorted(
+        [
+            Step(rng.uniform(3.0, 6.0), 'SIGKILL', 'entry-1', kill, 2.0),
+            Step(
+                rng.uniform(5.0, 9.0),
+                'SIGKILL',
+                'sidecar/instance-0',
+                kill,
+                1.0,
+            ),
+            Step(
+                rng.uniform(9.0, 12.0),
+                'drain',
+                'sidecar/instance-2',
+                term,
+                None,
+            ),
+        ],
+        key=lambda step: step.at_s,
+    )
+
+
+class Demo:
+    """Drive one deployment through its failures."""
+
+    def __init__(self, seed: int, verbose: bool = True) -> None:
+        # Seed of the load, the sizes and the moments of the failures.
+        self.seed = seed
+        # Counts of what came of everything.
+        self.tally = tally.Tally()
+        # Deployment under test.
+        self.deployment = harness.Deployment(harness.Shape(seed=seed))
+        self._verbose = verbose
+        self._rng = random.Random(seed)
+        self._began = time.monotonic()
+        self._accepted: dict[str, str] = {}
+        self._submitted = 0
+        self._resident: dict[str, int] = {}
+
+    def say(self, text: str) -> None:
+        """Print a line of progress."""
+        if self._verbose:
+            since = time.monotonic() - self._began
+            print(f'[{since:5.1f} s] {text}', flush=True)
+
+    def run(self) -> dict[str, float]:
+        """Run the demo; return the percentiles of the latency in ms."""
+        with self.deployment as deployment:
+            deployment.start()
+            self.say(f'processes started, logs in {deployment.folder}')
+            harness.wait_for(self._is_ready, READY_LIMIT_S, 'deployment')
+            self.say('entries see all endpoints')
+            self._publish()
+            out = deployment.folder / 'load.json'
+            sender = self._start_load(out)
+            self._fail_parts(sender)
+            self._wait_for_tasks()
+            results, percentiles = load_tool.read(out)
+            self._count(results)
+            statuses = deployment.stop()
+            self.say(f'stopped with SIGTERM, exit statuses {statuses}')
+        return percentiles
+
+    def _is_ready(self) -> bool:
+        for url in self.deployment.entry_urls():
+            status, dump = http.call('GET', f'{url}/v1/dump')
+            if status != 200:
+                return False
+            known = dump['fleet/membership']['endpoints'].values()
+            up = sum(e['phase'] == 'up' for e in known)
+            if up < len(self.deployment.instances):
+                return False
+        return True
+
+    def _publish(self) -> None:
+        path = self.deployment.folder / 'document.yaml'
+        path.write_text(documents.make_document(self.deployment.shape))
+        entries = ','.join(
+            url.removeprefix('http://') for url in self.deployment.entry_urls()
+        )
+        for command in (
+            ['check', str(path)],
+            ['try', str(path), '--operator', 'demo'],
+            ['promote', '--operator', 'demo'],
+        ):
+            done = subprocess.run(
+                [sys.executable, '-m', 'kcr_cli.main', *command],
+                capture_output=True,
+                text=True,
+                timeout=30,
+                env={'KCR_ENTRIES': entries, 'PATH': '/usr/bin:/bin'},
+            )
+            if done.returncode:
+                raise RuntimeError(
+                    f'{command[0]}: {done.stdout} {done.stderr}'
+                )
+        self.say('document tried, promoted, in force everywhere')
+
+    def _start_load(self, out: typing.Any) -> harness.Managed:
+        command = [sys.executable, '-m', 'kcr_emulator.load_tool']
+        command += ['--out', str(out), '--seconds', str(LOAD_S)]
+        command += ['--seed', str(self.seed)]
+        command += ['--entries', *self.deployment.entry_urls()]
+        sender = harness.Managed(
+            'load', command, self.deployment.folder / 'load.log'
+        )
+        self.deployment.processes['load'] = sender
+        sender.start()
+        return sender
+
+    def _fail_parts(self, sender: harness.Managed) -> None:
+        began = time.monotonic()
+        due = plan_failures(self._rng)
+        returning: list[tuple[float, str]] = []
+        while sender.is_running():
+            since = time.monotonic() - began
+            if due and since >= due[0].at_s:
+                step = due.pop(0)
+                self._fail(step)
+                if step.back_s is not None:
+                    returning.append((since + step.back_s, step.process))
+            for when, name in list(returning):
+                if since >= when:
+                    returning.remove((when, name))
+                    self.deployment.processes[name].start()
+                    self.say(f'{name} started again')
+            self._submit_next()
+            time.sleep(0.1)
+        assert sender.popen is not None
+        if sender.popen.returncode:
+            raise RuntimeError(sender.log_path.read_text())
+        self.say('load ended')
+
+    def _fail(self, step: Step) -> None:
+        process = self.deployment.processes[step.process]
+        if step.signum == signal.SIGKILL:
+            process.kill()
+        else:
+            process.signal(step.signum)
+        self.say(f'{step.text} of {step.process}')
+        for name, held in self.deployment.processes.items():
+            kb = held.resident_kb()
+            self._resident[name] = max(kb, self._resident.get(name, 0))
+
+    def _submit_next(self) -> None:
+        if self._submitted >= TASKS:
+            return
+        self._submitted += 1
+        body = documents.make_task(self._rng, f't{self._submitted}')
+        urls = self.deployment.entry_urls()
+        for url in self._rng.sample(urls, len(urls)):
+            _, answer = http.call('POST', f'{url}/v1/tasks', body)
+            if answer.get('outcome') == 'accepted':
+                self._accepted[f'{body["caller"]}/{body["id"]}'] = 'accepted'
+                return
+
+    def _wait_for_tasks(self) -> None:
+        self.say(f'{len(self._accepted)} tasks accepted, waiting for ends')
+        try:
+            harness.wait_for(
+                lambda: not self._live_tasks(), TASKS_LIMIT_S, 'tasks'
+            )
+        except TimeoutError:
+            self.say(f'tasks that have not ended: {self._live_tasks()}')
+        else:
+            self.say('all tasks have ended')
+
+    def _live_tasks(self) -> list[str]:
+        url = self.deployment.entry_urls()[0]
+        for key, state in self._accepted.items():
+            if state not in ENDED:
+                _, answer = http.call('GET', f'{url}/v1/tasks/{key}')
+                self._accepted[key] = answer.get('state', 'no answer')
+        return [k for k, s in self._accepted.items() if s not in ENDED]
+
+    def _count(self, results: list[typing.Any]) -> None:
+        counts = [
+            http.call('GET', f'{url}/counts')[1]
+            for url in self.deployment.runner_urls()
+        ]
+        tally.count_requests(self.tally, results, counts)
+        workers = [
+            http.call('GET', f'{url}/counts')[1]
+            for url in self.deployment.worker_urls()
+        ]
+        tally.count_tasks(self.tally, self._accepted, workers)
+
+    def report(self, percentiles: dict[str, float]) -> None:
+        """Print the table of outcomes and the resident memory."""
+        counts = dataclasses.asdict(self.tally)
+        for name, value in counts.items():
+            print(f'  {name.replace("_", " "):18} {value:8}')
+        for name, milliseconds in percentiles.items():
+            print(f'  latency {name:10} {milliseconds:8.1f} ms')
+        for name, kb in sorted(self._resident.items()):
+            if name.startswith(('entry', 'sidecar')):
+                print(f'  resident {name:22} {kb / 1024:6.1f} MB')
+
+
+def run(*, seed: int = 1) -> None:
+    """Run the demo and exit with 0 only if every promise held.
+
+    :param seed: seed of the load and of the moments of the failures
+    """
+    demo = Demo(seed)
+    percentiles = demo.run()
+    demo.report(percentiles)
+    broken = demo.tally.broken()
+    if broken:
+        print(f'BROKEN: {", ".join(broken)} (seed {seed})')
+        raise SystemExit(1)
+    print(f'every promise held (seed {seed})')
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(run)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/emulator/src/kcr_emulator/harness.py
+++ b/packages/emulator/src/kcr_emulator/harness.py
@@ -19,6 +19,8 @@
 # Time that a process may take to end after SIGTERM, in seconds.
 STOP_LIMIT_S = 40.0
 LOOPBACK = '127.0.0.1'
+# Instances in one rack.
+RACK_SIZE = 3
 
 
 def choose_ports(count: int) -> list[int]:
@@ -257,13 +259,11 @@
         )
 
     def _daemon(self, role: str, process: str, number: int) -> list[str]:
-        zone = f'zone-{number % self.shape.zones}'
+        place = make_place(self.shape, number)
         flags = {
             '--process': process,
-            '--region': 'region-0',
-            '--zone': zone,
-            '--rack': f'{zone}-rack-{number // 3}',
             '--seed': str(self.shape.seed + number),
+            **{f'--{name}': value for name, value in place.items()},
         }
         pairs = [part for pair in flags.items() for part in pair]
         return [sys.executable, '-m', 'kcr_daemon.main', role, *pairs]
@@ -294,6 +294,21 @@
         return command
 
 
+def make_place(shape: Shape, number: int) -> dict[str, str]:
+    """Return region, zone and rack of an instance or an entry."""
+    zone = f'zone-{number % shape.zones}'
+    rack = f'{zone}-rack-{number // RACK_SIZE}'
+    return {'region': 'region-0', 'zone': zone, 'rack': rack}
+
+
+def make_places(shape: Shape) -> dict[str, dict[str, str]]:
+    """Return the place of each instance by name."""
+    return {
+        f'instance-{number}': make_place(shape, number)
+        for number in range(shape.instances)
+    }
+
+
 def wait_for(
     check: typing.Callable[[], bool], limit_s: float, what: str
 ) -> None:
--- a/packages/emulator/src/kcr_emulator/tally.py
+++ b/packages/emulator/src/kcr_emulator/tally.py
@@ -13,6 +13,10 @@
 
 # Time by which a stop and a start may be reported out of order, in ms.
 CLOCK_STEP_MS = 1
+# End of an interval that has not ended, in Unix ms.
+OPEN_END_MS = 1 << 60
+# States in which a task is accounted for.
+ACCOUNTED = ('done', 'failed', 'cancelled', 'running')
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,14 +45,16 @@
     tasks_twice: int = 0
     # Requests or tasks that were answered or accepted and never ran.
     lost: int = 0
-    # Calls above the slots and starts above the capacity.
+    # Calls above the slots and grants above the capacity.
     overcommitted: int = 0
+    # Times that the real use of tasks went over the capacity of a worker.
+    overused: int = 0
 
     def broken(self) -> list[str]:
         """Return the names of the counts that must be zero and are not."""
         names = (
             'wrong', 'false_refusals', 'requests_twice', 'tasks_twice',
-            'lost', 'overcommitted',
+            'lost', 'overcommitted', 'overused',
         )  # fmt: skip
         return [name for name in names if getattr(self, name)]
 
@@ -92,3 +98,32 @@
             overlaps += 1
         ends[task] = max(end, ends.get(task, 0))
     return overlaps
+
+
+def count_tasks(
+    tally: Tally,
+    accepted: abc.Mapping[str, str],
+    worker_counts: abc.Sequence[dict[str, typing.Any]],
+) -> None:
+    """Compare the accepted tasks and their states with the workers' counts.
+
+    `accepted` holds the final state of each accepted task by its key.
+    """
+    starts: collections.Counter[str] = collections.Counter()
+    intervals = []
+    for counts in worker_counts:
+        starts.update(counts['starts'])
+        tally.overcommitted += counts['overgranted']
+        tally.overused += counts['overcommitted']
+        for task, runs in counts['intervals'].items():
+            intervals += [(task, begin, end) for _, begin, end in runs]
+    ran = {task for task, _, _ in intervals}
+    tally.tasks_twice += count_overlaps(
+        [(task, begin, end or OPEN_END_MS) for task, begin, end in intervals]
+    )
+    tally.tasks_twice += sum(count > 1 for count in starts.values())
+    for task, state in accepted.items():
+        tally.accepted += 1
+        lost = state == 'done' and task not in ran
+        tally.accounted += state in ACCOUNTED and not lost
+        tally.lost += state not in ACCOUNTED or lost
--- a/tests/core/test_task_control_machine.py
+++ b/tests/core/test_task_control_machine.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import home_model
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
@@ -9,7 +10,6 @@
 from kcr_core import messages
 from kcr_core import task_actions as actions
 from kcr_core import types
-import home_model
 
 PICK = strategies.integers(0, 11)
 SIDE = strategies.integers(0, 1)
