--- a/packages/emulator/src/kcr_emulator/load.py
+++ b/packages/emulator/src/kcr_emulator/load.py
@@ -1,7 +1,7 @@
 """Send an open-loop load of requests to the entries, as callers do.
 
-A caller that gets no answer asks again at another entry with the same id and
-says so. The load tool keeps every final outcome for the tally.
+A caller that gets no answer, or a refusal, asks again at another entry with
+the same id and says so. Every final outcome is kept for the tally.
 """
 
 import asyncio
@@ -9,6 +9,7 @@
 import dataclasses
 import json
 import random
+import time
 import typing
 
 from hdrh import histogram
@@ -76,6 +77,8 @@
     latency_ms: float = 0.0
     # Text of the last reason.
     reason: str = ''
+    # Unix time of the first submission, in ms.
+    issued_at_ms: int = 0
 
 
 class Load:
@@ -137,6 +140,7 @@
             return
         self.sent += 1
         result = Result(f'load/r{self.sent}', idempotent)
+        result.issued_at_ms = int(time.time() * 1000)
         defer.ensureDeferred(self._follow(result))
         delay = self._rng.expovariate(rate)
         self.reactor.callLater(delay, self._arrive, idempotent, rate)
@@ -161,7 +165,7 @@
         self.results.append(result)
 
     async def _ask_twice(self, result: Result, first: int) -> None:
-        other = Result(result.key, result.idempotent)
+        other = dataclasses.replace(result)
         both = defer.gatherResults(
             [
                 defer.ensureDeferred(self._ask(result, first, False)),
@@ -193,6 +197,7 @@
             'idempotent': result.idempotent,
             'body': f'body of {result.key}',
             'resubmitted': resubmitted,
+            'issued_at_ms': result.issued_at_ms,
         }
         try:
             answer = await self._post(f'{url}/v1/requests', body)
@@ -204,6 +209,8 @@
         if result.outcome == 'done':
             expected = f'{result.key}:body of {result.key}'
             result.whole = answer['body'] == expected
+        if result.outcome == 'not_run':
+            return False
         return not (result.outcome == 'unknown' and result.idempotent)
 
     async def _post(
--- a/packages/entry/src/kcr_entry/configuration/in_force.py
+++ b/packages/entry/src/kcr_entry/configuration/in_force.py
@@ -197,7 +197,8 @@
         self._check_ready()
 
     def _check_ready(self) -> None:
-        if self._grace and not self._boot.log_read:
+        alone = not self._boot.silent and not self._peers
+        if self._grace and alone and not self._boot.log_read:
             return
         ready = self._boot.is_ready(self._held.revision)
         if ready != self._ready:
--- a/packages/entry/src/kcr_entry/events.py
+++ b/packages/entry/src/kcr_entry/events.py
@@ -107,16 +107,6 @@
     quotas: tuple[tuple[str, types.Demand], ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RevisionSeen:
-    """Report the revision that a connected process follows."""
-
-    # Session that leads to it.
-    session: str
-    # Revision of its document.
-    revision: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointSeen:
     """Report what an entry knows of an endpoint after a change."""
@@ -183,3 +173,13 @@
 
     # The record.
     item: records.Fenced
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionSeen:
+    """Report the revision that a connected process follows."""
+
+    # Session that leads to it.
+    session: str
+    # Revision of its document.
+    revision: int
--- a/packages/entry/src/kcr_entry/fleet/peers.py
+++ b/packages/entry/src/kcr_entry/fleet/peers.py
@@ -180,9 +180,13 @@
     def factory(ctx: task.Context, address: str) -> session.Session:
         from kcr_entry.fleet import supervisor as fleet
 
-        routes = fleet.make_routes(
-            ctx, (addresses.PEERS, addresses.IN_FORCE, addresses.PROCESSES)
+        subscribers = (
+            addresses.PEERS,
+            addresses.IN_FORCE,
+            addresses.PROCESSES,
+            addresses.CLAIMS,
         )
+        routes = fleet.make_routes(ctx, subscribers)
         return session.Session(ctx, address, routes, target)
 
     return supervisor.ChildSpec(target, factory)
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -8,6 +8,7 @@
 
 import klein
 from twisted.internet import defer
+from twisted.python import failure
 from twisted.web import http
 from twisted.web import iweb
 from twisted.web import server
@@ -28,8 +29,11 @@
 BALANCER_S = 0.5
 # How often a draining entry looks whether requests are left.
 DRAIN_POLL_S = 0.1
-# Time that a question within the process may take.
-ASK_LIMIT_S = 310.0
+# Time that a question within the process may take, in seconds. The owner of
+# the state answers earlier; only a restart of it leaves a question open.
+ASK_LIMIT_S = 30.0
+# Time that the outcome of a request may take beyond its deadline, in seconds.
+ANSWER_GRACE_S = 5.0
 
 
 class Drain:
@@ -80,12 +84,12 @@
         }
 
     def _add_routes(self) -> None:
-        route = self._app.route
-        route('/healthz', methods=['GET'])(self._get_health)
-        route('/v1/dump', methods=['GET'])(self._get_dump)
-        route('/v1/requests', methods=['POST'])(self._post_request)
-        operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
+        add = replies.add_route
+        add(self._app, 'GET', '/healthz', self._get_health)
+        add(self._app, 'GET', '/v1/dump', self._get_dump)
+        add(self._app, 'POST', '/v1/requests', self._post_request)
         task_routes.TaskRoutes(self._ask).add(self._app)
+        operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
 
     @task.handles(Drain)
     def _on_drain(self, msg: Drain) -> None:
@@ -115,7 +119,7 @@
             fut.callback(msg.value)
 
     def _ask(
-        self, address: str, body: typing.Any
+        self, address: str, body: typing.Any, limit_s: float = ASK_LIMIT_S
     ) -> defer.Deferred[typing.Any]:
         self._asked += 1
         token = str(self._asked)
@@ -124,8 +128,15 @@
         if not self.send(address, ask.Ask(token, self.address, body)):
             del self._questions[token]
             return defer.succeed(outcomes.NotRun('entry is not ready'))
+        fut.addTimeout(limit_s, self.ctx.reactor)
+        fut.addErrback(lambda fail: self._give_up(token, fail))
         return fut
 
+    def _give_up(self, token: str, fail: failure.Failure) -> outcomes.Unknown:
+        fail.trap(defer.TimeoutError)
+        self._questions.pop(token, None)
+        return outcomes.Unknown('the entry lost track of the request')
+
     def _get_health(self, req: iweb.IRequest) -> bytes:
         if self._draining:
             return replies.respond(req, 503, {'status': 'draining'})
@@ -143,7 +154,8 @@
         self._open_requests += 1
         try:
             submit = model.to_submit()
-            value = await self._ask(addresses.REQUESTS, submit)
+            limit_s = submit.budget_s + ANSWER_GRACE_S
+            value = await self._ask(addresses.REQUESTS, submit, limit_s)
         finally:
             self._open_requests -= 1
         if self._draining:
--- a/packages/entry/src/kcr_entry/front/models.py
+++ b/packages/entry/src/kcr_entry/front/models.py
@@ -28,14 +28,26 @@
 
     model_config = pydantic.ConfigDict(extra='forbid')
 
-    id: Name
-    caller: Name
+    id: PathName
+    # A slash here would let two callers have one key.
+    caller: PathName
     service: Name
     deadline_ms: int = pydantic.Field(ge=1, le=MAX_DEADLINE_MS)
     idempotent: bool = True
     issued_at_ms: int | None = pydantic.Field(None, ge=0)
+    resubmitted: bool = False
     body: str = pydantic.Field('', max_length=messages.MAX_BODY_BYTES // 4)
 
+    @pydantic.model_validator(mode='after')
+    def check_issued(self) -> 'RequestModel':
+        """Require the time of issue where it bounds the dedupe window."""
+        if not self.idempotent and self.issued_at_ms is None:
+            raise ValueError(
+                'issued_at_ms is required for a non-idempotent request; '
+                'send the Unix time in ms of the first submission'
+            )
+        return self
+
     def to_submit(self) -> requests.Submit:
         """Return the request as a data class."""
         issued = self.issued_at_ms
@@ -49,6 +61,7 @@
             idempotent=self.idempotent,
             issued_at_ms=issued,
             body=self.body.encode(),
+            resubmitted=self.resubmitted,
         )
 
 
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -5,13 +5,18 @@
 import hashlib
 import typing
 
+from kcr_core import claimant
+from kcr_core import dispatch
 from kcr_core import messages
 from kcr_core import outcomes
 from kcr_core import request_state
+from kcr_core import retry_budget
 from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry import events
 from kcr_entry.fleet import membership
+from kcr_entry.work import claim_path
+from kcr_entry.work import claims
 from kcr_runtime import ask
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -20,6 +25,9 @@
 REMEMBERED = 2000
 # Requests in flight at one entry before new ones are refused.
 IN_FLIGHT_LIMIT = 5000
+# Time in which membership returns an attempt that was not sent, in seconds;
+# without it such a request would end `unknown` instead of `not_run`.
+WITHDRAW_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +48,8 @@
     issued_at_ms: int
     # Body of the request.
     body: bytes
+    # Whether the caller sent it before and got no answer.
+    resubmitted: bool = False
 
     @property
     def key(self) -> str:
@@ -63,6 +73,13 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Deadline:
     key: str
+    # Whether attempts that wait for a grant were withdrawn before.
+    withdrawn: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Hedge:
+    key: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +92,10 @@
     sessions: dict[str, str]
     # Monotonic time of arrival.
     since: float
+    # Whether a submission with this id was sent before, here or elsewhere.
+    resubmitted: bool
+    # Monotonic time at which each attempt was sent.
+    sent_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 class Requests(task.Task):
@@ -87,7 +108,15 @@
         self._revision = 0
         self._active: dict[str, _Active] = {}
         self._by_attempt: dict[str, str] = {}
+        # A restarted owner must not use the id of an attempt again, because
+        # a late answer would be taken for that of another request.
+        life = f'{ctx.rng.getrandbits(48):012x}'
+        self._attempt_prefix = f'{ctx.incarnation}:{life}'
         self._attempts = 0
+        self._budget = retry_budget.RetryBudget(self.settings.retry_budget)
+        self._latencies = retry_budget.Latencies()
+        self._hedges: set[str] = set()
+        self._claims = claim_path.ClaimPath(self)
         self._kept: collections.OrderedDict[
             str, tuple[str, outcomes.Outcome]
         ] = collections.OrderedDict()
@@ -103,6 +132,11 @@
             **super().dump(),
             'in_flight': len(self._active),
             'kept': len(self._kept),
+            'retry_budget': {
+                'tokens': round(self._budget.tokens, 3),
+                'spent': self._budget.spent,
+                'declined': self._budget.declined,
+            },
             'oldest': [
                 {
                     'request': key,
@@ -126,6 +160,7 @@
             if active.submit.digest() != digest:
                 self._reply(question, Conflict(submit.key))
             else:
+                active.resubmitted |= submit.resubmitted
                 active.waiters.append(question)
             return
         kept = self._kept.get(submit.key)
@@ -147,19 +182,49 @@
             max_attempts=self.settings.max_attempts,
         )
         self._active[submit.key] = _Active(
-            submit, state, [question], {}, since=now
+            submit, state, [question], {}, now, submit.resubmitted
         )
         self.after(submit.budget_s, _Deadline(submit.key))
+        self._prepare_repeats(submit)
         if not submit.idempotent:
-            refusal = outcomes.NotRun('non-idempotent requests need the log')
-            self._finish(submit.key, refusal)
+            self._claim(submit)
             return
         self._attempt(submit.key, frozenset())
 
-    def _attempt(self, key: str, avoid: frozenset[str]) -> None:
+    def _claim(self, submit: Submit) -> None:
+        if not self._claims.ask(
+            submit.key, submit.digest(), submit.issued_at_ms
+        ):
+            refusal = outcomes.NotRun('claims are not ready')
+            self._finish(submit.key, refusal)
+
+    @task.handles(claims.Ended)
+    def _on_claim_ended(self, event: claims.Ended) -> None:
+        taken = self._claims.take(event)
+        if taken is None:
+            return
+        key, value = taken
+        if not isinstance(value, claimant.Won):
+            changed = isinstance(value, claimant.Changed)
+            self._finish(key, Conflict(key) if changed else value)
+            return
+        state = self._active[key].state
+        assert not state.attempts, 'request was sent before it was claimed'
+        self.ctx.metrics.count('claim_used')
+        self._attempt(key, frozenset())
+
+    def _on_outcome_query(self, event: session.Received) -> None:
+        key, token = event.msg.request, event.msg.token
+        if key in self._active:
+            self._claims.hold(event)
+            return
+        kept = self._kept.get(key)
+        self._claims.reply(event.session, token, kept[1] if kept else None)
+
+    def _attempt(self, key: str, avoid: frozenset[str]) -> str:
         active = self._active[key]
         self._attempts += 1
-        attempt = f'{self.ctx.incarnation}:{self._attempts}'
+        attempt = f'{self._attempt_prefix}:{self._attempts}'
         self._by_attempt[attempt] = key
         active.state.begin(attempt)
         left = active.state.deadline - self.now()
@@ -178,6 +243,7 @@
             self._apply(
                 key, active.state.not_sent(attempt, 'entry is overloaded')
             )
+        return attempt
 
     @task.handles(membership.Dispatched)
     def _on_dispatched(self, event: membership.Dispatched) -> None:
@@ -189,11 +255,13 @@
             return
         active.state.placed(event.attempt, event.instance)
         active.sessions[event.attempt] = event.session
+        active.sent_at[event.attempt] = self.now()
 
     @task.handles(membership.NotDispatched)
     def _on_not_dispatched(self, event: membership.NotDispatched) -> None:
         active = self._find(event.attempt)
         if active is not None:
+            self._refund_hedge(event.attempt)
             self._apply(
                 active.submit.key,
                 active.state.not_sent(event.attempt, event.reason),
@@ -202,11 +270,14 @@
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
+        if isinstance(msg, messages.OutcomeQuery):
+            self._on_outcome_query(event)
+            return
         active = self._find(msg.attempt)
         if active is None or msg.attempt not in active.sessions:
             self.ctx.metrics.count('answer_late')
             return
-        self._release(active, msg.attempt)
+        self._release(active, msg.attempt, dispatch.infer_result(msg))
         key, state = active.submit.key, active.state
         if isinstance(msg, messages.Refused):
             self._apply(
@@ -253,34 +324,108 @@
     @task.handles(_Deadline)
     def _on_deadline(self, event: _Deadline) -> None:
         active = self._active.get(event.key)
-        if active is not None:
-            self._apply(event.key, active.state.expired())
+        if active is None or self.now() < active.state.deadline:
+            return  # The timer belongs to an earlier submission of the id.
+        if self._claims.cancel(event.key):
+            self.after(claim_path.CANCEL_LIMIT_S, event)
+            return
+        if not event.withdrawn and self._withdraw(active):
+            self.after(WITHDRAW_S, _Deadline(event.key, withdrawn=True))
+            return
+        self._apply(event.key, active.state.expired())
+
+    def _withdraw(self, active: _Active) -> bool:
+        """Ask for the attempts without an endpoint back; tell if any is."""
+        unplaced = [
+            attempt
+            for attempt, state in active.state.attempts.items()
+            if state is request_state.AttemptState.PENDING
+            and attempt not in active.state.instances
+        ]
+        for attempt in unplaced:
+            self.send(addresses.MEMBERSHIP, membership.Withdraw(attempt))
+        return bool(unplaced)
 
     def _find(self, attempt: str) -> _Active | None:
         key = self._by_attempt.get(attempt)
         return None if key is None else self._active.get(key)
 
-    def _release(self, active: _Active, attempt: str) -> None:
-        if active.sessions.pop(attempt, None) is not None:
-            instance = active.state.instances[attempt]
-            self.send(addresses.MEMBERSHIP, membership.AttemptEnded(instance))
+    def _release(
+        self, active: _Active, attempt: str, result: dispatch.Result = 'none'
+    ) -> None:
+        if active.sessions.pop(attempt, None) is None:
+            return
+        took_s = self.now() - active.sent_at.pop(attempt, self.now())
+        if result == 'ok':
+            self._latencies.add(took_s)
+        ended = membership.AttemptEnded(
+            active.state.instances[attempt],
+            active.submit.key,
+            result,
+            took_s,
+        )
+        self.send(addresses.MEMBERSHIP, ended)
 
     def _apply(self, key: str, step: request_state.Step) -> None:
         if isinstance(step, request_state.Wait):
             return
-        if isinstance(step, request_state.TryAgain):
+        if not isinstance(step, request_state.TryAgain):
+            self._finish(key, step)
+        elif self._budget.spend():
             self.ctx.metrics.count('retry')
             self._attempt(key, step.avoid)
-            return
-        self._finish(key, step)
+        else:
+            self.ctx.metrics.count('retry_declined')
+            state = self._active[key].state
+            self._apply(key, state.decline('retry budget is used up'))
+
+    def _prepare_repeats(self, submit: Submit) -> None:
+        """Count a new request in the budget and set the hedge timer."""
+        self._budget.share = self.settings.retry_budget
+        self._budget.deposit()
+        delay_s = retry_budget.infer_hedge_delay(
+            self.settings.hedge_s,
+            self.settings.hedge_quantile,
+            self._latencies,
+        )
+        if submit.idempotent and delay_s is not None:
+            if delay_s < submit.budget_s:
+                self.after(delay_s, _Hedge(submit.key))
 
-    def _finish(self, key: str, outcome: outcomes.Outcome) -> None:
+    @task.handles(_Hedge)
+    def _on_hedge(self, event: _Hedge) -> None:
+        active = self._active.get(event.key)
+        if active is None or not active.state.can_hedge():
+            return
+        # An attempt that still waits for a grant is not hedged.
+        if not active.sessions or not self._budget.spend():
+            return
+        self.ctx.metrics.count('hedge')
+        avoid = frozenset(active.state.instances.values())
+        attempt = self._attempt(event.key, avoid)
+        if event.key in self._active:
+            self._hedges.add(attempt)
+
+    def _refund_hedge(self, attempt: str) -> None:
+        if attempt in self._hedges:
+            self._hedges.remove(attempt)
+            self._budget.refund()
+
+    def _finish(self, key: str, outcome: outcomes.Outcome | Conflict) -> None:
         active = self._active.pop(key)
+        if isinstance(outcome, outcomes.NotRun):
+            outcome = infer_refusal(outcome, active)
+        self._withdraw(active)
+        self._claims.finish(key, outcome)
         for attempt in list(active.sessions):
             self._release(active, attempt)
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
-        if not isinstance(outcome, outcomes.NotRun):
+            self._hedges.discard(attempt)
+        # A submission that lost its claim keeps nothing: the winner does.
+        if isinstance(outcome, outcomes.Done) or (
+            isinstance(outcome, outcomes.Unknown) and active.state.attempts
+        ):
             self._kept[key] = (active.submit.digest(), outcome)
             if len(self._kept) > REMEMBERED:
                 self._kept.popitem(last=False)
@@ -293,3 +438,19 @@
 
     def _reply(self, question: ask.Ask, value: typing.Any) -> None:
         self.send(question.sender, ask.Answer(question.token, value))
+
+
+def infer_refusal(
+    outcome: outcomes.NotRun, active: _Active
+) -> outcomes.NotRun | outcomes.Unknown:
+    """Return what a refusal may say about all submissions of the id.
+
+    An earlier submission may have run at another entry. Only a claim that
+    was won, and then not used, proves that none did.
+    """
+    claimed = not active.submit.idempotent and bool(active.state.attempts)
+    if not active.resubmitted or claimed:
+        return outcome
+    return outcomes.Unknown(
+        f'not run now: {outcome.reason}; an earlier submission may have run'
+    )
--- a/packages/entry/src/kcr_entry/work/supervisor.py
+++ b/packages/entry/src/kcr_entry/work/supervisor.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 
+from kcr_entry.work import claims
 from kcr_entry.work import fences
 from kcr_entry.work import requests
 from kcr_entry.work import tasks
@@ -14,6 +15,7 @@
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the tasks of the work part."""
         return (
+            supervisor.ChildSpec('claims', claims.Claims),
             supervisor.ChildSpec('requests', requests.Requests),
             supervisor.ChildSpec('tasks', tasks.Tasks),
             supervisor.ChildSpec('fences', fences.Fences),
