Keep a restarted owner of the document from going back

The task in_force lost what it had followed when it was restarted while the log was down, and could then follow an older document of a peer. It now asks the task processes, which keeps the settings, for the revision below which nothing is followed. Keeping the revision in the context of the process was ruled out: state belongs to one task.

With the check turned off, test_restarted_task_does_not_go_back fails with "assert {4, 9} == {9}".

--- a/packages/entry/src/kcr_entry/addresses.py
+++ b/packages/entry/src/kcr_entry/addresses.py
@@ -17,3 +17,13 @@
     'tasks': 'log/reader_tasks',
     'claims': 'log/reader_claims',
 }
+# Tasks that follow the settings of the document in force.
+FOLLOWERS = (
+    PROCESSES,
+    MEMBERSHIP,
+    REQUESTS,
+    TASKS,
+    CLAIMS,
+    PEERS,
+    FENCES,
+)
--- a/packages/entry/src/kcr_entry/configuration/in_force.py
+++ b/packages/entry/src/kcr_entry/configuration/in_force.py
@@ -22,15 +22,14 @@
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
-# Time after which a publication is answered with "not known", in seconds.
-# The appender decides within 3 s and a read takes 1 s.
-VERDICT_LIMIT_S = 15.0
 # Delay before a document is fetched from a peer; the log is faster as a rule,
 # and the text should not cross the link between regions twice.
 FETCH_DELAY_S = 1.0
 # Time that the log has for the first read before peers alone can make the
 # process ready, in seconds.
 GRACE_S = 3.0
+# Delay of messages that come before the floor is known, in seconds.
+FLOOR_S = 0.05
 # Time between two deliveries of the same settings, in seconds; a task that
 # was restarted has lost them.
 REDELIVER_S = 5.0
@@ -41,16 +40,6 @@
 RESTATE_AGAIN_SHARE = 0.02
 # Token of the append of a restatement.
 RESTATE = 'restate'
-# Tasks that follow the settings.
-FOLLOWERS = (
-    addresses.PROCESSES,
-    addresses.MEMBERSHIP,
-    addresses.REQUESTS,
-    addresses.TASKS,
-    addresses.CLAIMS,
-    addresses.PEERS,
-    addresses.FENCES,
-)
 
 
 class _Redeliver:
@@ -93,11 +82,14 @@
         self._unreadable = ''
         self._ready = False
         self._grace = True
+        self._floor: int | None = None
         self._restated_at: float | None = None
 
     def started(self) -> None:
         """Read the stream from the start and begin to deliver."""
         self.send(addresses.READERS['config'], events.LogReplay())
+        floor = ask.Ask('floor', self.address, questions.GetVersions())
+        self.send(addresses.PROCESSES, floor)
         self.after(GRACE_S, _EndGrace())
         self.after(REDELIVER_S, _Redeliver())
         self._schedule_restatement(self.ctx.rng.uniform(*RESTATE_SHARES))
@@ -149,7 +141,16 @@
                 self._adopt(doc, 'log')
         self._check_ready()
 
+    @task.handles(ask.Answer)
+    def _on_floor(self, msg: ask.Answer) -> None:
+        """Note what the process followed before this task was restarted."""
+        floor = int(msg.value.revision)
+        self._floor = floor
+        self._boot.highest = max(self._boot.highest, floor)
+
     def _adopt(self, doc: configuration.InForce, source: str) -> None:
+        if self._floor is None or doc.revision < self._floor:
+            return
         if not self._held.adopt(doc):
             return
         self.ctx.metrics.count('document_adopted', source=source)
@@ -179,7 +180,7 @@
     def _deliver(self) -> None:
         if self._settings is None:
             return
-        for follower in FOLLOWERS:
+        for follower in addresses.FOLLOWERS:
             self.send(follower, self._settings)
 
     @task.handles(_Redeliver)
@@ -194,6 +195,8 @@
     @task.handles(_EndGrace)
     def _on_end_grace(self, msg: _EndGrace) -> None:
         self._grace = False
+        if self._floor is None:
+            self._floor = 0
         self._check_ready()
 
     def _check_ready(self) -> None:
@@ -206,8 +209,6 @@
             self.log.info('readiness changed', ready=ready)
             self.send(addresses.HTTP, questions.ReadyChanged(ready))
 
-    # Peers.
-
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
         hello = event.hello
@@ -256,6 +257,9 @@
 
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
+        if self._floor is None:
+            self.after(FLOOR_S, event)
+            return
         msg = event.msg
         if msg.environment != self.ctx.cfg.environment:
             return
@@ -308,8 +312,6 @@
             self._boot.sidecar_seen(event.revision)
         self._want(event.revision)
 
-    # Questions of operators.
-
     @task.handles(ask.Ask)
     def _on_ask(self, req: ask.Ask) -> None:
         body = req.body
@@ -357,7 +359,7 @@
             self._answer(req, questions.Refused('the log is not available'))
             return
         self._publications.begin(token, req, item)
-        self.after(VERDICT_LIMIT_S, _Expire(token))
+        self.after(publishing.VERDICT_LIMIT_S, _Expire(token))
 
     @task.handles(events.AppendEnded)
     def _on_append_ended(self, event: events.AppendEnded) -> None:
@@ -370,8 +372,6 @@
     def _on_expire(self, msg: _Expire) -> None:
         self._publications.expire(msg.token)
 
-    # Restatement.
-
     def _schedule_restatement(self, share: float) -> None:
         self.after(self.ctx.cfg.log_retention_s * share, _Restate())
 
--- a/packages/entry/src/kcr_entry/configuration/publishing.py
+++ b/packages/entry/src/kcr_entry/configuration/publishing.py
@@ -13,6 +13,9 @@
 
 # Publications under way at one entry.
 PENDING_LIMIT = 100
+# Time after which a publication is answered with "not known", in seconds.
+# The appender decides within 3 s and a read takes 1 s.
+VERDICT_LIMIT_S = 15.0
 
 Record = records.Tried | records.Promoted
 
--- a/tests/entry/config_world.py
+++ b/tests/entry/config_world.py
@@ -47,10 +47,11 @@
         self._probes: dict[str, log_world.Probe] = {}
         for address in ('asker', addresses.MEMBERSHIP, addresses.HTTP):
             self.probe(address)
+        self._owner = in_force.InForce(self.ctx, addresses.IN_FORCE)
         for node in (
             appender.Appender(self.ctx, addresses.APPENDER),
             processes.Processes(self.ctx, addresses.PROCESSES),
-            in_force.InForce(self.ctx, addresses.IN_FORCE),
+            self._owner,
             reader.Reader(
                 self.ctx,
                 addresses.READERS['config'],
@@ -60,6 +61,12 @@
         ):
             world.start(node)
 
+    def restart(self) -> None:
+        """Replace the owner of the document, as after a failure."""
+        self._owner.end()
+        self._owner = in_force.InForce(self.ctx, addresses.IN_FORCE)
+        self._owner.begin()
+
     def probe(self, address: str) -> log_world.Probe:
         """Return the probe at an address; add it if there is none."""
         if address not in self._probes:
--- a/tests/entry/test_in_force.py
+++ b/tests/entry/test_in_force.py
@@ -157,6 +157,24 @@
     assert not entry.dump()['violated']
 
 
+def test_restarted_task_does_not_go_back(world: log_world.World) -> None:
+    """Guard against an old document after a restart without the log."""
+    world.log.outage = 'refuse'
+    entry = config_world.Entry(world, 'a', peers=('listen-p',))
+    entry.open('p', 'entry')
+    entry.hear('p', 'entry', make_offer(9, 0.3))
+    world.run(0.1)
+    entry.restart()
+    entry.open('p', 'entry')
+    entry.hear('p', 'entry', make_offer(4, 0.2))
+    world.run(4.0)
+    assert not entry.dump()['ready']
+    assert {s.revision for s in entry.settings()} == {9}
+    entry.hear('p', 'entry', make_offer(9, 0.3))
+    world.run(0.1)
+    assert entry.dump()['ready']
+
+
 def test_bad_offers_are_not_followed(world: log_world.World) -> None:
     """Guard against a text without its digest or of another environment."""
     entry = config_world.Entry(world, 'a')
--- a/tests/runtime/test_session.py
+++ b/tests/runtime/test_session.py
@@ -64,7 +64,7 @@
 class Pair:
     """Connect a session under test to a bare connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, revision: int = 0) -> None:
         self.clock = twisted_task.Clock()
         ctx = task.Context(
             reactor=self.clock,
@@ -83,6 +83,7 @@
         )
         self.session = session.Session(ctx, 'session', routes)
         self.session.begin()
+        self.session.post(session.SetRevision(revision))
         self.server = self.session.adopt()
         self.received: list[typing.Any] = []
         self.client = connection.Connection(
@@ -129,6 +130,13 @@
     return messages.Heartbeat(1, 0, 0, 0, types.Demand())
 
 
+def test_hello_carries_the_revision() -> None:
+    """Guard against a peer that learns an old revision from the hello."""
+    pair = Pair(revision=7)
+    hellos = [m for m in pair.received if isinstance(m, messages.Hello)]
+    assert [hello.revision for hello in hellos] == [7]
+
+
 def test_messages_reach_their_task_with_the_hello() -> None:
     """Guard against a message that is routed without its sender."""
     pair = Pair()
