--- a/packages/cli/src/kcr_cli/publishing.py
+++ b/packages/cli/src/kcr_cli/publishing.py
@@ -10,6 +10,7 @@
 from kcr_cli import files
 from kcr_cli import output
 from kcr_cli import spread
+from kcr_core import document_text
 from kcr_document import document
 
 # Time between two looks at the processes, in seconds.
@@ -48,7 +49,11 @@
             return held
         base = held['revision'] if held else 0
         self._show(held, file)
-        body = {'text': file.text, 'base': base, 'operator': self.operator}
+        body = {
+            'text': document_text.pack(file.text),
+            'base': base,
+            'operator': self.operator,
+        }
         return await self._publish(name, 'try', body, file.digest)
 
     async def promote(self, trial: str) -> exits.Exit:
--- a/packages/entry/src/kcr_entry/front/operator_routes.py
+++ b/packages/entry/src/kcr_entry/front/operator_routes.py
@@ -102,15 +102,18 @@
         model = replies.read(req, TryModel)
         if isinstance(model, bytes):
             return model
-        if len(model.text) > YAML_CHARS and not document.is_canonical(
-            model.text
-        ):
+        try:
+            text = document_text.unpack(model.text)
+        except ValueError as exc:
+            error = {'error': f'text: cannot be unpacked: {exc}'}
+            return replies.respond(req, http.BAD_REQUEST, error)
+        if len(text) > YAML_CHARS and not document.is_canonical(text):
             reason = f'YAML exceeds {YAML_CHARS} characters; {CANONICAL}'
             return replies.respond(
                 req, http.REQUEST_ENTITY_TOO_LARGE, {'error': reason}
             )
         try:
-            file = document.read(model.text)
+            file = document.read(text)
         except problems.WrongDocument as exc:
             found = [dataclasses.asdict(item) for item in exc.problems]
             body = {'outcome': 'wrong', 'problems': found}
--- a/tests/cli/fake_entry.py
+++ b/tests/cli/fake_entry.py
@@ -123,7 +123,7 @@
         if body['base'] != current:
             found = {'outcome': 'lost', 'reason': 'stale', 'revision': current}
             return respond(req, 409, found)
-        kind, text = 'trial', body.get('text')
+        kind, text = 'trial', document_text.unpack(body.get('text', ''))
         if verb == 'promote':
             kind, text = 'production', docs['trial']['text']
         digest = body.get('digest') or document_text.infer_digest(text)
--- a/tests/entry/test_operator_routes.py
+++ b/tests/entry/test_operator_routes.py
@@ -7,8 +7,11 @@
 import pytest
 from treq import testing
 from twisted.internet import defer
+import yaml
 
 import config_world
+from kcr_core import document_text
+from kcr_document import document
 from kcr_entry.front import operator_routes
 from kcr_entry.front import task_routes
 from kcr_runtime import ask
@@ -92,6 +95,36 @@
     assert (found['environment'], found['revision']) == ('trial', 1)
 
 
+def test_document_of_the_design_size_is_accepted(front: Front) -> None:
+    """Guard against a bound that the size to design for exceeds."""
+    value = list(yaml.safe_load_all(config_world.TEXT))
+    value[1]['instances'] = [
+        {
+            'name': f'instance-{n:05d}',
+            'region': f'r{n // 2400}',
+            'zone': f'r{n // 2400}-{n // 700}',
+            'rack': f'r{n // 2400}-{n // 700}-{n // 3:04d}',
+            'size': 'standard',
+            'drained': n == 77,
+        }
+        for n in range(9100)
+    ]
+    value[1]['teams'] = [
+        {'name': f'team-{n}', 'processors': 10} for n in range(250)
+    ]
+    file = document.parse(yaml.safe_dump_all(value).encode())
+    body = {'text': document_text.pack(file.text), 'operator': 'ann'}
+    status, found = front.call('POST', '/v1/document/trial/try', body)
+    assert (status, found['digest']) == (200, file.digest)
+    promotion = {'digest': file.digest, 'operator': 'ann'}
+    path = '/v1/document/production/promote'
+    assert front.call('POST', path, promotion)[0] == 200
+    late = config_world.Entry(front.world, 'late')
+    front.world.run(1.5)
+    assert late.settings()[-1].settings.drained == ('instance-00077',)
+    assert len(late.settings()[-1].quotas) == 250
+
+
 def test_loser_is_told_the_revision_in_force(front: Front) -> None:
     """Guard against a loser who is not told who won."""
     path = '/v1/document/trial/try'
@@ -109,6 +142,7 @@
         ('trial/try', {'operator': 'a'}, 400, 'text'),
         ('trial/try', {'text': 'x: 1', 'operator': 'a'}, 422, 'environment'),
         ('trial/try', {'text': 'x', 'more': 1, 'operator': 'a'}, 400, 'more'),
+        ('trial/try', {'text': 'zlib:?', 'operator': 'a'}, 400, 'unpacked'),
         ('other/try', {'text': config_world.TEXT, 'operator': 'a'}, 503,
          'no trial document'),
         ('trial/try', {'text': '#' * 70_000, 'operator': 'a'}, 413,
