--- a/packages/core/src/kcr_core/fencing.py
+++ b/packages/core/src/kcr_core/fencing.py
@@ -11,6 +11,7 @@
 import typing
 
 from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import records
 from kcr_core import types
 
@@ -81,15 +82,17 @@
     def step(
         self,
         homes: abc.Collection[Name],
-        fenced: abc.Container[Name],
+        waits: abc.Mapping[Name, float],
         peers: abc.Collection[str],
         fresh: bool,
         now: float,
     ) -> list[Action]:
         """Return the questions and fences that are due.
 
-        `homes` are the incarnations that live tasks name; `fresh` tells
-        whether the view of the log is.
+        `homes` are the incarnations that live tasks name, `waits` those of
+        the fences in the log; `fresh` tells whether the view of the log is.
+        A fence with a long wait is followed by one with a short wait from an
+        entry that knew the sidecar.
         """
         self._forget(homes)
         actions: list[Action] = []
@@ -98,7 +101,9 @@
             last = self.heard.get(name, since)
             silent = now - last >= self.settings.failure_timeout_s
             held = now < self.vouched.get(name, now)
-            if name in fenced or not silent or held or not fresh:
+            wait = self.infer_wait(name)
+            fenced = name in waits and waits[name] <= wait
+            if fenced or not silent or held or not fresh:
                 self._queries.pop(name, None)
                 continue
             if now < self.fences_from:
@@ -173,8 +178,8 @@
 
 def judge_home(
     key: str,
-    task: ledger.Live,
-    fence: ledger.Fence | None,
+    task: live_task.Live,
+    fence: live_task.Fence | None,
     present: Present | None,
     now: float,
 ) -> Verdict:
@@ -182,7 +187,9 @@
     home = task.home
     if home is None:
         return STAY
-    replaced = present is not None and ledger.is_successor(home, present.home)
+    replaced = present is not None and live_task.is_successor(
+        home, present.home
+    )
     if replaced and present is not None:
         if (key, task.epoch) not in present.running:
             return Leave(f'sidecar of {home.instance} restarted without it')
@@ -217,7 +224,7 @@
 
 
 def choose_end(
-    task: ledger.Live, home: types.Home | None, reason: str
+    task: live_task.Live, home: types.Home | None, reason: str
 ) -> records.Moved | records.FinishedRecord:
     """Return the record that takes a task from a lost home.
 
--- a/packages/entry/src/kcr_entry/work/reports.py
+++ b/packages/entry/src/kcr_entry/work/reports.py
@@ -7,6 +7,7 @@
 import typing
 
 from kcr_core import ledger
+from kcr_core import live_task
 from kcr_core import messages
 from kcr_core import placement
 from kcr_core import records
@@ -49,6 +50,20 @@
         if held is not None:
             self._acknowledge(held[0], key, held[1])
 
+    def count_unknown(self, running: frozenset[tuple[str, int]]) -> None:
+        """Note running tasks without a record; they are left to run."""
+        state = self.owner.state
+        for key, _ in running:
+            if key not in state.live and key not in state.ended:
+                self.owner.ctx.metrics.count('running_task_unknown')
+                self.owner.log.warning('task has no record', key=key)
+
+    def _stop(self, name: str, key: str, epoch: int) -> None:
+        """Stop an epoch that is over, for example a cancelled task."""
+        self.owner.ctx.metrics.count('report_of_ended_epoch')
+        stop = messages.StopTask(key, epoch)
+        self.owner.send(name, session.Send(stop))
+
     def _acknowledge(self, name: str, key: str, epoch: int) -> None:
         ack = messages.ReportAck(key, epoch)
         self.owner.send(name, session.Send(ack))
@@ -66,6 +81,9 @@
                 if isinstance(msg, messages.TaskWait):
                     reason = msg.reason or 'waits at its home'
                 self._notes[msg.task] = (msg.epoch, reason)
+            elif task is not None or msg.task in owner.state.ended:
+                if task is None or msg.epoch < task.epoch:
+                    self._stop(event.session, msg.task, msg.epoch)
             return
         if task is None and msg.task not in owner.state.ended:
             owner.ctx.metrics.count('report_unknown_task')
@@ -76,7 +94,7 @@
         self._report_current(event, task)
 
     def _report_current(
-        self, event: session.Received, task: ledger.Live
+        self, event: session.Received, task: live_task.Live
     ) -> None:
         msg, owner = event.msg, self.owner
         instance = event.hello.place.instance
@@ -102,7 +120,7 @@
             owner.places.settle(msg.task)
 
     def _make_moved(
-        self, task: ledger.Live, msg: messages.Evicted, instance: str
+        self, task: live_task.Live, msg: messages.Evicted, instance: str
     ) -> records.Moved:
         """Return the record of a task that has stopped for good."""
         owner = self.owner
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -221,7 +221,9 @@
         kept = self._kept.get(key)
         self._claims.reply(event.session, token, kept[1] if kept else None)
 
-    def _attempt(self, key: str, avoid: frozenset[str]) -> str:
+    def _attempt(
+        self, key: str, avoid: frozenset[str], hedge: bool = False
+    ) -> str:
         active = self._active[key]
         self._attempts += 1
         attempt = f'{self._attempt_prefix}:{self._attempts}'
@@ -238,7 +240,7 @@
         )
         self.ctx.metrics.count('attempt')
         if not self.send(
-            addresses.MEMBERSHIP, membership.Dispatch(msg, avoid)
+            addresses.MEMBERSHIP, membership.Dispatch(msg, avoid, hedge)
         ):
             self._apply(
                 key, active.state.not_sent(attempt, 'entry is overloaded')
@@ -402,7 +404,7 @@
             return
         self.ctx.metrics.count('hedge')
         avoid = frozenset(active.state.instances.values())
-        attempt = self._attempt(event.key, avoid)
+        attempt = self._attempt(event.key, avoid, hedge=True)
         if event.key in self._active:
             self._hedges.add(attempt)
 
--- /dev/null
+++ b/tests/entry/test_task_routes.py
@@ -0,0 +1,145 @@
+"""Check the HTTP interface of tasks against canned answers."""
+
+import json
+import typing
+
+import klein
+import pytest
+from treq import testing
+from twisted.internet import defer
+
+from kcr_core import live_task
+from kcr_core import outcomes
+from kcr_core import task_outcomes
+from kcr_core import types
+from kcr_entry.front import task_routes
+from kcr_entry.work import submissions
+
+HOME = types.Home('i', 'i-1', 1)
+STATE = task_outcomes.TaskState(
+    'c/t', 'running', 2, HOME, '', (live_task.Move(2, HOME, 'lost'),)
+)
+CANCELLED = task_outcomes.TaskState('c/t', 'cancelled', 2, None, '')
+BODY: dict[str, typing.Any] = {
+    'id': 't',
+    'caller': 'c',
+    'team': 'x',
+    'kind': 'k',
+    'demand': {'processors': 1.5, 'memory_mb': 10, 'accelerators': 1},
+    'urgent': True,
+    'run_s': 3.5,
+    'job': 'j',
+    'payload': 'p',
+}
+
+
+class Front:
+    """Serve the routes with one canned answer."""
+
+    def __init__(self, answer: typing.Any) -> None:
+        # Questions that were asked.
+        self.asked: list[typing.Any] = []
+        self._answer = answer
+        app = klein.Klein()
+        task_routes.TaskRoutes(self._ask).add(app)
+        make_agent: typing.Any = testing.StubTreq
+        self._treq = make_agent(app.resource())
+
+    def _ask(self, address: str, body: typing.Any) -> typing.Any:
+        assert address == 'work/tasks'
+        self.asked.append(body)
+        return defer.succeed(self._answer)
+
+    def call(
+        self, method: str, path: str, body: typing.Any = None
+    ) -> tuple[int, typing.Any]:
+        """Return the status and the decoded body of a response."""
+        data = None if body is None else json.dumps(body).encode()
+        found: list[typing.Any] = []
+        url = f'http://127.0.0.1{path}'
+        self._treq.request(method, url, data=data).addCallback(found.append)
+        self._treq.flush()
+        response = found.pop()
+        self._treq.json_content(response).addCallback(found.append)
+        self._treq.flush()
+        return response.code, found.pop()
+
+
+def test_task_is_converted_to_a_data_class() -> None:
+    """Guard against a field that is lost on the way in."""
+    front = Front(task_outcomes.Accepted(STATE))
+    status, answer = front.call('POST', '/v1/tasks', BODY)
+    assert status == 200
+    assert answer['outcome'] == 'accepted'
+    assert answer['moves'] == [{'epoch': 2, 'home': 'i', 'reason': 'lost'}]
+    demand = types.Demand(1.5, 10.0, 1)
+    spec = types.TaskSpec(
+        't', 'c', 'x', 'k', demand, True, True, 3.5, 'j', 'p'
+    )
+    assert front.asked == [submissions.Submit(spec)]
+
+
+@pytest.mark.parametrize(
+    ('answer', 'status', 'outcome'),
+    [
+        (task_outcomes.Rejected('why'), 422, 'rejected'),
+        (task_outcomes.NotAccepted('why'), 503, 'not_accepted'),
+        (outcomes.NotRun('why'), 503, 'not_accepted'),
+        (task_outcomes.Uncertain('why'), 504, 'unknown'),
+        (task_outcomes.Conflict('c/t'), 409, 'conflict'),
+    ],
+)
+def test_each_outcome_has_its_status(
+    answer: typing.Any, status: int, outcome: str
+) -> None:
+    """Guard against a caller that takes a refusal for an acceptance."""
+    found = Front(answer).call('POST', '/v1/tasks', BODY)
+    assert found[0] == status
+    assert found[1]['outcome'] == outcome
+    assert found[1]['reason']
+
+
+@pytest.mark.parametrize(
+    ('change', 'field'),
+    [
+        ({'id': 'a/b'}, 'id'),
+        ({'caller': ''}, 'caller'),
+        ({'demand': {'processors': -1}}, 'demand.processors'),
+        ({'demand': {'accelerators': 1.5}}, 'demand.accelerators'),
+        ({'payload': 'x' * 5000}, 'payload'),
+        ({'urgnt': True}, 'urgnt'),
+    ],
+)
+def test_bad_field_is_named(change: dict[str, typing.Any], field: str) -> None:
+    """Guard against bad input that is accepted or refused without a name."""
+    front = Front(None)
+    status, answer = front.call('POST', '/v1/tasks', {**BODY, **change})
+    assert status == 400
+    assert answer['error'].startswith(field)
+    assert front.asked == []
+
+
+@pytest.mark.parametrize(
+    ('method', 'answer', 'status', 'part'),
+    [
+        ('GET', STATE, 200, 'running'),
+        ('GET', task_outcomes.NoTask('c/t', True), 404, ''),
+        ('GET', task_outcomes.NoTask('c/t', False), 503, ''),
+        ('DELETE', STATE, 200, 'ended'),
+        ('DELETE', task_outcomes.NoTask('c/t', True), 404, ''),
+        ('DELETE', CANCELLED, 200, 'cancelled'),
+        ('DELETE', task_outcomes.NotAccepted('why'), 503, 'not_cancelled'),
+        ('DELETE', task_outcomes.Uncertain('y'), 504, 'unknown'),
+    ],
+)
+def test_state_and_cancel(
+    method: str, answer: typing.Any, status: int, part: str
+) -> None:
+    """Guard against an untrue answer about a known or missing task."""
+    front = Front(answer)
+    found = front.call(method, '/v1/tasks/c/t')
+    assert found[0] == status
+    shown = found[1].get('outcome', found[1].get('state', ''))
+    assert shown == part
+    cls = submissions.Get if method == 'GET' else submissions.Cancel
+    assert front.asked == [cls('c/t')]
