Refuse a document with an unknown policy in a daemon as well

The short way of reading skipped all relations, so a process could follow a document that names a policy it does not have, and its tasks would fail. It now checks every relation that does not need all instances.

--- a/packages/document/src/kcr_document/document.py
+++ b/packages/document/src/kcr_document/document.py
@@ -21,6 +21,8 @@
 SEPARATOR = '---\n'
 # Start of the instances in a canonical text.
 INSTANCES = '"instances": [\n'
+# Parts whose relations need all instances.
+PARTS_OF_INSTANCES = ('sizes', 'teams', 'kinds', 'instances')
 # Texts for errors whose own text names classes or patterns.
 MESSAGES = {
     'string_pattern_mismatch': 'holds characters that are not allowed',
@@ -169,6 +171,9 @@
         except pydantic.ValidationError:
             return read(text).find(environment)
         if doc.environment.name == environment:
+            found = checks.check(doc, PARTS_OF_INSTANCES)
+            if found:
+                raise problems.WrongDocument(found)
             return doc
     return None
 
--- a/tests/entry/test_in_force.py
+++ b/tests/entry/test_in_force.py
@@ -209,15 +209,23 @@
     assert entry.dump()['checked']['restated_is_same'] >= 2
 
 
+@pytest.mark.parametrize(
+    'text',
+    [
+        'format: 2\n',
+        config_world.read_file().text.replace('"spread"', '"newer"'),
+        config_world.read_file().text.replace('"budget"', '"allowed"'),
+    ],
+    ids=['other format', 'unknown policy', 'unknown field'],
+)
 def test_unreadable_document_leaves_the_settings(
-    world: log_world.World,
+    world: log_world.World, text: str
 ) -> None:
     """Guard against a process that fails on a newer kind of document."""
     entry = config_world.Entry(world, 'a', 'trial')
     world.run(1.5)
     entry.publish('x', config_world.read_file())
     world.run(1.5)
-    text = 'format: 2\n'
     item = records.Tried('trial', 1, document_text.infer_digest(text), text)
     batch = records.Batch('newer', (item,))
     world.log._stream('config').append(
