--- a/tests/entry/test_in_force.py
+++ b/tests/entry/test_in_force.py
@@ -157,6 +157,24 @@
     assert not entry.dump()['violated']
 
 
+def test_restarted_task_does_not_go_back(world: log_world.World) -> None:
+    """Guard against an old document after a restart without the log."""
+    world.log.outage = 'refuse'
+    entry = config_world.Entry(world, 'a', peers=('listen-p',))
+    entry.open('p', 'entry')
+    entry.hear('p', 'entry', make_offer(9, 0.3))
+    world.run(0.1)
+    entry.restart()
+    entry.open('p', 'entry')
+    entry.hear('p', 'entry', make_offer(4, 0.2))
+    world.run(4.0)
+    assert not entry.dump()['ready']
+    assert {s.revision for s in entry.settings()} == {9}
+    entry.hear('p', 'entry', make_offer(9, 0.3))
+    world.run(0.1)
+    assert entry.dump()['ready']
+
+
 def test_bad_offers_are_not_followed(world: log_world.World) -> None:
     """Guard against a text without its digest or of another environment."""
     entry = config_world.Entry(world, 'a')
@@ -191,15 +209,23 @@
     assert entry.dump()['checked']['restated_is_same'] >= 2
 
 
+@pytest.mark.parametrize(
+    'text',
+    [
+        'format: 2\n',
+        config_world.read_file().text.replace('"spread"', '"newer"'),
+        config_world.read_file().text.replace('"budget"', '"allowed"'),
+    ],
+    ids=['other format', 'unknown policy', 'unknown field'],
+)
 def test_unreadable_document_leaves_the_settings(
-    world: log_world.World,
+    world: log_world.World, text: str
 ) -> None:
     """Guard against a process that fails on a newer kind of document."""
     entry = config_world.Entry(world, 'a', 'trial')
     world.run(1.5)
     entry.publish('x', config_world.read_file())
     world.run(1.5)
-    text = 'format: 2\n'
     item = records.Tried('trial', 1, document_text.infer_digest(text), text)
     batch = records.Batch('newer', (item,))
     world.log._stream('config').append(
