Let an idempotent request run again after an unknown end

An entry kept the outcome "unknown" of idempotent requests as well, so a caller that repeated one at the same entry got "unknown" for as long as the outcome was kept, although the request may run more than once. Only the unknown end of a request that was sent under a claim is kept now.

--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -381,8 +381,10 @@
             self._by_attempt.pop(attempt, None)
             self._hedges.discard(attempt)
         # A submission that lost its claim keeps nothing: the winner does.
+        # An idempotent request whose end is unknown may run again.
+        used = bool(active.state.attempts) and not active.submit.idempotent
         if isinstance(outcome, outcomes.Done) or (
-            isinstance(outcome, outcomes.Unknown) and active.state.attempts
+            isinstance(outcome, outcomes.Unknown) and used
         ):
             self._kept[key] = (active.submit.digest(), outcome)
             if len(self._kept) > REMEMBERED:
--- /dev/null
+++ b/tests/entry/claim_world.py
@@ -0,0 +1,147 @@
+"""Run the log and work tasks of several entries with claims."""
+
+import collections
+import typing
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry.fleet import membership
+from kcr_entry.log import appender
+from kcr_entry.log import reader
+from kcr_entry.work import claims
+from kcr_entry.work import requests
+from kcr_entry.work import submit as submit_model
+from kcr_runtime import ask
+from kcr_runtime import task
+from kcr_runtime.wire import session
+import log_world
+
+STREAM = 'claims.r1'
+BODY = b'body'
+
+
+def make_hello(role: str, name: str) -> messages.Hello:
+    """Return the hello of a peer."""
+    place = types.Place('r1', 'z1', 'k1', name)
+    return messages.Hello(1, role, name, name, place)
+
+
+class Endpoint(log_world.Probe):
+    """Stand in for membership and one endpoint; count what runs."""
+
+    # What becomes of each attempt: `run`, `refuse`, `lose` or `ignore`.
+    fate = 'run'
+    # Times that each request ran at any endpoint.
+    runs: collections.Counter[str] = collections.Counter()
+
+    def post(self, msg: typing.Any) -> bool:
+        """Run, refuse or lose an attempt."""
+        super().post(msg)
+        if not isinstance(msg, membership.Dispatch):
+            return True
+        attempt = msg.msg.attempt
+        self.send(
+            addresses.REQUESTS,
+            membership.Dispatched(attempt, 'i1', 'fleet/s1'),
+        )
+        reply: typing.Any = messages.Refused(attempt, 'full')
+        if self.fate != 'refuse':
+            self.runs[msg.msg.request] += 1
+            reply = messages.Executed(attempt, 200, len(BODY), BODY)
+        if self.fate == 'lose':
+            reply = messages.Failed(attempt, 'connection closed')
+        if self.fate != 'ignore':
+            hello = make_hello('sidecar', 'i1')
+            event = session.Received('fleet/s1', hello, reply)
+            self.send(addresses.REQUESTS, event)
+        return True
+
+
+class Link(log_world.Probe):
+    """Stand in for a session to another entry."""
+
+    def __init__(self, here: 'Entry', there: 'Entry') -> None:
+        super().__init__(here.ctx, f'fleet/to_{there.name}')
+        # Both ends.
+        self.here = here
+        self.there = there
+
+    def post(self, msg: typing.Any) -> bool:
+        """Deliver a message to the other entry."""
+        assert isinstance(msg, session.Send)
+        event = session.Received(
+            f'fleet/to_{self.here.name}',
+            make_hello('entry', self.here.name),
+            msg.msg,
+        )
+        return self.there.ctx.directory.send(addresses.CLAIMS, event)
+
+
+class Entry:
+    """Hold the log and work tasks of one entry."""
+
+    def __init__(self, world: log_world.World, name: str) -> None:
+        # World and name of the entry.
+        self.world = world
+        self.name = name
+        # Context of its tasks.
+        self.ctx = world.make_context(name)
+        # Caller and endpoint.
+        self.caller = log_world.Probe(self.ctx, 'caller')
+        self.endpoint = Endpoint(self.ctx, addresses.MEMBERSHIP)
+        # Tasks of the entry.
+        self.nodes: list[task.Task] = [
+            self.caller,
+            self.endpoint,
+            appender.Appender(self.ctx, addresses.APPENDER),
+            reader.Reader(
+                self.ctx,
+                addresses.READERS['claims'],
+                STREAM,
+                (addresses.CLAIMS,),
+            ),
+            claims.Claims(self.ctx, addresses.CLAIMS, world.wall),
+            requests.Requests(self.ctx, addresses.REQUESTS),
+        ]
+        for node in self.nodes:
+            world.start(node)
+
+    def submit(
+        self,
+        key: str,
+        budget_s: float = 2.0,
+        body: bytes = b'in',
+        resubmitted: bool = False,
+        idempotent: bool = False,
+    ) -> str:
+        """Submit a request; return the token of the answer."""
+        token = f'{key}:{len(self.caller.got)}:{self.ctx.rng.random()}'
+        now_ms = int(self.world.wall() * 1000)
+        submit = submit_model.Submit(
+            key, 'c', 'web', budget_s, idempotent, now_ms, body, resubmitted
+        )
+        question = ask.Ask(token, 'caller', submit)
+        assert self.ctx.directory.send(addresses.REQUESTS, question)
+        return token
+
+    def answer(self, token: str) -> typing.Any:
+        """Return the answer to a submission; none before it came."""
+        found = [a.value for a in self.caller.of(ask.Answer)]
+        tokens = [a.token for a in self.caller.of(ask.Answer)]
+        assert tokens.count(token) <= 1, 'a caller is answered once'
+        return found[tokens.index(token)] if token in tokens else None
+
+    def kill(self) -> None:
+        """End the entry without a goodbye."""
+        for node in self.nodes:
+            node.end()
+
+
+def connect(one: Entry, two: Entry) -> None:
+    """Open a session between two entries."""
+    for here, there in ((one, two), (two, one)):
+        link = Link(here, there)
+        here.ctx.directory.add(link.address, link)
+        opened = session.Opened(link.address, make_hello('entry', there.name))
+        here.ctx.directory.send(addresses.CLAIMS, opened)
--- a/tests/entry/test_at_most_once.py
+++ b/tests/entry/test_at_most_once.py
@@ -2,161 +2,27 @@
 
 import collections
 import random
-import typing
 
 import pytest
 
+import claim_world
 from kcr_core import claimant
 from kcr_core import messages
 from kcr_core import outcomes
 from kcr_core import records
-from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry import events
 from kcr_entry.fleet import membership
-from kcr_entry.log import appender
-from kcr_entry.log import reader
 from kcr_entry.work import claims
-from kcr_entry.work import requests
 from kcr_entry.work import submit as submit_model
-from kcr_runtime import ask
-from kcr_runtime import task
 from kcr_runtime.wire import session
 import log_world
 
-STREAM = 'claims.r1'
-BODY = b'body'
-
-
-def make_hello(role: str, name: str) -> messages.Hello:
-    """Return the hello of a peer."""
-    place = types.Place('r1', 'z1', 'k1', name)
-    return messages.Hello(1, role, name, name, place)
-
-
-class Endpoint(log_world.Probe):
-    """Stand in for membership and one endpoint; count what runs."""
-
-    # What becomes of each attempt: `run`, `refuse`, `lose` or `ignore`.
-    fate = 'run'
-    # Times that each request ran at any endpoint.
-    runs: collections.Counter[str] = collections.Counter()
-
-    def post(self, msg: typing.Any) -> bool:
-        """Run, refuse or lose an attempt."""
-        super().post(msg)
-        if not isinstance(msg, membership.Dispatch):
-            return True
-        attempt = msg.msg.attempt
-        self.send(
-            addresses.REQUESTS,
-            membership.Dispatched(attempt, 'i1', 'fleet/s1'),
-        )
-        reply: typing.Any = messages.Refused(attempt, 'full')
-        if self.fate != 'refuse':
-            self.runs[msg.msg.request] += 1
-            reply = messages.Executed(attempt, 200, len(BODY), BODY)
-        if self.fate == 'lose':
-            reply = messages.Failed(attempt, 'connection closed')
-        if self.fate != 'ignore':
-            hello = make_hello('sidecar', 'i1')
-            event = session.Received('fleet/s1', hello, reply)
-            self.send(addresses.REQUESTS, event)
-        return True
-
-
-class Link(log_world.Probe):
-    """Stand in for a session to another entry."""
-
-    def __init__(self, here: 'Entry', there: 'Entry') -> None:
-        super().__init__(here.ctx, f'fleet/to_{there.name}')
-        # Both ends.
-        self.here = here
-        self.there = there
-
-    def post(self, msg: typing.Any) -> bool:
-        """Deliver a message to the other entry."""
-        assert isinstance(msg, session.Send)
-        event = session.Received(
-            f'fleet/to_{self.here.name}',
-            make_hello('entry', self.here.name),
-            msg.msg,
-        )
-        return self.there.ctx.directory.send(addresses.CLAIMS, event)
-
-
-class Entry:
-    """Hold the log and work tasks of one entry."""
-
-    def __init__(self, world: log_world.World, name: str) -> None:
-        # World and name of the entry.
-        self.world = world
-        self.name = name
-        # Context of its tasks.
-        self.ctx = world.make_context(name)
-        # Caller and endpoint.
-        self.caller = log_world.Probe(self.ctx, 'caller')
-        self.endpoint = Endpoint(self.ctx, addresses.MEMBERSHIP)
-        # Tasks of the entry.
-        self.nodes: list[task.Task] = [
-            self.caller,
-            self.endpoint,
-            appender.Appender(self.ctx, addresses.APPENDER),
-            reader.Reader(
-                self.ctx,
-                addresses.READERS['claims'],
-                STREAM,
-                (addresses.CLAIMS,),
-            ),
-            claims.Claims(self.ctx, addresses.CLAIMS, world.wall),
-            requests.Requests(self.ctx, addresses.REQUESTS),
-        ]
-        for node in self.nodes:
-            world.start(node)
-
-    def submit(
-        self,
-        key: str,
-        budget_s: float = 2.0,
-        body: bytes = b'in',
-        resubmitted: bool = False,
-    ) -> str:
-        """Submit a non-idempotent request; return the token of the answer."""
-        token = f'{key}:{len(self.caller.got)}:{self.ctx.rng.random()}'
-        now_ms = int(self.world.wall() * 1000)
-        submit = submit_model.Submit(
-            key, 'c', 'web', budget_s, False, now_ms, body, resubmitted
-        )
-        question = ask.Ask(token, 'caller', submit)
-        assert self.ctx.directory.send(addresses.REQUESTS, question)
-        return token
-
-    def answer(self, token: str) -> typing.Any:
-        """Return the answer to a submission; none before it came."""
-        found = [a.value for a in self.caller.of(ask.Answer)]
-        tokens = [a.token for a in self.caller.of(ask.Answer)]
-        assert tokens.count(token) <= 1, 'a caller is answered once'
-        return found[tokens.index(token)] if token in tokens else None
-
-    def kill(self) -> None:
-        """End the entry without a goodbye."""
-        for node in self.nodes:
-            node.end()
-
-
-def connect(one: Entry, two: Entry) -> None:
-    """Open a session between two entries."""
-    for here, there in ((one, two), (two, one)):
-        link = Link(here, there)
-        here.ctx.directory.add(link.address, link)
-        opened = session.Opened(link.address, make_hello('entry', there.name))
-        here.ctx.directory.send(addresses.CLAIMS, opened)
-
 
 @pytest.fixture
 def world() -> log_world.World:
     """Return a world with an emulated log."""
-    Endpoint.runs = collections.Counter()
+    claim_world.Endpoint.runs = collections.Counter()
     return log_world.World()
 
 
@@ -164,16 +30,36 @@
     world: log_world.World,
 ) -> None:
     """Guard against a repeat at the same entry that runs again."""
-    entry = Entry(world, 'a')
+    entry = claim_world.Entry(world, 'a')
     first = entry.submit('1')
     world.run(0.2)
     again = entry.submit('1')
     changed = entry.submit('1', body=b'other')
     world.run(0.2)
-    assert entry.answer(first) == outcomes.Done(200, BODY)
-    assert entry.answer(again) == outcomes.Done(200, BODY)
+    assert entry.answer(first) == outcomes.Done(200, claim_world.BODY)
+    assert entry.answer(again) == outcomes.Done(200, claim_world.BODY)
     assert entry.answer(changed) == submit_model.Conflict('c/1')
-    assert Endpoint.runs == {'c/1': 1}
+    assert claim_world.Endpoint.runs == {'c/1': 1}
+
+
+@pytest.mark.parametrize('idempotent', [False, True])
+def test_unknown_end_is_kept_only_for_what_must_not_run_again(
+    world: log_world.World, idempotent: bool
+) -> None:
+    """Guard against an idempotent request that can never be repeated."""
+    entry = claim_world.Entry(world, 'a')
+    entry.endpoint.fate = 'lose'
+    first = entry.submit('1', idempotent=idempotent)
+    world.run(0.2)
+    assert isinstance(entry.answer(first), outcomes.Unknown)
+    entry.endpoint.fate = 'run'
+    again = entry.submit('1', resubmitted=True, idempotent=idempotent)
+    world.run(0.2)
+    if idempotent:
+        assert entry.answer(again) == outcomes.Done(200, claim_world.BODY)
+    else:
+        assert isinstance(entry.answer(again), outcomes.Unknown)
+        assert claim_world.Endpoint.runs == {'c/1': 1}
 
 
 @pytest.mark.parametrize('connected', [False, True])
@@ -181,28 +67,28 @@
     world: log_world.World, connected: bool
 ) -> None:
     """Guard against a second run when the caller asks another entry."""
-    one, two = Entry(world, 'a'), Entry(world, 'b')
+    one, two = claim_world.Entry(world, 'a'), claim_world.Entry(world, 'b')
     if connected:
-        connect(one, two)
+        claim_world.connect(one, two)
     one.submit('1')
     world.run(0.2)
     again = two.submit('1')
     changed = two.submit('1', body=b'other')
     world.run(1.0)
     if connected:
-        assert two.answer(again) == outcomes.Done(200, BODY)
+        assert two.answer(again) == outcomes.Done(200, claim_world.BODY)
     else:
         assert isinstance(two.answer(again), outcomes.Unknown)
     assert two.answer(changed) == submit_model.Conflict('c/1')
-    assert Endpoint.runs == {'c/1': 1}
+    assert claim_world.Endpoint.runs == {'c/1': 1}
 
 
 def test_loser_gets_the_outcome_of_a_running_request(
     world: log_world.World,
 ) -> None:
     """Guard against "unknown" while the winner still waits."""
-    one, two = Entry(world, 'a'), Entry(world, 'b')
-    connect(one, two)
+    one, two = claim_world.Entry(world, 'a'), claim_world.Entry(world, 'b')
+    claim_world.connect(one, two)
     one.endpoint.fate = 'ignore'
     one.submit('1')
     world.run(0.2)
@@ -210,33 +96,35 @@
     world.run(0.5)
     assert two.answer(again) is None
     attempt = one.endpoint.of(membership.Dispatch)[0].msg.attempt
-    reply = messages.Executed(attempt, 200, len(BODY), BODY)
-    hello = make_hello('sidecar', 'i1')
+    reply = messages.Executed(
+        attempt, 200, len(claim_world.BODY), claim_world.BODY
+    )
+    hello = claim_world.make_hello('sidecar', 'i1')
     event = session.Received('fleet/s1', hello, reply)
     one.ctx.directory.send(addresses.REQUESTS, event)
     world.run(0.1)
-    assert two.answer(again) == outcomes.Done(200, BODY)
+    assert two.answer(again) == outcomes.Done(200, claim_world.BODY)
 
 
 def test_log_that_is_down_means_not_run(world: log_world.World) -> None:
     """Guard against a run without a durable claim."""
-    entry = Entry(world, 'a')
+    entry = claim_world.Entry(world, 'a')
     world.log.outage = 'refuse'
     token = entry.submit('1')
     world.run(0.2)
     assert isinstance(entry.answer(token), outcomes.NotRun)
-    assert not Endpoint.runs
+    assert not claim_world.Endpoint.runs
 
 
 def test_repeat_while_the_log_is_down_is_unknown(
     world: log_world.World,
 ) -> None:
     """Guard against "not run" about what ran at another entry."""
-    one, two = Entry(world, 'a'), Entry(world, 'b')
+    one, two = claim_world.Entry(world, 'a'), claim_world.Entry(world, 'b')
     two.nodes[3].end()  # Its reader has not seen the claim of the other.
     first = one.submit('1')
     world.run(0.2)
-    assert one.answer(first) == outcomes.Done(200, BODY)
+    assert one.answer(first) == outcomes.Done(200, claim_world.BODY)
     world.log.outage = 'refuse'
     again = two.submit('1', resubmitted=True)
     world.run(0.2)
@@ -247,9 +135,9 @@
     world: log_world.World,
 ) -> None:
     """Guard against "unknown" after the close of a spare session."""
-    one, two = Entry(world, 'a'), Entry(world, 'b')
-    connect(one, two)
-    hello = make_hello('entry', 'a')
+    one, two = claim_world.Entry(world, 'a'), claim_world.Entry(world, 'b')
+    claim_world.connect(one, two)
+    hello = claim_world.make_hello('entry', 'a')
     two.ctx.directory.send(
         addresses.CLAIMS, session.Opened('fleet/spare', hello)
     )
@@ -260,27 +148,27 @@
     world.run(0.2)
     again = two.submit('1')
     world.run(0.2)
-    assert two.answer(again) == outcomes.Done(200, BODY)
+    assert two.answer(again) == outcomes.Done(200, claim_world.BODY)
 
 
 def test_deadline_during_the_claim_releases_it(
     world: log_world.World,
 ) -> None:
     """Guard against a run after "not run", and a claim that blocks."""
-    one, two = Entry(world, 'a'), Entry(world, 'b')
+    one, two = claim_world.Entry(world, 'a'), claim_world.Entry(world, 'b')
     world.run(0.1)
     world.log.slow_ms = 400.0
     token = one.submit('1', budget_s=0.3)
     world.run(0.35)
     assert isinstance(one.answer(token), outcomes.NotRun)
     world.run(1.0)
-    assert world.log.streams[STREAM].last >= 1
-    assert not Endpoint.runs
+    assert world.log.streams[claim_world.STREAM].last >= 1
+    assert not claim_world.Endpoint.runs
     world.log.slow_ms = 0.0
     world.run(3.0)
     again = two.submit('1')
     world.run(0.5)
-    assert two.answer(again) == outcomes.Done(200, BODY)
+    assert two.answer(again) == outcomes.Done(200, claim_world.BODY)
 
 
 @pytest.mark.parametrize('connected', [False, True])
@@ -288,9 +176,9 @@
     world: log_world.World, connected: bool
 ) -> None:
     """Guard against "unknown" while a release is not durable yet."""
-    one, two = Entry(world, 'a'), Entry(world, 'b')
+    one, two = claim_world.Entry(world, 'a'), claim_world.Entry(world, 'b')
     if connected:
-        connect(one, two)
+        claim_world.connect(one, two)
     one.endpoint.fate = 'refuse'
     first = one.submit('1')
     while one.answer(first) is None:
@@ -298,15 +186,15 @@
     assert isinstance(one.answer(first), outcomes.NotRun)
     again = two.submit('1')
     world.run(1.0)
-    assert two.answer(again) == outcomes.Done(200, BODY)
-    assert Endpoint.runs == {'c/1': 1}
+    assert two.answer(again) == outcomes.Done(200, claim_world.BODY)
+    assert claim_world.Endpoint.runs == {'c/1': 1}
 
 
 def test_restarted_claims_task_folds_the_stream_again(
     world: log_world.World,
 ) -> None:
     """Guard against winning with an empty table after a restart."""
-    one, two = Entry(world, 'a'), Entry(world, 'b')
+    one, two = claim_world.Entry(world, 'a'), claim_world.Entry(world, 'b')
     one.submit('1')
     world.run(0.2)
     two.nodes[4].end()
@@ -315,14 +203,14 @@
     again = two.submit('1')
     world.run(1.0)
     assert isinstance(two.answer(again), outcomes.Unknown)
-    assert Endpoint.runs == {'c/1': 1}
+    assert claim_world.Endpoint.runs == {'c/1': 1}
 
 
 def test_cancelled_request_is_answered_without_the_claims_task(
     world: log_world.World,
 ) -> None:
     """Guard against a caller without an answer after a restart."""
-    entry = Entry(world, 'a')
+    entry = claim_world.Entry(world, 'a')
     silent = log_world.Probe(entry.ctx, addresses.CLAIMS)
     entry.ctx.directory.add(addresses.CLAIMS, silent)
     token = entry.submit('1', budget_s=0.2)
@@ -333,14 +221,14 @@
     entry.ctx.directory.send(addresses.REQUESTS, won)
     world.run(0.1)
     assert silent.of(claims.Settle) == [claims.Settle(question, False)]
-    assert not Endpoint.runs
+    assert not claim_world.Endpoint.runs
 
 
 def test_right_that_is_won_after_the_deadline_is_not_used(
     world: log_world.World,
 ) -> None:
     """Guard against a run whose right arrives after the cancellation."""
-    entry = Entry(world, 'a')
+    entry = claim_world.Entry(world, 'a')
     silent = log_world.Probe(entry.ctx, addresses.CLAIMS)
     entry.ctx.directory.add(addresses.CLAIMS, silent)
     token = entry.submit('1', budget_s=0.2)
@@ -351,7 +239,7 @@
         entry.ctx.directory.send(addresses.REQUESTS, ended)
     world.run(0.1)
     assert entry.answer(token) == outcomes.NotRun('late')
-    assert not Endpoint.runs
+    assert not claim_world.Endpoint.runs
 
 
 def test_items_read_before_a_restart_are_asked_for_again(
@@ -365,7 +253,9 @@
     world.start(node)
     item = records.Claimed('c/1', 'd', 'b', int(world.wall() * 1000), 'b:1')
     late = (events.LogItem(9, 'b', item),)
-    read = events.LogRead(STREAM, late, True, 0.0, after=8, position=9)
+    read = events.LogRead(
+        claim_world.STREAM, late, True, 0.0, after=8, position=9
+    )
     ctx.directory.send(addresses.CLAIMS, read)
     world.run(0.1)
     assert len(source.of(events.LogReplay)) == 2
@@ -386,11 +276,11 @@
 ) -> None:
     """Guard against faults that only combined failures show."""
     rng = random.Random(seed)
-    entries = [Entry(world, 'e0'), Entry(world, 'e1')]
-    connect(*entries)
+    entries = [claim_world.Entry(world, 'e0'), claim_world.Entry(world, 'e1')]
+    claim_world.connect(*entries)
     names = 2
     not_run: collections.Counter[str] = collections.Counter()
-    asked: list[tuple[Entry, str, str]] = []
+    asked: list[tuple[claim_world.Entry, str, str]] = []
     for _ in range(150):
         key = str(rng.randrange(12))
         entry = rng.choice(entries)
@@ -402,19 +292,19 @@
         if rng.random() < 0.03:
             index = rng.randrange(2)
             entries[index].kill()
-            entries[index] = Entry(world, f'e{names}')
+            entries[index] = claim_world.Entry(world, f'e{names}')
             names += 1
-            connect(*entries)
+            claim_world.connect(*entries)
         world.run(rng.choice([0.005, 0.03, 0.1]))
-        assert max(Endpoint.runs.values(), default=0) <= 1
+        assert max(claim_world.Endpoint.runs.values(), default=0) <= 1
     world.log.outage = 'none'
     world.log._wake()
     world.run(4.0)
-    assert max(Endpoint.runs.values(), default=0) <= 1
+    assert max(claim_world.Endpoint.runs.values(), default=0) <= 1
     for entry, key, token in asked:
         answer = entry.answer(token)
         if entry in entries:
             assert answer is not None, 'a caller got no answer'
         not_run[f'c/{key}'] += not isinstance(answer, outcomes.NotRun)
-    for key in Endpoint.runs:
+    for key in claim_world.Endpoint.runs:
         assert not_run[key] > 0, '"not run" was false'
