--- /dev/null
+++ b/packages/core/src/kcr_core/interference_model.py
@@ -0,0 +1,89 @@
+"""Learn how much each kind of task slows the service.
+
+The model is linear: tail latency = base + sum over kinds of effect times
+processors in use, the effect weighed by the load of the service. It is fitted
+by normalised least mean squares; effects decay towards zero when their kind
+does not run, so that an old estimate does not bar a kind for ever.
+"""
+
+from collections import abc
+
+# Share of the error that one measurement corrects.
+LEARN_SHARE = 0.3
+# Share of an effect that is kept per measurement without its kind.
+DECAY = 0.995
+# Kinds whose effects are kept; the weakest is dropped beyond it.
+MAX_KINDS = 64
+# Processors that the constant term counts as, in the normalisation.
+BASE_AMOUNT = 4.0
+# Share of the target that the service is first assumed to need by itself.
+FIRST_BASE = 0.5
+# Load below which effects are not scaled down further.
+MIN_LOAD = 0.1
+
+
+class Model:
+    """Hold the learnt effects of one instance."""
+
+    def __init__(self) -> None:
+        # Tail latency without tasks, in ms.
+        self.base_ms = 0.0
+        # Effect of each kind in ms per processor at full load.
+        self.effects: dict[str, float] = {}
+        self._is_started = False
+
+    def predict(self, load: float, amounts: abc.Mapping[str, float]) -> float:
+        """Return the expected tail latency in ms."""
+        scale = max(MIN_LOAD, load)
+        return self.base_ms + scale * sum(
+            self.effects.get(kind, 0.0) * amount
+            for kind, amount in amounts.items()
+        )
+
+    def effect(self, kind: str, load: float) -> float:
+        """Return the effect of a kind at a load, in ms per processor."""
+        return max(MIN_LOAD, load) * self.effects.get(kind, 0.0)
+
+    def learn(
+        self,
+        p99_ms: float,
+        load: float,
+        amounts: abc.Mapping[str, float],
+        target_ms: float,
+    ) -> None:
+        """Correct the effects by one measurement."""
+        if not self._is_started:
+            self._is_started = True
+            self.base_ms = min(p99_ms, FIRST_BASE * target_ms)
+        scale = max(MIN_LOAD, load)
+        self._suspect(p99_ms, load, amounts)
+        error = p99_ms - self.predict(load, amounts)
+        inputs = {k: scale * a for k, a in amounts.items() if a > 0}
+        norm = BASE_AMOUNT**2 + sum(x * x for x in inputs.values())
+        step = LEARN_SHARE * error / norm
+        self.base_ms = max(0.0, self.base_ms + step * BASE_AMOUNT)
+        for kind, value in inputs.items():
+            held = self.effects.get(kind, 0.0)
+            self.effects[kind] = max(0.0, held + step * value)
+        for kind in list(self.effects):
+            if kind not in inputs:
+                self.effects[kind] *= DECAY
+        if len(self.effects) > MAX_KINDS:
+            weakest = min(self.effects, key=lambda k: self.effects[k])
+            del self.effects[weakest]
+
+    def _suspect(
+        self, p99_ms: float, load: float, amounts: abc.Mapping[str, float]
+    ) -> None:
+        """Attribute what is not explained yet to kinds never seen before.
+
+        Without it, kinds that are always there would hide in the base, and
+        nothing would ever be tried against them.
+        """
+        fresh = [k for k, a in amounts.items() if k not in self.effects]
+        total = sum(amounts[kind] for kind in fresh)
+        if total <= 0:
+            return
+        rest = max(0.0, p99_ms - self.predict(load, amounts))
+        for kind in fresh:
+            self.effects[kind] = rest / (max(MIN_LOAD, load) * total)
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/bench_interference.py
@@ -0,0 +1,170 @@
+"""Measure the interference policies beside one fake service.
+
+The service's tail latency depends on hidden effects of the kinds of tasks,
+shifts with the load, and is measured with noise and a lag.
+"""
+
+import dataclasses
+import math
+import random
+
+from kcr_core import interference
+from kcr_core import types
+
+# Simulated time, in seconds.
+DURATION_S = 1800
+# Age of a measurement when the policy gets it, in seconds.
+LAG_S = 3
+# Tail latency of the undisturbed service and its target, in ms.
+BASE_MS = 50.0
+TARGET_MS = 100.0
+# Requests per second whose latency is drawn.
+REQUESTS = 40
+# Cores of the instance and of one task; mean run time of a task at full share.
+PROCESSORS = 16.0
+TASK_PROCESSORS = 2.0
+RUN_S = 120.0
+# Work that an eviction loses and a restart elsewhere costs, in core seconds.
+EVICTION_LOSS = 30.0
+# Hidden effect per core at full load, as a share of the base latency; the
+# second value holds in the second half of the time.
+EFFECTS = {
+    'quiet': (0.01, 0.01),
+    'medium': (0.08, 0.08),
+    'noisy': (0.40, 0.40),
+    'shifting': (0.02, 0.30),
+}
+POLICIES = ('none', 'threshold', 'pairwise')
+WEIGHTS = {
+    'balanced': types.Weights(1.0, 1.0, 1.0),
+    'tail first': types.Weights(4.0, 1.0, 0.5),
+    'batch first': types.Weights(0.5, 2.0, 3.0),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """Hold the figures of one run."""
+
+    # Name of the policy.
+    policy: str
+    # Name of the weights.
+    weights: str
+    # Tail latency of all requests, in ms.
+    p99_ms: float
+    # Share of the seconds above the target.
+    above: float
+    # Batch work that was done, in core seconds.
+    work: float
+    # Evicted tasks.
+    evictions: int
+    # Acts in all.
+    acts: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Job:
+    kind: str
+    left: float
+    share: float = 1.0
+
+
+class Instance:
+    """Stand in for a service and the tasks beside it."""
+
+    def __init__(self, seed: int) -> None:
+        # Running tasks by name.
+        self.jobs: dict[str, _Job] = {}
+        # Batch work that was done, in core seconds.
+        self.work = 0.0
+        # Evicted tasks.
+        self.evictions = 0
+        # Latencies of requests, in ms.
+        self.latencies: list[float] = []
+        # Seconds above the target.
+        self.above = 0
+        self._count = 0
+        self._rng = random.Random(seed)
+
+    def step(self, second: int) -> interference.Measured:
+        """Run one second and return its measurement."""
+        room = PROCESSORS / TASK_PROCESSORS - len(self.jobs)
+        if room >= 1 and self._rng.random() < 0.25:
+            self._count += 1
+            kind = self._rng.choice(sorted(EFFECTS))
+            work = self._rng.expovariate(1.0 / RUN_S) * TASK_PROCESSORS
+            self.jobs[f't{self._count}'] = _Job(kind, work)
+        load = 0.6 + 0.3 * math.sin(second / 120.0)
+        half = 0 if second < DURATION_S / 2 else 1
+        slowdown = 1.0
+        for name, job in list(self.jobs.items()):
+            used = TASK_PROCESSORS * job.share
+            slowdown += load * EFFECTS[job.kind][half] * used
+            self.work += min(used, job.left)
+            job.left -= used
+            if job.left <= 0:
+                del self.jobs[name]
+        p99_ms = BASE_MS * slowdown
+        self.above += p99_ms > TARGET_MS
+        mean_ms = p99_ms / math.log(100.0)
+        self.latencies += [
+            self._rng.expovariate(1.0 / mean_ms) for _ in range(REQUESTS)
+        ]
+        noisy = p99_ms * self._rng.uniform(0.85, 1.15)
+        return interference.Measured(float(second), noisy, load)
+
+    def tasks(self) -> list[interference.Task]:
+        """Return what the policy knows of the tasks."""
+        return [
+            interference.Task(name, job.kind, TASK_PROCESSORS, job.share)
+            for name, job in self.jobs.items()
+        ]
+
+    def carry_out(self, act: interference.Act) -> None:
+        """Throttle or evict a task."""
+        if isinstance(act, interference.SetShare):
+            self.jobs[act.task].share = act.share
+            return
+        del self.jobs[act.task]
+        self.evictions += 1
+        self.work -= EVICTION_LOSS
+
+
+def run_policy(policy: str, weights: str, seed: int) -> Row:
+    """Run one policy with one weighting."""
+    settings = types.ControlSettings(
+        interference_policy=policy,
+        service_p99_ms=TARGET_MS,
+        weights=WEIGHTS[weights],
+    )
+    instance = Instance(seed)
+    governor = interference.Governor(policy)
+    measured: list[interference.Measured] = []
+    acts = 0
+    for second in range(DURATION_S):
+        measured.append(instance.step(second))
+        if second < LAG_S:
+            continue
+        for act in governor.decide(
+            measured[second - LAG_S],
+            instance.tasks(),
+            settings,
+            float(second),
+        ):
+            instance.carry_out(act)
+            acts += 1
+    ordered = sorted(instance.latencies)
+    return Row(
+        policy=policy,
+        weights=weights,
+        p99_ms=round(ordered[int(0.99 * len(ordered))], 1),
+        above=round(instance.above / DURATION_S, 4),
+        work=round(instance.work, 0),
+        evictions=instance.evictions,
+        acts=acts,
+    )
+
+
+def list_cases() -> list[tuple[str, str]]:
+    """Return the pairs of policy and weights that are compared."""
+    return [(policy, name) for name in WEIGHTS for policy in POLICIES]
