Ask the owner of the tasks to throttle or evict for the service

The interference task gets the tail of the service from admission once per division of the slots and the running tasks by message, and asks task_control to throttle, unthrottle, evict and, when an eviction has not ended after 20 s, stop.

--- a/packages/core/src/kcr_core/interference.py
+++ b/packages/core/src/kcr_core/interference.py
@@ -23,6 +23,8 @@
 RELAX_BELOW = 0.7
 # Seconds in the window that bounds the evictions.
 WINDOW_S = 60.0
+# Time that a checkpoint and eviction may take before the task is stopped.
+STOP_AFTER_S = 20.0
 # Loss of one eviction, in units of a lost share of all batch work: the work
 # since the checkpoint and the restart elsewhere.
 EVICTION_COST = 0.3
@@ -82,12 +84,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Remove:
-    """Checkpoint and evict a task."""
+    """Checkpoint and evict a task, or stop it if that did not end it."""
 
     # Key of the task.
     task: str
     # Why.
     reason: str
+    # Whether it is stopped without a checkpoint.
+    stop: bool = False
 
 
 Act = SetShare | Remove
@@ -105,6 +109,8 @@
         self.acted_at: float | None = None
         # Times of the evictions within the window.
         self.evicted_at: list[float] = []
+        # Times at which tasks were told to go that still run.
+        self.leaving: dict[str, float] = {}
         # Measurements that were not used because of an act under way.
         self.held_back = 0
         # Processors in use by kind at recent times, oldest first.
@@ -120,8 +126,14 @@
         now: float,
     ) -> list[Act]:
         """Take a measurement and return the acts that follow from it."""
-        tasks = tasks[:MAX_TASKS]
-        self._history.append((now, infer_amounts(tasks)))
+        running = {task.task for task in tasks}
+        self.leaving = {n: t for n, t in self.leaving.items() if n in running}
+        self._history.append((now, infer_amounts(tasks[:MAX_TASKS])))
+        # A task that was told to go counts as gone in the plan.
+        tasks = [t for t in tasks[:MAX_TASKS] if t.task not in self.leaving]
+        stops = self._stop_late(now)
+        if stops:
+            return stops
         if self._is_settling(measured, now):
             self.held_back += 1
             return []
@@ -137,13 +149,21 @@
         policy = POLICIES.get(self.policy)
         room = self._eviction_room(settings, now)
         acts = policy(self.model, measured, tasks, settings, room)
-        removed = sum(isinstance(act, Remove) for act in acts)
-        assert removed <= room, 'evictions above the bound'
-        self.evicted_at += [now] * removed
+        removed = [act.task for act in acts if isinstance(act, Remove)]
+        assert len(removed) <= room, 'evictions above the bound'
+        self.evicted_at += [now] * len(removed)
+        self.leaving.update(dict.fromkeys(removed, now))
         if acts:
             self.acted_at = now
         return acts
 
+    def _stop_late(self, now: float) -> list[Act]:
+        """Stop tasks whose eviction has not ended in time."""
+        late = [n for n, t in self.leaving.items() if now - t >= STOP_AFTER_S]
+        self.leaving.update(dict.fromkeys(late, now))
+        reason = 'did not end after its eviction'
+        return [Remove(name, reason, stop=True) for name in late]
+
     def _amounts_at(self, since: float) -> dict[str, float]:
         """Return the processors in use when a window began."""
         for at, amounts in self._history:
@@ -332,6 +352,7 @@
     return {
         'policy': governor.policy,
         'held_back': governor.held_back,
+        'leaving': sorted(governor.leaving),
         'evictions_in_window': len(governor.evicted_at),
         'base_ms': round(governor.model.base_ms, 3),
         'ms_per_processor': {
--- a/packages/sidecar/src/kcr_sidecar/capacity/admission.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -9,12 +9,14 @@
 
 from kcr_core import grants
 from kcr_core import messages
+from kcr_core import service_window
 from kcr_core import slots
 from kcr_runtime import http_client
 from kcr_runtime import process
 from kcr_runtime import task
 from kcr_runtime.wire import session
 from kcr_sidecar import addresses
+from kcr_sidecar import events
 from kcr_sidecar.platform import runner
 
 # Time between questions about calls of an older incarnation, in seconds.
@@ -78,6 +80,7 @@
         self._slots = slots.Slots(cfg.slots, cfg.connections)
         self._attempts: dict[str, _Attempt] = {}
         self._grants = grants.Grants()
+        self._window = service_window.Window(self.now())
         self._ready = False
         self._latency_ms = 0.0
         self._draining = False
@@ -176,6 +179,7 @@
         held = self._attempts.pop(event.attempt)
         took_ms = (self.now() - held.started) * 1000
         self._latency_ms += LATENCY_SHARE * (took_ms - self._latency_ms)
+        self._window.add(took_ms)
         self.ctx.metrics.record_ms('service_ms', took_ms)
         self._answer(held.session, infer_answer(event))
         if isinstance(event.outcome, http_client.NoAnswer):
@@ -200,6 +204,17 @@
         offered = self._ready and not self._draining
         self._grants.divide(self._room() if offered else 0)
         self._report()
+        self._report_service()
+
+    def _report_service(self) -> None:
+        """Report the tail of the calls that ended since the last report."""
+        p99_ms = self._window.quantile_ms(0.99)
+        if p99_ms is None:
+            return
+        load = self._slots.used() / self._slots.slots
+        measured = events.ServiceMeasured(self._window.since, p99_ms, load)
+        self.send(addresses.INTERFERENCE, measured)
+        self._window = service_window.Window(self.now())
 
     def _answer(self, name: str, msg: messages.Message) -> None:
         self.send(name, session.Send(msg))
--- /dev/null
+++ b/packages/sidecar/src/kcr_sidecar/capacity/interference.py
@@ -0,0 +1,73 @@
+"""Hold tasks back when they slow the service on the same instance."""
+
+import typing
+
+from kcr_core import interference
+from kcr_core import types
+from kcr_runtime import task
+from kcr_sidecar import addresses
+from kcr_sidecar import events
+
+
+class Interference(task.Task):
+    """Own the learnt interference of the instance."""
+
+    def __init__(self, ctx: task.Context, address: str) -> None:
+        super().__init__(ctx, address)
+        # Settings of the document in force.
+        self.settings = types.ControlSettings()
+        self._governor = interference.Governor(
+            self.settings.interference_policy
+        )
+        self._tasks: tuple[interference.Task, ...] = ()
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return what was learnt and the tasks that are held back."""
+        return {
+            **super().dump(),
+            **interference.describe(self._governor),
+            'throttled': {
+                held.task: held.share
+                for held in self._tasks
+                if held.share < 1.0
+            },
+        }
+
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, msg: events.SettingsInForce) -> None:
+        self.settings = msg.settings
+        self._governor.policy = msg.settings.interference_policy
+
+    @task.handles(events.TasksRunning)
+    def _on_tasks(self, msg: events.TasksRunning) -> None:
+        self._tasks = tuple(
+            interference.Task(
+                work.task,
+                work.kind,
+                work.demand.processors,
+                work.share,
+                work.urgent,
+            )
+            for work in msg.tasks
+        )
+
+    @task.handles(events.ServiceMeasured)
+    def _on_measured(self, msg: events.ServiceMeasured) -> None:
+        measured = interference.Measured(msg.since, msg.p99_ms, msg.load)
+        acts = self._governor.decide(
+            measured, self._tasks, self.settings, self.now()
+        )
+        for act in acts:
+            self._ask(act)
+
+    def _ask(self, act: interference.Act) -> None:
+        request: events.Throttle | events.Evict
+        if isinstance(act, interference.SetShare):
+            request = events.Throttle(act.task, act.share)
+            self.ctx.metrics.count('interference_throttle')
+        else:
+            request = events.Evict(act.task, act.reason, act.stop)
+            self.ctx.metrics.count('interference_evict')
+            self.log.info('task evicted', name=act.task, reason=act.reason)
+        if not self.send(addresses.TASK_CONTROL, request):
+            self.ctx.metrics.count('interference_not_asked')
--- a/packages/sidecar/src/kcr_sidecar/capacity/supervisor.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/supervisor.py
@@ -4,6 +4,7 @@
 
 from kcr_runtime import supervisor
 from kcr_sidecar.capacity import admission
+from kcr_sidecar.capacity import interference
 
 
 class Capacity(supervisor.Supervisor):
@@ -11,4 +12,7 @@
 
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the owners."""
-        return (supervisor.ChildSpec('admission', admission.Admission),)
+        return (
+            supervisor.ChildSpec('admission', admission.Admission),
+            supervisor.ChildSpec('interference', interference.Interference),
+        )
--- a/tests/core/test_interference.py
+++ b/tests/core/test_interference.py
@@ -126,3 +126,16 @@
     for _ in range(1000):
         model.learn(50.0, 0.8, {}, 100.0)
     assert model.effects['k'] < before / 10
+
+
+def test_task_that_does_not_leave_is_stopped_and_counted_once() -> None:
+    """Guard against a task that ignores its eviction and stays for ever."""
+    governor = interference.Governor('threshold')
+    tasks = make_tasks([0.25])
+    removes = []
+    for second in range(60):
+        measured = interference.Measured(second - 2.0, 900.0, 0.8)
+        removes += governor.decide(measured, tasks, CONTROL, float(second))
+    kinds = [isinstance(a, interference.Remove) and a.stop for a in removes]
+    assert kinds == [False, True, True]
+    assert len(governor.evicted_at) == 1
