--- a/packages/sidecar/src/kcr_sidecar/capacity/supervisor.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/supervisor.py
@@ -4,6 +4,7 @@
 
 from kcr_runtime import supervisor
 from kcr_sidecar.capacity import admission
+from kcr_sidecar.capacity import interference
 from kcr_sidecar.capacity import shutdown
 from kcr_sidecar.capacity import task_control
 
@@ -17,4 +18,5 @@
             supervisor.ChildSpec('shutdown', shutdown.Shutdown),
             supervisor.ChildSpec('admission', admission.Admission),
             supervisor.ChildSpec('task_control', task_control.TaskControl),
+            supervisor.ChildSpec('interference', interference.Interference),
         )
