Measure durations on a clock that no correction moves

Cause: Twisted's reactor reads the wall clock (checked: reactor.seconds() equals time.time()), so a step back would have prolonged the authority of a sidecar. The process now gives its reactor CLOCK_BOOTTIME.

--- a/packages/runtime/src/kcr_runtime/process.py
+++ b/packages/runtime/src/kcr_runtime/process.py
@@ -11,6 +11,7 @@
 import secrets
 import signal
 import sys
+import time
 import typing
 
 import structlog
@@ -64,6 +65,7 @@
     def __init__(self, role: roles.Role, cfg: settings.Options) -> None:
         from twisted.internet import reactor  # Installed on first import.
 
+        use_monotonic_clock(reactor)
         # Role that runs.
         self.role = role
         # Exit status of the process.
@@ -168,6 +170,15 @@
         print(text, file=sys.stderr, flush=True)
 
 
+def use_monotonic_clock(reactor: typing.Any) -> None:
+    """Make a reactor tell a time that no clock correction moves.
+
+    Twisted reads the wall clock, which can step back and so prolong the
+    authority of a sidecar. This clock also counts time in suspension.
+    """
+    reactor.seconds = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def resident_kb() -> int:
     """Return the resident memory of this process in KiB; 0 if not known."""
     try:
--- a/tests/core/test_task_control_machine.py
+++ b/tests/core/test_task_control_machine.py
@@ -8,6 +8,7 @@
 
 from kcr_core import messages
 from kcr_core import task_actions as actions
+from kcr_core import task_held
 from kcr_core import types
 from tests.core import home_model
 
@@ -277,6 +278,25 @@
                 continue
             self.move(key, epoch + 1, 1 - side)
 
+    def teardown(self) -> None:
+        """Guard against tasks that stay between two phases for ever."""
+        for side in (0, 1):
+            self.recover(side)
+        self.advance(20)
+        between = self.between_phases()
+        self.advance(4)
+        assert not between & self.between_phases()
+
+    def between_phases(self) -> set[tuple[str, str, int]]:
+        """Return the epochs that start or stop, with their home."""
+        return {
+            (home.incarnation, *holder)
+            for home in self.homes
+            for holder, held in home.control.tasks.items()
+            if held.phase
+            in (task_held.Phase.STARTING, task_held.Phase.STOPPING)
+        }
+
     @stateful.invariant()
     def check_places(self) -> None:
         """Guard against one task in two places and double starts."""
