--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -380,12 +380,11 @@
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
             self._hedges.discard(attempt)
-        # A submission that lost its claim keeps nothing: the winner does.
-        # An idempotent request whose end is unknown may run again.
-        used = bool(active.state.attempts) and not active.submit.idempotent
-        if isinstance(outcome, outcomes.Done) or (
-            isinstance(outcome, outcomes.Unknown) and used
-        ):
+        # An unknown end is kept where the request must not run again and this
+        # entry sent it; one that lost its claim is for the winner to keep.
+        sent = bool(active.state.attempts) and not active.submit.idempotent
+        kinds = (outcomes.Done, outcomes.Unknown) if sent else (outcomes.Done,)
+        if isinstance(outcome, kinds):
             self._kept[key] = (active.submit.digest(), outcome)
             if len(self._kept) > REMEMBERED:
                 self._kept.popitem(last=False)
