Run the demo with kills, a drain, tasks and a promoted document

Cause: nothing showed the whole path at once. The demo starts two entries, one entry of the trial environment and three endpoints in two zones, tries and promotes a document, sends requests and tasks, kills an entry and a sidecar with SIGKILL, drains another, and counts from the emulated runners and workers.

Ruled out: promoting without a process in the trial environment; the command line then rightly answers that it is not known whether the document is in force in trial.

--- a/packages/emulator/src/kcr_emulator/demo.py
+++ b/packages/emulator/src/kcr_emulator/demo.py
@@ -127,9 +127,7 @@
     def _publish(self) -> None:
         path = self.deployment.folder / 'document.yaml'
         path.write_text(documents.make_document(self.deployment.shape))
-        entries = ','.join(
-            url.removeprefix('http://') for url in self.deployment.entry_urls()
-        )
+        entries = self.deployment.addresses()
         for command in (
             ['check', str(path)],
             ['try', str(path), '--operator', 'demo'],
--- a/packages/emulator/src/kcr_emulator/harness.py
+++ b/packages/emulator/src/kcr_emulator/harness.py
@@ -152,9 +152,11 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='kcr-'))
         # Processes by name.
         self.processes: dict[str, Managed] = {}
-        ports = choose_ports(1 + 2 * shape.entries + 2 * shape.instances)
+        ports = choose_ports(3 + 2 * shape.entries + 2 * shape.instances)
         # Port of the emulated log.
         self.log_port = ports.pop()
+        # Ports of the entry of the trial environment.
+        self.trial = EntryPorts(ports.pop(), ports.pop())
         # Ports of the entries by name.
         self.entries = {
             f'entry-{n}': EntryPorts(ports.pop(), ports.pop())
@@ -186,6 +188,7 @@
             self._add(f'worker/{name}', self._worker(ports))
         for number, name in enumerate(self.entries):
             self._add(name, self._entry(name, number))
+        self._add('trial-entry', self._trial_entry())
         for number, name in enumerate(self.instances):
             self._add(f'sidecar/{name}', self._sidecar(name, number))
 
@@ -194,7 +197,7 @@
         own = [
             p
             for name, p in self.processes.items()
-            if name in self.entries or name.startswith('sidecar/')
+            if name in self.entries or name.startswith(('sidecar/', 'trial-'))
         ]
         for process in own:
             if process.is_running():
@@ -212,6 +215,11 @@
         """Return the base URL of each entry."""
         return [f'http://{LOOPBACK}:{p.http}' for p in self.entries.values()]
 
+    def addresses(self) -> str:
+        """Return the HTTP addresses of all entries for the command line."""
+        ports = [p.http for p in self.entries.values()]
+        return ','.join(f'{LOOPBACK}:{p}' for p in (*ports, self.trial.http))
+
     def log_url(self) -> str:
         """Return the base URL of the emulated log."""
         return f'http://{LOOPBACK}:{self.log_port}'
@@ -269,16 +277,33 @@
         return [sys.executable, '-m', 'kcr_daemon.main', role, *pairs]
 
     def _entry(self, name: str, number: int) -> list[str]:
-        ports = self.entries[name]
         others = [p.wire for n, p in self.entries.items() if n != name]
         command = self._daemon('entry', name, number)
-        command += ['--listen', f'{LOOPBACK}:{ports.wire}']
-        command += ['--http', f'{LOOPBACK}:{ports.http}']
-        command += ['--log', f'{LOOPBACK}:{self.log_port}']
+        command += self._entry_ports(self.entries[name])
         for port in others:
             command += ['--peers', f'{LOOPBACK}:{port}']
         return command
 
+    def _entry_ports(self, ports: EntryPorts) -> list[str]:
+        return [
+            '--listen',
+            f'{LOOPBACK}:{ports.wire}',
+            '--http',
+            f'{LOOPBACK}:{ports.http}',
+            '--log',
+            f'{LOOPBACK}:{self.log_port}',
+        ]
+
+    def _trial_entry(self) -> list[str]:
+        command = self._daemon('entry', 'trial-entry', 0)
+        command[command.index('region-0')] = 'trial-region'
+        return [
+            *command,
+            *self._entry_ports(self.trial),
+            '--environment',
+            'trial',
+        ]
+
     def _sidecar(self, name: str, number: int) -> list[str]:
         ports = self.instances[name]
         shape = self.shape
--- a/tests/sidecar/test_announcer.py
+++ b/tests/sidecar/test_announcer.py
@@ -1,5 +1,7 @@
 """Check heartbeats, vouches and learnt entries."""
 
+import fakes
+
 from kcr_core import messages
 from kcr_core import types
 from kcr_runtime import supervisor
@@ -8,7 +10,6 @@
 from kcr_sidecar.capacity import task_control
 from kcr_sidecar import events
 from kcr_sidecar.links import announcer
-from tests.sidecar import fakes
 
 PLACE = types.Place('x', 'x', 'x', 'e')
 HELLO = messages.Hello(1, 'entry', 'e', 'einc', PLACE)
--- a/tests/sidecar/test_shutdown.py
+++ b/tests/sidecar/test_shutdown.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import fakes
+
 from kcr_core import messages
 from kcr_core import task_actions as actions
 from kcr_core import types
@@ -12,7 +14,6 @@
 from kcr_sidecar.capacity import task_control
 from kcr_sidecar import events
 from kcr_sidecar.platform import worker
-from tests.sidecar import fakes
 
 LINK = 'links/sessions/127.0.0.1:1'
 PLACE = types.Place('x', 'x', 'x', 'e')
