Learn sizes as a ratio to the declared ones

Cause: a process-level trial (31 s of faults, tasks of 0.5 to 8 cores in one kind) ended with 22 moments of real overcommitment. The kind was learnt from small tasks as an absolute size and after one task. A start that gets no answer at all is taken for unsure after 3 s; the soak found an epoch that stayed in this phase.

--- a/packages/core/src/kcr_core/task_control.py
+++ b/packages/core/src/kcr_core/task_control.py
@@ -166,7 +166,8 @@
             held = self.tasks.get(usage.holder)
             if held is None or held.phase is not Phase.RUNNING:
                 continue
-            self.sizes.observe(held.spec.kind, usage.used, now)
+            held.samples += 1
+            self.sizes.observe(held.spec, usage.used, held.samples, now)
             self._fit(held, usage.used, now)
         self._relieve(now)
         self._admit(now)
--- a/packages/core/src/kcr_core/task_held.py
+++ b/packages/core/src/kcr_core/task_held.py
@@ -57,6 +57,8 @@
     stop_sent_at: float = 0.0
     # Reservation that fits the measurements; none before the first.
     wanted: types.Demand | None = None
+    # Measurements taken of this epoch.
+    samples: int = 0
     # Time of the last renewal that was sent.
     renewed_at: float = 0.0
     # Reservation in a renewal without answer yet.
--- a/packages/core/src/kcr_core/task_home.py
+++ b/packages/core/src/kcr_core/task_home.py
@@ -30,6 +30,8 @@
 STOP_S = 1.0
 # Time after which a refused start is tried again.
 START_S = 0.5
+# Time after which a start without an answer is taken for unsure.
+START_LIMIT_S = 3.0
 # Wait of a batch task after which smaller ones no longer pass it.
 BYPASS_S = 30.0
 # Renewals per task lease.
@@ -242,6 +244,8 @@
     def _tick_task(self, held: task_held.Held, now: float) -> None:
         if held.phase is Phase.RUNNING:
             self._renew(held, now)
+        elif held.phase is Phase.STARTING:
+            held.unsure |= now - held.started_at >= START_LIMIT_S
         elif held.phase is Phase.STOPPING:
             if now - held.stop_sent_at >= STOP_S:
                 self._stop(held, now)
--- a/tests/core/test_sizes.py
+++ b/tests/core/test_sizes.py
@@ -1,5 +1,7 @@
 """Check the reservations by kind and the ledger of the instance."""
 
+import dataclasses
+
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -18,21 +20,43 @@
     assert owner.estimate(SPEC, 0.0) == types.Demand(4.0, 200.0, 1)
 
 
+def measure(owner: sizes.Sizes, tasks: int) -> None:
+    """Measure tasks that use half of what they declare."""
+    for _ in range(tasks):
+        for sample in range(1, sizes.MIN_SAMPLES + 1):
+            owner.observe(SPEC, types.Demand(1.0, 50.0, 1), sample, 0.0)
+
+
+def test_few_tasks_do_not_make_a_kind_measured() -> None:
+    """Guard against trusting tasks that happened to be small."""
+    owner = sizes.Sizes(2.0)
+    measure(owner, sizes.MIN_TASKS - 1)
+    assert owner.estimate(SPEC, 0.0) == types.Demand(4.0, 200.0, 1)
+
+
 def test_measured_kind_gets_a_decaying_peak() -> None:
     """Guard against holding the room of an old peak for ever."""
     owner = sizes.Sizes(2.0)
-    for used in (0.5, 1.0, 0.5):
-        owner.observe('kind', types.Demand(used, 50.0), 0.0)
+    measure(owner, sizes.MIN_TASKS)
     assert owner.estimate(SPEC, 0.0) == types.Demand(1.25, 62.5, 1)
     later = owner.estimate(SPEC, sizes.HALF_LIFE_S)
     assert later == types.Demand(0.625, 31.25, 1)
 
 
+def test_larger_task_of_a_measured_kind_gets_more() -> None:
+    """Guard against giving a large task the room of small ones."""
+    owner = sizes.Sizes(2.0)
+    measure(owner, sizes.MIN_TASKS)
+    large = dataclasses.replace(SPEC, demand=types.Demand(20.0, 1000.0))
+    assert owner.estimate(large, 0.0) == types.Demand(12.5, 625.0, 1)
+
+
 def test_kinds_are_bounded() -> None:
     """Guard against memory that grows with the names of kinds."""
     owner = sizes.Sizes(2.0)
     for number in range(sizes.MAX_KINDS + 9):
-        owner.observe(f'k{number}', types.Demand(), 0.0)
+        spec = dataclasses.replace(SPEC, kind=f'k{number}')
+        owner.observe(spec, types.Demand(), 1, 0.0)
     assert len(owner.kinds()) == sizes.MAX_KINDS
 
 
