--- a/packages/core/src/kcr_core/task_held.py
+++ b/packages/core/src/kcr_core/task_held.py
@@ -8,6 +8,13 @@
 from kcr_core import types
 
 
+# Longest checkpoint that is reported, in characters: reports of many tasks
+# go into one record of the log. A longer one is dropped for the older one.
+MAX_CHECKPOINT = 64 * 1024
+# Longest result text that is reported, in characters.
+MAX_DETAIL = 4096
+
+
 class Phase(enum.Enum):
     """Tell how far an epoch has come at its home."""
 
@@ -87,11 +94,14 @@
 ) -> messages.Finished | messages.Evicted:
     """Return the report for an epoch that the worker ended or lost."""
     key, epoch = held.holder
+    detail = detail[:MAX_DETAIL]
     if state == 'done':
         return messages.Finished(key, epoch, 'done', detail)
     if state == 'failed':
         return messages.Finished(key, epoch, 'failed', detail)
     last = checkpoint or held.checkpoint
+    if len(last) > MAX_CHECKPOINT:
+        last = held.checkpoint
     if state == 'lost' and not held.stop_reason:
         if not held.spec.restartable:
             return messages.Finished(
--- a/packages/sidecar/src/kcr_sidecar/addresses.py
+++ b/packages/sidecar/src/kcr_sidecar/addresses.py
@@ -7,3 +7,6 @@
 SHUTDOWN = 'capacity/shutdown'
 TASK_CONTROL = 'capacity/task_control'
 WORKER = 'platform/worker'
+
+# Tasks that follow the settings of the document in force.
+SETTINGS_USERS = (ADMISSION, ANNOUNCER, SHUTDOWN, TASK_CONTROL, WORKER)
--- /dev/null
+++ b/tests/sidecar/test_worker.py
@@ -0,0 +1,64 @@
+"""Check what the worker adapter concludes from answers."""
+
+import json
+import typing
+
+import pytest
+
+from kcr_core import task_actions as actions
+from kcr_core import task_held
+from kcr_core import types
+from kcr_runtime import http_client
+from kcr_runtime.wire import codec
+from kcr_sidecar.platform import worker
+
+SPEC = types.TaskSpec('a', 'c', 'team', 'kind', types.Demand(1.0, 10.0))
+
+
+def reply(status: int, **value: typing.Any) -> http_client.Reply:
+    """Return an answer with a JSON body."""
+    return http_client.Reply(status, json.dumps(value).encode())
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'result'),
+    [
+        (reply(200, reason='started'), 'started'),
+        (reply(409, reason='controller'), 'refused'),
+        (http_client.NotSent('refused'), 'refused'),
+        (http_client.NoAnswer('timeout'), 'unknown'),
+        (reply(409, reason='epoch 2 runs'), 'unknown'),
+        (reply(500), 'unknown'),
+        (http_client.Reply(409, b'no JSON'), 'unknown'),
+        (http_client.Reply(409, b'[]'), 'unknown'),
+    ],
+)
+def test_only_a_proof_counts_as_refusal(
+    outcome: http_client.HttpOutcome, result: str
+) -> None:
+    """Guard against starting again what may have started."""
+    assert worker.infer_start(outcome) == result
+
+
+def test_invalid_list_is_no_list() -> None:
+    """Guard against taking a broken answer for an empty worker."""
+    valid = codec.to_plain(actions.WorkerTask('c/a', 1, 'running', SPEC))
+    found = worker.infer_tasks({'tasks': [valid]})
+    assert found is not None and found[0].holder == ('c/a', 1)
+    broken = {**valid, 'epoch': -1}
+    assert worker.infer_tasks({'tasks': [valid, broken]}) is None
+    assert worker.infer_tasks({}) is None
+
+
+def test_key_is_one_segment_of_the_path() -> None:
+    """Guard against keys that lead to the route of another task."""
+    path = worker.task_path(('c/../x?y', 1))
+    assert path == '/v1/tasks/c%252F..%252Fx%253Fy'
+
+
+def test_oversized_checkpoint_is_not_reported() -> None:
+    """Guard against a report that no frame can carry."""
+    held = task_held.Held(SPEC, 1, 'older', 0.0)
+    long = 'x' * (task_held.MAX_CHECKPOINT + 1)
+    report = task_held.infer_report(held, 'stopped', long, '')
+    assert getattr(report, 'checkpoint') == 'older'
