Check that two epochs of one task never run side by side

Cause: with the wait for an older epoch turned off in a working copy, all tests still passed. The new test then fails inside the program:

AssertionError: task would run in two places FAILED tests/core/test_task_control.py:: test_newer_epoch_waits_for_the_end_of_the_older 1 failed, 14 passed

--- a/tests/core/test_task_control.py
+++ b/tests/core/test_task_control.py
@@ -131,6 +131,18 @@
     assert find(decided, actions.Start)[0].holder == ('c/urgent', 1)
 
 
+def test_newer_epoch_waits_for_the_end_of_the_older() -> None:
+    """Guard against two epochs of one task that run side by side."""
+    home = make_home()
+    run(home, make_spec('a'), 0.0)
+    decided = assign(home, make_spec('a'), 1.0, epoch=2)
+    assert find(decided, actions.Stop) == [actions.Stop(('c/a', 1))]
+    assert not find(decided, actions.Start)
+    home.stop_answered(('c/a', 1), None, 2.0)
+    assert find(home.take(), actions.Start)[0].holder == ('c/a', 2)
+    assert not find(assign(home, make_spec('a'), 3.0), actions.Start)
+
+
 def test_finish_wins_over_eviction() -> None:
     """Guard against running a task again that ended while it was evicted."""
     home = make_home()
