--- a/packages/sidecar/src/kcr_sidecar/addresses.py
+++ b/packages/sidecar/src/kcr_sidecar/addresses.py
@@ -9,3 +9,13 @@
 TASK_CONTROL = 'capacity/task_control'
 WORKER = 'platform/worker'
 INTERFERENCE = 'capacity/interference'
+
+# Tasks that follow the settings of the document in force.
+SETTINGS_USERS = (
+    ADMISSION,
+    ANNOUNCER,
+    SHUTDOWN,
+    TASK_CONTROL,
+    INTERFERENCE,
+    WORKER,
+)
