Give the settings to the worker and shutdown tasks of a sidecar

Both tasks handle the settings, but the task control did not send them. A test now compares the tasks that handle the settings with those that are sent them, in both roles.

--- a/packages/sidecar/src/kcr_sidecar/links/control.py
+++ b/packages/sidecar/src/kcr_sidecar/links/control.py
@@ -21,6 +21,8 @@
     addresses.ANNOUNCER,
     addresses.ADMISSION,
     addresses.TASK_CONTROL,
+    addresses.WORKER,
+    addresses.SHUTDOWN,
 )
 # Bytes of a dump that fit into a frame with their envelope.
 MAX_DUMP_BYTES = messages.MAX_BODY_BYTES
--- /dev/null
+++ b/tests/entry/test_followers.py
@@ -0,0 +1,62 @@
+"""Check that every task that follows the settings is given them."""
+
+import types
+import typing
+
+import pytest
+
+from kcr_entry import addresses as entry_addresses
+from kcr_entry import events as entry_events
+from kcr_entry import supervisor as entry_supervisor
+from kcr_runtime import supervisor
+from kcr_runtime import task
+from kcr_sidecar import events as sidecar_events
+from kcr_sidecar.links import control
+from kcr_sidecar import supervisor as sidecar_supervisor
+
+
+def find_handlers(
+    node: supervisor.Supervisor, message: type[typing.Any]
+) -> set[str]:
+    """Return the addresses below a supervisor that handle a message."""
+    found: set[str] = set()
+    for spec in node.children():
+        address = node.child_address(spec.name)
+        if not isinstance(spec.factory, type):
+            continue
+        if issubclass(spec.factory, supervisor.Supervisor):
+            child = spec.factory(node.ctx, address)
+            found |= find_handlers(child, message)
+        elif issubclass(spec.factory, task.Task):
+            if message in spec.factory._handlers:
+                found.add(address)
+    return found
+
+
+@pytest.mark.parametrize(
+    ('root', 'message', 'followers'),
+    [
+        (
+            entry_supervisor.Root,
+            entry_events.SettingsInForce,
+            entry_addresses.FOLLOWERS,
+        ),
+        (
+            sidecar_supervisor.Root,
+            sidecar_events.SettingsInForce,
+            control.FOLLOWERS,
+        ),
+    ],
+    ids=['entry', 'sidecar'],
+)
+def test_every_handler_is_a_follower(
+    root: type[supervisor.Supervisor],
+    message: type[typing.Any],
+    followers: tuple[str, ...],
+) -> None:
+    """Guard against a task that runs on defaults for ever."""
+    cfg = types.SimpleNamespace(region='r', entries=[])
+    ctx: typing.Any = types.SimpleNamespace(cfg=cfg)
+    found = find_handlers(root(ctx, ''), message)
+    assert len(found) >= 3
+    assert found <= set(followers)
