Follow the settings of sidecars when no entry has the document

When every entry was restarted while the log is down, sidecars hold a newer revision than any entry. An entry now asks such a sidecar for its settings and follows them until the log is read; quotas and the text are not known until then. Keeping the text in sidecars was ruled out: they have 64 MB and 3 KB/s.

With the question turned off, test_settings_of_sidecars_are_followed_without_the_log fails with "assert []".

--- a/packages/entry/src/kcr_entry/configuration/in_force.py
+++ b/packages/entry/src/kcr_entry/configuration/in_force.py
@@ -9,12 +9,10 @@
 import typing
 
 from kcr_core import configuration
-from kcr_core import document_text
 from kcr_core import messages
 from kcr_core import records
-from kcr_document import document
-from kcr_document import problems
 from kcr_entry import addresses
+from kcr_entry.configuration import exchange
 from kcr_entry.configuration import publishing
 from kcr_entry.configuration import questions
 from kcr_entry import events
@@ -33,13 +31,6 @@
 # Time between two deliveries of the same settings, in seconds; a task that
 # was restarted has lost them.
 REDELIVER_S = 5.0
-# Shares of the retention at which the document is written again. They differ
-# between entries, so that one record is enough as a rule.
-RESTATE_SHARES = (0.4, 0.5)
-# Delay before a restatement is tried again, as a share of the retention.
-RESTATE_AGAIN_SHARE = 0.02
-# Token of the append of a restatement.
-RESTATE = 'restate'
 
 
 class _Redeliver:
@@ -92,7 +83,9 @@
         self.send(addresses.PROCESSES, floor)
         self.after(GRACE_S, _EndGrace())
         self.after(REDELIVER_S, _Redeliver())
-        self._schedule_restatement(self.ctx.rng.uniform(*RESTATE_SHARES))
+        self._schedule_restatement(
+            self.ctx.rng.uniform(*publishing.RESTATE_SHARES)
+        )
 
     def dump(self) -> dict[str, typing.Any]:
         """Return what is in force, what is held and the assertions."""
@@ -155,24 +148,15 @@
             return
         self.ctx.metrics.count('document_adopted', source=source)
         self.log.info('document in force', revision=doc.revision)
-        try:
-            text = document_text.unpack(doc.text)
-            environment = self.ctx.cfg.environment
-            found = document.read_settings(text, environment)
-        except (problems.WrongDocument, ValueError) as exc:
-            # A newer version wrote it; the settings before it stay.
-            self._unreadable = f'revision {doc.revision}: {exc}'[:300]
-            found = None
-        if found is None:
+        found = exchange.read_settings(doc, self.ctx.cfg.environment)
+        self._unreadable = found if isinstance(found, str) else ''
+        if isinstance(found, str):
             self.ctx.metrics.count('document_unreadable')
-            self.log.error('document not readable', reason=self._unreadable)
+            self.log.error('document not readable', reason=found)
             return
-        self._unreadable = ''
-        self._settings = events.SettingsInForce(
-            doc.revision,
-            document.convert(found),
-            document.convert_quotas(found),
-        )
+        if self._settings and self._settings.revision > doc.revision:
+            return  # A sidecar has given newer ones.
+        self._settings = found
         self._deliver()
         for name in self._one_session_each():
             self._offer(name, with_text=False)
@@ -245,15 +229,9 @@
         self.send(name, session.Send(msg))
 
     def _offer(self, name: str, with_text: bool) -> None:
-        doc = self._held.doc
-        msg = messages.DocumentOffer(
-            self._held.revision,
-            doc.digest if doc else '',
-            doc.text if doc and with_text else '',
-            self.ctx.cfg.environment,
-            doc is not None and doc.kind == 'production',
-        )
-        self.send(name, session.Send(msg))
+        environment = self.ctx.cfg.environment
+        offer = exchange.make_offer(self._held, environment, with_text)
+        self.send(name, session.Send(offer))
 
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
@@ -261,6 +239,9 @@
             self.after(FLOOR_S, event)
             return
         msg = event.msg
+        if isinstance(msg, messages.Control):
+            self._take_settings(msg)
+            return
         if msg.environment != self.ctx.cfg.environment:
             return
         seen = events.RevisionSeen(event.session, msg.revision)
@@ -294,24 +275,37 @@
             self.after(REDELIVER_S, msg)
 
     def _take_offer(self, msg: messages.DocumentOffer) -> None:
-        if not document_text.has_digest(msg.text, msg.digest):
+        doc = exchange.read_offer(msg)
+        if doc is None:
             self.ctx.metrics.count('document_offer_bad')
             return
-        doc = configuration.InForce(
-            msg.environment,
-            msg.revision,
-            msg.digest,
-            msg.text,
-            'production' if msg.production else 'trial',
-        )
         self._adopt(doc, 'peer')
 
     @task.handles(events.RevisionSeen)
     def _on_revision(self, event: events.RevisionSeen) -> None:
         if event.session not in self._peers:
+            if (
+                event.revision > self._boot.sidecars
+                and not self._boot.log_read
+            ):
+                # A sidecar has no text, but the settings of its revision.
+                self._request(event.session)
             self._boot.sidecar_seen(event.revision)
         self._want(event.revision)
 
+    def _take_settings(self, msg: messages.Control) -> None:
+        """Follow the settings of a sidecar while the log is not read."""
+        held = self._settings
+        if self._boot.log_read or msg.revision < (self._floor or 0):
+            return
+        if held is None or msg.revision > held.revision:
+            self.ctx.metrics.count('settings_adopted', source='sidecar')
+            quotas = held.quotas if held is not None else ()
+            self._settings = events.SettingsInForce(
+                msg.revision, msg.settings, quotas
+            )
+            self._deliver()
+
     @task.handles(ask.Ask)
     def _on_ask(self, req: ask.Ask) -> None:
         body = req.body
@@ -363,7 +357,7 @@
 
     @task.handles(events.AppendEnded)
     def _on_append_ended(self, event: events.AppendEnded) -> None:
-        if event.token != RESTATE:
+        if event.token != publishing.RESTATE:
             self._publications.appended(
                 event.token, event.outcome, self._fold.history
             )
@@ -378,7 +372,7 @@
     @task.handles(_Restate)
     def _on_restate(self, msg: _Restate) -> None:
         retention_s = self.ctx.cfg.log_retention_s
-        share = self.ctx.rng.uniform(*RESTATE_SHARES)
+        share = self.ctx.rng.uniform(*publishing.RESTATE_SHARES)
         if self._restated_at is not None:
             left = self._restated_at + retention_s * share - self.now()
             if left > 0:
@@ -390,7 +384,10 @@
             self.send(
                 addresses.APPENDER,
                 events.Append(
-                    RESTATE, self.address, records.CONFIG_STREAM, items
+                    publishing.RESTATE,
+                    self.address,
+                    records.CONFIG_STREAM,
+                    items,
                 ),
             )
-        self._schedule_restatement(RESTATE_AGAIN_SHARE)
+        self._schedule_restatement(publishing.RESTATE_AGAIN_SHARE)
--- a/packages/entry/src/kcr_entry/configuration/publishing.py
+++ b/packages/entry/src/kcr_entry/configuration/publishing.py
@@ -1,4 +1,4 @@
-"""Follow trials and promotions from the append to the verdict."""
+"""Follow what is written to the log: trials, promotions, restatements."""
 
 from collections import abc
 import dataclasses
@@ -16,6 +16,13 @@
 # Time after which a publication is answered with "not known", in seconds.
 # The appender decides within 3 s and a read takes 1 s.
 VERDICT_LIMIT_S = 15.0
+# Shares of the retention at which the document is written again. They differ
+# between entries, so that one record is enough as a rule.
+RESTATE_SHARES = (0.4, 0.5)
+# Delay before a restatement is tried again, as a share of the retention.
+RESTATE_AGAIN_SHARE = 0.02
+# Token of the append of a restatement.
+RESTATE = 'restate'
 
 Record = records.Tried | records.Promoted
 
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -28,6 +28,7 @@
     messages.HeardReply: addresses.FENCES,
     messages.DocumentRequest: addresses.IN_FORCE,
     messages.DocumentOffer: addresses.IN_FORCE,
+    messages.Control: addresses.IN_FORCE,
     messages.DumpRequest: addresses.PROCESSES,
     messages.DumpReply: addresses.PROCESSES,
     messages.OutcomeQuery: addresses.CLAIMS,
--- a/packages/sidecar/src/kcr_sidecar/links/control.py
+++ b/packages/sidecar/src/kcr_sidecar/links/control.py
@@ -58,6 +58,9 @@
     def _on_received(self, event: session.Received) -> None:
         if isinstance(event.msg, messages.Control):
             self._follow(event.msg)
+        elif isinstance(event.msg, messages.DocumentRequest):
+            if self._held and self._held.revision > event.msg.revision:
+                self.send(event.session, session.Send(self._held))
         elif isinstance(event.msg, messages.DumpRequest):
             reply = messages.DumpReply(event.msg.token, self._dump_text())
             self.send(event.session, session.Send(reply))
--- a/tests/entry/test_in_force.py
+++ b/tests/entry/test_in_force.py
@@ -7,6 +7,7 @@
 from kcr_core import document_text
 from kcr_core import messages
 from kcr_core import records
+from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry.configuration import questions
 from kcr_runtime import log_records
@@ -175,6 +176,30 @@
     assert entry.dump()['ready']
 
 
+def test_settings_of_sidecars_are_followed_without_the_log(
+    world: log_world.World,
+) -> None:
+    """Guard against defaults when every entry was restarted in an outage."""
+    writer = config_world.Entry(world, 'w', 'trial')
+    world.run(1.5)
+    try_and_promote(world, writer)
+    world.log.outage = 'refuse'
+    entry = config_world.Entry(world, 'a')
+    probe = entry.open('s', 'sidecar', 7)
+    world.run(0.2)
+    assert config_world.sent(probe, messages.DocumentRequest)
+    newest = types.ControlSettings(heartbeat_s=2.0)
+    entry.hear('s', 'sidecar', messages.Control(7, newest))
+    entry.hear('s', 'sidecar', messages.Control(6, types.ControlSettings()))
+    world.run(0.2)
+    world.log.outage = 'none'
+    world.run(4.0)
+    assert entry.dump()['in_force']['production']['revision'] == 2
+    assert {s.revision for s in entry.settings()} == {7}
+    assert entry.settings()[-1].settings == newest
+    assert not config_world.sent(probe, messages.Control)
+
+
 def test_bad_offers_are_not_followed(world: log_world.World) -> None:
     """Guard against a text without its digest or of another environment."""
     entry = config_world.Entry(world, 'a')
--- a/tests/sidecar/test_control.py
+++ b/tests/sidecar/test_control.py
@@ -88,6 +88,19 @@
     assert session.SetRevision(4) in link.got
 
 
+def test_entry_without_a_document_gets_the_settings() -> None:
+    """Guard against entries on defaults while sidecars know better."""
+    clock, node, _, link = make_control()
+    receive(node, messages.DocumentRequest(0))
+    held = messages.Control(4, types.ControlSettings(heartbeat_s=2.0))
+    receive(node, held)
+    receive(node, messages.DocumentRequest(4))
+    receive(node, messages.DocumentRequest(3))
+    clock.advance(0)
+    sent = [item.msg for item in link.got if isinstance(item, session.Send)]
+    assert sent == [held]
+
+
 def test_dump_is_answered() -> None:
     """Guard against an operator who gets no dump of a sidecar."""
     clock, node, _, link = make_control()
