--- a/packages/document/src/kcr_document/checks.py
+++ b/packages/document/src/kcr_document/checks.py
@@ -5,6 +5,7 @@
 import typing
 
 from kcr_core import endpoint_choice
+from kcr_core import interference
 from kcr_core import placement
 from kcr_core import registry
 from kcr_core import types
@@ -22,6 +23,7 @@
 REGISTRIES: dict[str, registry.Registry[typing.Any]] = {
     'endpoint': endpoint_choice.POLICIES,
     'placement': placement.POLICIES,
+    'interference': interference.POLICIES,
 }
 
 Found = abc.Iterator[problems.Problem]
--- a/packages/sidecar/src/kcr_sidecar/links/control.py
+++ b/packages/sidecar/src/kcr_sidecar/links/control.py
@@ -23,6 +23,7 @@
     addresses.TASK_CONTROL,
     addresses.WORKER,
     addresses.SHUTDOWN,
+    addresses.INTERFERENCE,
 )
 # Bytes of a dump that fit into a frame with their envelope.
 MAX_DUMP_BYTES = messages.MAX_BODY_BYTES
