Quarantine only endpoints that are worse than the others

A caller whose requests fail everywhere, each with a new id, put a third of the endpoints in quarantine. A host must now also fail twice as often as the others do on average. Ruled out: blaming the caller, because a service with one caller could then never show a bad endpoint. A non-idempotent request is never a probe.

The new test on the code before: AssertionError: assert not {'h0', 'h1', 'h2'} FAILED test_requests_that_fail_everywhere_quarantine_no_endpoint

--- a/packages/core/src/kcr_core/dispatch.py
+++ b/packages/core/src/kcr_core/dispatch.py
@@ -50,6 +50,8 @@
     avoid: frozenset[str]
     # Whether it is a hedge, which is only sent while there is room.
     hedge: bool = False
+    # Whether it may run more than once; only such attempts are probes.
+    idempotent: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -180,7 +182,7 @@
         found = self.view.sample(offer.service, SAMPLE, now, self._rng)
         if not found:
             return Rejected(offer.attempt, 'no endpoint serves this now')
-        probe, found = self._split(found, now)
+        probe, found = self._split(found, offer.idempotent, now)
         if probe is not None:
             self.health.probing(probe.place.instance, now)
             return self._send(offer, probe)
@@ -204,14 +206,17 @@
         return None
 
     def _split(
-        self, found: list[membership.Endpoint], now: float
+        self,
+        found: list[membership.Endpoint],
+        may_probe: bool,
+        now: float,
     ) -> tuple[membership.Endpoint | None, list[membership.Endpoint]]:
         if not self.health.quarantined:
             return None, found
         good = []
         for endpoint in found:
             access = self.health.access(endpoint.place.instance, now)
-            if access == 'probe' and not endpoint.in_flight:
+            if access == 'probe' and may_probe and not endpoint.in_flight:
                 return endpoint, found
             if access == 'open':
                 good.append(endpoint)
--- a/packages/core/src/kcr_core/health.py
+++ b/packages/core/src/kcr_core/health.py
@@ -15,6 +15,9 @@
 RESULT_SHARE = 0.1
 # Failure share from which a host is quarantined: about 7 failures in a row.
 QUARANTINE_FROM = 0.5
+# A host in quarantine fails this many times as often as the other hosts do on
+# average; requests that fail everywhere are not the fault of their endpoints.
+WORSE_THAN_OTHERS = 2.0
 # Distinct work that must have failed on a host before it is quarantined.
 MIN_WORK = 3
 # Largest share of the hosts in quarantine at the same time.
@@ -70,6 +73,8 @@
         self.hosts: dict[str, Host] = {}
         # Hosts in quarantine.
         self.quarantined: set[str] = set()
+        # Sum of the failure shares of all hosts.
+        self._failing = 0.0
         self._failed: collections.OrderedDict[str, dict[str, str]] = (
             collections.OrderedDict()
         )
@@ -94,7 +99,7 @@
         host = self.hosts.get(name)
         if host is None:
             return
-        host.failing -= RESULT_SHARE * host.failing
+        self._set(host, host.failing * (1 - RESULT_SHARE))
         if name in self.quarantined:
             host.good += 1
             host.probe_at = now
@@ -115,7 +120,7 @@
             last = next(reversed(hosts.values()))
             why = f'failed on {len(hosts)} hosts, last: {last}'
             return Parked(work, why[:300])
-        host.failing += RESULT_SHARE * (1.0 - host.failing)
+        self._set(host, host.failing + RESULT_SHARE * (1.0 - host.failing))
         host.good = 0
         host.blamed[work] = None
         if len(host.blamed) > MAX_BLAMED:
@@ -128,7 +133,9 @@
 
     def forget(self, name: str) -> None:
         """Drop a host that is gone or started anew."""
-        self.hosts.pop(name, None)
+        host = self.hosts.pop(name, None)
+        if host is not None:
+            self._set(host, 0.0)
         self.quarantined.discard(name)
 
     def dump(self) -> dict[str, typing.Any]:
@@ -147,8 +154,14 @@
 
     def _host(self, name: str) -> Host | None:
         host = self.hosts.get(name)
-        if host is None and len(self.hosts) < MAX_HOSTS:
-            host = self.hosts[name] = Host()
+        if host is not None:
+            return host
+        if len(self.hosts) >= MAX_HOSTS:
+            oldest = next(iter(self.hosts))
+            if oldest in self.quarantined:
+                return None
+            self.forget(oldest)
+        host = self.hosts[name] = Host()
         return host
 
     def _note(self, work: str, name: str, reason: str) -> dict[str, str]:
@@ -166,15 +179,23 @@
         if host is None or work not in host.blamed:
             return
         del host.blamed[work]
-        host.failing = max(0.0, host.failing - RESULT_SHARE)
+        self._set(host, max(0.0, host.failing - RESULT_SHARE))
         if name in self.quarantined and host.failing < QUARANTINE_FROM:
             self._release(name)
 
     def _is_bad(self, host: Host, fleet: int) -> bool:
         if host.failing < QUARANTINE_FROM or len(host.blamed) < MIN_WORK:
             return False
+        others = (self._failing - host.failing) / max(1, fleet - 1)
+        if host.failing < WORSE_THAN_OTHERS * others:
+            return False
         return len(self.quarantined) + 1 <= fleet * MAX_QUARANTINED
 
+    def _set(self, host: Host, failing: float) -> None:
+        self._failing = max(0.0, self._failing + failing - host.failing)
+        host.failing = failing
+
     def _release(self, name: str) -> None:
         self.quarantined.discard(name)
+        self._set(self.hosts[name], 0.0)
         self.hosts[name] = Host()
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -163,6 +163,7 @@
             deadline=now + req.msg.budget_ms / 1000.0,
             avoid=req.avoid,
             hedge=req.hedge,
+            idempotent=req.msg.idempotent,
         )
         decision = self._dispatcher.offer(offer, self.settings, now)
         self._held[offer.attempt] = req
--- a/tests/core/test_dispatch.py
+++ b/tests/core/test_dispatch.py
@@ -146,3 +146,14 @@
     decision = owner.offer(offer, settings, 0.0)
     assert isinstance(decision, dispatch.Rejected)
     assert not owner.waiting()
+
+
+def test_non_idempotent_request_is_no_probe() -> None:
+    """Guard against losing a billing step to an endpoint that fails."""
+    owner = make_dispatcher(endpoints=4)
+    for number in range(20):
+        owner.health.failed('i0', f'c/{number}', 'failed', 4, 0.0)
+    offer = dispatch.Offer('a', 's', 9.0, frozenset(), idempotent=False)
+    decision = owner.offer(offer, types.ControlSettings(), 2.0)
+    assert isinstance(decision, dispatch.Chosen)
+    assert decision.instance != 'i0'
--- a/tests/core/test_health.py
+++ b/tests/core/test_health.py
@@ -77,3 +77,12 @@
     for _ in range(50):
         owner.failed('h', 'same', 'failed', HOSTS, 0.0)
     assert not owner.quarantined
+
+
+def test_requests_that_fail_everywhere_quarantine_no_endpoint() -> None:
+    """Guard against a caller of bad requests that takes endpoints away."""
+    owner = health.Health()
+    for number in range(50 * HOSTS):
+        host = f'h{number % HOSTS}'
+        owner.failed(host, f'w{number}', 'status 500', HOSTS, 0.0)
+    assert not owner.quarantined
