--- a/packages/core/src/kcr_core/records.py
+++ b/packages/core/src/kcr_core/records.py
@@ -146,6 +146,11 @@
     entry: types.Id
     # Unix time at which the caller issued the request, in ms.
     issued_at_ms: types.Count
+    # Name of this claim, never used again; a release names it.
+    token: str = ''
+    # Time after `issued_at_ms` for which the claim holds, in ms. It is in
+    # the record so that all readers decide alike when the document changes.
+    hold_ms: types.Count = 600_000
 
 
 @record('released')
@@ -157,6 +162,10 @@
     request: str
     # Incarnation of the entry that held the claim.
     entry: types.Id
+    # Name of the claim that is given back.
+    token: str = ''
+    # Unix time until which the claim would have held, in ms.
+    until_ms: types.Count = 0
 
 
 @record('tried')
@@ -191,12 +200,17 @@
     text: str
     # Who promoted it.
     operator: str = ''
+    # Revision in force in trial that the operator saw.
+    tried: types.Count = 0
 
 
 @record('document_restated')
 @dataclasses.dataclass(frozen=True, slots=True)
 class DocumentRestated:
-    """Repeat the document in force before its record is trimmed."""
+    """Repeat the document in force before its record is trimmed.
+
+    One log record restates all environments as they were at `read_to`.
+    """
 
     # Environment of the document.
     environment: types.Id
@@ -204,8 +218,12 @@
     revision: types.Count
     # Digest of the text.
     digest: str
-    # Text of the document.
+    # Text of the document; empty if an item before it has the same digest.
     text: str
+    # Whether the environment is a production environment.
+    production: bool = False
+    # Offset up to which the writer had read the stream.
+    read_to: types.Count = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -8,9 +8,14 @@
 from kcr_core import messages
 from kcr_core import types
 from kcr_entry import addresses
+from kcr_entry import events
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
+# Time after which an instance that is gone is dropped, in seconds. 770
+# instances are replaced a day, so about 32 are kept after they are gone.
+FORGET_S = 3600.0
+
 
 # Largest time between looks at the attempts that wait for a grant, in seconds.
 LOOK_S = 0.05
@@ -76,6 +81,10 @@
     pass
 
 
+class _LookAtWaiting:
+    pass
+
+
 class Membership(task.Task):
     """Own the view of the endpoints."""
 
@@ -83,10 +92,20 @@
         super().__init__(ctx, address)
         # Settings of the document in force.
         self.settings = types.ControlSettings()
+        # Revision of the document in force.
+        self.revision = 0
         self._view = membership.View(self.settings.heartbeat_s)
         self._dispatcher = dispatch.Dispatcher(self._view, ctx.rng)
         self._held: dict[str, Dispatch] = {}
         self._looking = False
+        # Addresses of the entries of the region that are known.
+        self._entries: tuple[str, ...] = (ctx.cfg.listen,)
+        self._ledger: events.LedgerView | None = None
+        self._phases: dict[str, membership.Phase] = {}
+
+    def started(self) -> None:
+        """Start to look for silent endpoints."""
+        self.after(self.settings.heartbeat_s, _Look())
 
     def dump(self) -> dict[str, typing.Any]:
         """Return what is known of each endpoint."""
@@ -108,6 +127,14 @@
             },
         }
 
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        if event.revision < self.revision:
+            return
+        self.settings, self.revision = event.settings, event.revision
+        self._view.heartbeat_s = event.settings.heartbeat_s
+        self._view.drained = frozenset(event.settings.drained)
+
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
         if event.hello.role == 'sidecar':
@@ -120,6 +147,7 @@
     def _on_closed(self, event: session.Closed) -> None:
         self._view.closed(event.session)
         if event.hello.role == 'sidecar':
+            self._publish(event.session, event.hello.place.instance)
             self.log.info(
                 'endpoint disconnected',
                 instance=event.hello.place.instance,
@@ -132,6 +160,9 @@
 
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
+        if isinstance(event.msg, messages.HeardQuery):
+            self._reply_heard(event.session, event.msg)
+            return
         instance = event.hello.place.instance
         endpoint = self._view.find(event.session, instance)
         if endpoint is None:
@@ -141,18 +172,97 @@
         if isinstance(msg, messages.EndpointState):
             self._view.announced(endpoint, msg)
         elif isinstance(msg, messages.Heartbeat):
+            before = endpoint.beat.revision if endpoint.beat else -1
+            if msg.revision != before:
+                seen = events.RevisionSeen(event.session, msg.revision)
+                self.send(addresses.PROCESSES, seen)
             endpoint.beat = msg
-            self._acknowledge(event.session, msg)
+            self._acknowledge(endpoint, msg)
             self._advance()
         elif isinstance(msg, messages.Leaving):
             endpoint.leaving = True
             self.log.info('endpoint leaving', instance=instance)
+        self._publish(event.session, instance)
 
-    def _acknowledge(self, name: str, beat: messages.Heartbeat) -> None:
+    def _acknowledge(
+        self, endpoint: membership.Endpoint, beat: messages.Heartbeat
+    ) -> None:
+        fenced, age_ms = self._infer_vouch(endpoint)
         ack = messages.HeartbeatAck(
-            seq=beat.seq, revision=0, log_age_ms=-1, fenced=False
+            seq=beat.seq,
+            revision=self.revision,
+            log_age_ms=age_ms,
+            fenced=fenced,
+            entries=self._entries,
         )
-        self.send(name, session.Send(ack))
+        self.send(endpoint.session, session.Send(ack))
+
+    def _infer_vouch(self, endpoint: membership.Endpoint) -> tuple[bool, int]:
+        """Return whether a sidecar is fenced and the age of the log view."""
+        view = self._ledger
+        if view is None or endpoint.state is None:
+            return False, -1
+        name = (endpoint.place.instance, endpoint.incarnation)
+        if name in view.fenced:
+            return True, -1
+        if name[0] in view.instances and name not in view.cleared:
+            return False, -1
+        age_s = self.now() - view.asked_at
+        if age_s > self.settings.isolation_s:
+            return False, -1
+        return False, int(age_s * 1000)
+
+    def _reply_heard(self, name: str, query: messages.HeardQuery) -> None:
+        endpoint = self._view.endpoints.get(query.instance)
+        age_ms = -1
+        if endpoint is not None and endpoint.incarnation == query.incarnation:
+            age_ms = int((self.now() - endpoint.heard_at) * 1000)
+        reply = messages.HeardReply(query.instance, query.incarnation, age_ms)
+        self.send(name, session.Send(reply))
+
+    def _publish(self, name: str, instance: str) -> None:
+        endpoint = self._view.find(name, instance)
+        if endpoint is None:
+            return
+        phase = self._view.phase(endpoint, self.now())
+        self._phases[instance] = phase
+        event = events.EndpointSeen(
+            session=endpoint.session,
+            place=endpoint.place,
+            incarnation=endpoint.incarnation,
+            state=endpoint.state,
+            free=endpoint.beat.free if endpoint.beat else None,
+            phase=phase,
+        )
+        self.send(addresses.TASKS, event)
+        self.send(addresses.FENCES, event)
+
+    @task.handles(_Look)
+    def _on_look(self, msg: _Look) -> None:
+        self.after(self.settings.heartbeat_s, _Look())
+        now = self.now()
+        for instance, endpoint in list(self._view.endpoints.items()):
+            phase = self._view.phase(endpoint, now)
+            if self._phases.get(instance) != phase:
+                self._publish(endpoint.session, instance)
+            if phase == 'gone' and now - endpoint.heard_at > FORGET_S:
+                self._view.forget(instance)
+                self._phases.pop(instance, None)
+                event = events.EndpointForgotten(instance)
+                self.send(addresses.TASKS, event)
+
+    @task.handles(events.LogRead)
+    @task.handles(events.LogGap)
+    def _on_log(self, event: events.LogRead | events.LogGap) -> None:
+        """Ignore it; `work/tasks` reports the view after it was applied."""
+
+    @task.handles(events.LedgerView)
+    def _on_ledger(self, view: events.LedgerView) -> None:
+        self._ledger = view
+
+    @task.handles(events.PeersChanged)
+    def _on_peers(self, event: events.PeersChanged) -> None:
+        self._entries = event.addresses
 
     @task.handles(Dispatch)
     def _on_dispatch(self, req: Dispatch) -> None:
@@ -201,10 +311,10 @@
         delay = self._dispatcher.next_look(self.now())
         if delay is not None and not self._looking:
             self._looking = True
-            self.after(min(delay, LOOK_S), _Look())
+            self.after(min(delay, LOOK_S), _LookAtWaiting())
 
-    @task.handles(_Look)
-    def _on_look(self, msg: _Look) -> None:
+    @task.handles(_LookAtWaiting)
+    def _on_look_at_waiting(self, msg: _LookAtWaiting) -> None:
         self._looking = False
         self._advance()
         self._look_later()
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -4,32 +4,36 @@
 state by message, and turns the answer into a response.
 """
 
-import json
 import typing
 
 import klein
-import pydantic
 from twisted.internet import defer
+from twisted.python import failure
 from twisted.web import http
 from twisted.web import iweb
 from twisted.web import server
 
-from kcr_core import messages
 from kcr_core import outcomes
 from kcr_entry import addresses
+from kcr_entry.configuration import questions
 from kcr_entry.front import models
-from kcr_entry.work import requests
+from kcr_entry.front import operator_routes
+from kcr_entry.front import replies
+from kcr_entry.front import task_routes
+from kcr_entry.work import submit as submit_model
 from kcr_runtime import ask
 from kcr_runtime import process
 from kcr_runtime import task
-from kcr_runtime.wire import codec
 
 # Time that the load balancer gets to see the failing health check.
 BALANCER_S = 0.5
 # How often a draining entry looks whether requests are left.
 DRAIN_POLL_S = 0.1
-# Time that a question within the process may take.
-ASK_LIMIT_S = 310.0
+# Time that a question within the process may take, in seconds. The owner of
+# the state answers earlier; only a restart of it leaves a question open.
+ASK_LIMIT_S = 30.0
+# Time that the outcome of a request may take beyond its deadline, in seconds.
+ANSWER_GRACE_S = 5.0
 
 
 class Drain:
@@ -55,6 +59,7 @@
         self._asked = 0
         self._open_requests = 0
         self._draining = False
+        self._ready = True
         self._add_routes()
 
     def started(self) -> None:
@@ -64,6 +69,7 @@
         self._port = self.ctx.reactor.listenTCP(
             int(port), site, interface=host
         )
+        self.send(addresses.IN_FORCE, questions.AskReady())
 
     def stopped(self) -> defer.Deferred[None]:
         """Close the port."""
@@ -78,16 +84,22 @@
         }
 
     def _add_routes(self) -> None:
-        route = self._app.route
-        route('/healthz', methods=['GET'])(self._get_health)
-        route('/v1/dump', methods=['GET'])(self._get_dump)
-        route('/v1/requests', methods=['POST'])(self._post_request)
+        add = replies.add_route
+        add(self._app, 'GET', '/healthz', self._get_health)
+        add(self._app, 'GET', '/v1/dump', self._get_dump)
+        add(self._app, 'POST', '/v1/requests', self._post_request)
+        task_routes.TaskRoutes(self._ask_open).add(self._app)
+        operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
 
     @task.handles(Drain)
     def _on_drain(self, msg: Drain) -> None:
         self._draining = True
         self.after(BALANCER_S, _CloseListener())
 
+    @task.handles(questions.ReadyChanged)
+    def _on_ready(self, msg: questions.ReadyChanged) -> None:
+        self._ready = msg.ready
+
     @task.handles(_CloseListener)
     def _on_close_listener(self, msg: _CloseListener) -> None:
         self._port.stopListening()
@@ -107,7 +119,7 @@
             fut.callback(msg.value)
 
     def _ask(
-        self, address: str, body: typing.Any
+        self, address: str, body: typing.Any, limit_s: float = ASK_LIMIT_S
     ) -> defer.Deferred[typing.Any]:
         self._asked += 1
         token = str(self._asked)
@@ -116,24 +128,42 @@
         if not self.send(address, ask.Ask(token, self.address, body)):
             del self._questions[token]
             return defer.succeed(outcomes.NotRun('entry is not ready'))
+        fut.addTimeout(limit_s, self.ctx.reactor)
+        fut.addErrback(lambda fail: self._give_up(token, fail))
         return fut
 
+    def _give_up(self, token: str, fail: failure.Failure) -> outcomes.Unknown:
+        fail.trap(defer.TimeoutError)
+        self._questions.pop(token, None)
+        return outcomes.Unknown('the entry lost track of the request')
+
+    async def _ask_open(self, address: str, body: typing.Any) -> typing.Any:
+        """Ask, and keep a draining entry up until the answer is there."""
+        self._open_requests += 1
+        try:
+            return await self._ask(address, body)
+        finally:
+            self._open_requests -= 1
+
     def _get_health(self, req: iweb.IRequest) -> bytes:
         if self._draining:
-            return _respond(req, 503, {'status': 'draining'})
-        return _respond(req, 200, {'status': 'ok'})
+            return replies.respond(req, 503, {'status': 'draining'})
+        if not self._ready:
+            return replies.respond(req, 503, {'status': 'starting'})
+        return replies.respond(req, 200, {'status': 'ok'})
 
     def _get_dump(self, req: iweb.IRequest) -> bytes:
-        return _respond(req, 200, self.ctx.directory.dump())
+        return replies.respond(req, 200, self.ctx.directory.dump())
 
     async def _post_request(self, req: iweb.IRequest) -> bytes:
-        model = _read(req, models.RequestModel)
+        model = replies.read(req, models.RequestModel)
         if isinstance(model, bytes):
             return model
         self._open_requests += 1
         try:
             submit = model.to_submit()
-            value = await self._ask(addresses.REQUESTS, submit)
+            limit_s = submit.budget_s + ANSWER_GRACE_S
+            value = await self._ask(addresses.REQUESTS, submit, limit_s)
         finally:
             self._open_requests -= 1
         if self._draining:
@@ -141,43 +171,22 @@
         return _respond_outcome(req, value)
 
 
-M = typing.TypeVar('M', bound=pydantic.BaseModel)
-
-
-def _read(req: iweb.IRequest, model: type[M]) -> M | bytes:
-    content = typing.cast(typing.Any, req).content
-    body = content.read(messages.MAX_BODY_BYTES + 1)
-    if len(body) > messages.MAX_BODY_BYTES:
-        limit = messages.MAX_BODY_BYTES
-        return _respond(req, 413, {'error': f'body exceeds {limit} bytes'})
-    try:
-        return model.model_validate_json(body)
-    except pydantic.ValidationError as exc:
-        return _respond(req, 400, {'error': codec.describe(exc)})
-
-
-def _respond(req: iweb.IRequest, status: int, value: typing.Any) -> bytes:
-    req.setResponseCode(status)
-    req.setHeader(b'content-type', b'application/json')
-    return json.dumps(value, default=str).encode()
-
-
 def _respond_outcome(req: iweb.IRequest, value: typing.Any) -> bytes:
     if isinstance(value, outcomes.Done):
         body = value.body.decode('utf-8', 'replace')
-        return _respond(
+        return replies.respond(
             req,
             http.OK,
             {'outcome': 'done', 'status': value.status, 'body': body},
         )
     if isinstance(value, outcomes.NotRun):
-        return _respond(
+        return replies.respond(
             req,
             http.SERVICE_UNAVAILABLE,
             {'outcome': 'not_run', 'reason': value.reason},
         )
-    if isinstance(value, requests.Conflict):
-        return _respond(
+    if isinstance(value, submit_model.Conflict):
+        return replies.respond(
             req,
             http.CONFLICT,
             {
@@ -186,7 +195,7 @@
                 'choose a new id',
             },
         )
-    return _respond(
+    return replies.respond(
         req,
         http.GATEWAY_TIMEOUT,
         {'outcome': 'unknown', 'reason': value.reason},
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -2,9 +2,9 @@
 
 import collections
 import dataclasses
-import hashlib
 import typing
 
+from kcr_core import claimant
 from kcr_core import dispatch
 from kcr_core import messages
 from kcr_core import outcomes
@@ -12,7 +12,11 @@
 from kcr_core import retry_budget
 from kcr_core import types
 from kcr_entry import addresses
+from kcr_entry import events
 from kcr_entry.fleet import membership
+from kcr_entry.work import claim_path
+from kcr_entry.work import claims
+from kcr_entry.work import submit as submit_model
 from kcr_runtime import ask
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -26,44 +30,6 @@
 WITHDRAW_S = 0.02
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Submit:
-    """Ask for a request to be run."""
-
-    # Id chosen by the caller, unique per caller.
-    request_id: str
-    # Who asks.
-    caller: str
-    # Service that is asked for.
-    service: str
-    # Time left for the answer, in seconds.
-    budget_s: float
-    # Whether it may run more than once.
-    idempotent: bool
-    # Unix time at which the caller issued it, in ms.
-    issued_at_ms: int
-    # Body of the request.
-    body: bytes
-
-    @property
-    def key(self) -> str:
-        """Return the name that is unique across callers."""
-        return f'{self.caller}/{self.request_id}'
-
-    def digest(self) -> str:
-        """Return a digest of the content, to detect a changed repeat."""
-        head = f'{self.service}|{self.idempotent}|'.encode()
-        return hashlib.sha256(head + self.body).hexdigest()[:32]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Conflict:
-    """State that the id was used before with other content."""
-
-    # Key of the request.
-    key: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Deadline:
     key: str
@@ -78,7 +44,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Active:
-    submit: Submit
+    submit: submit_model.Submit
     state: request_state.RequestState
     # Questions that wait for the outcome.
     waiters: list[ask.Ask]
@@ -86,6 +52,8 @@
     sessions: dict[str, str]
     # Monotonic time of arrival.
     since: float
+    # Whether a submission with this id was sent before, here or elsewhere.
+    resubmitted: bool
     # Monotonic time at which each attempt was sent.
     sent_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -97,16 +65,27 @@
         super().__init__(ctx, address)
         # Settings of the document in force.
         self.settings = types.ControlSettings()
+        self._revision = 0
         self._active: dict[str, _Active] = {}
         self._by_attempt: dict[str, str] = {}
+        # A restarted owner must not use the id of an attempt again, because
+        # a late answer would be taken for that of another request.
+        life = f'{ctx.rng.getrandbits(48):012x}'
+        self._attempt_prefix = f'{ctx.incarnation}:{life}'
         self._attempts = 0
         self._budget = retry_budget.RetryBudget(self.settings.retry_budget)
         self._latencies = retry_budget.Latencies()
         self._hedges: set[str] = set()
+        self._claims = claim_path.ClaimPath(self)
         self._kept: collections.OrderedDict[
             str, tuple[str, outcomes.Outcome]
         ] = collections.OrderedDict()
 
+    @task.handles(events.SettingsInForce)
+    def _on_settings(self, event: events.SettingsInForce) -> None:
+        if event.revision >= self._revision:
+            self.settings, self._revision = event.settings, event.revision
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the requests in flight and their attempts."""
         return {
@@ -134,26 +113,30 @@
     @task.handles(ask.Ask)
     def _on_submit(self, question: ask.Ask) -> None:
         submit = question.body
-        assert isinstance(submit, Submit)
+        assert isinstance(submit, submit_model.Submit)
         digest = submit.digest()
         active = self._active.get(submit.key)
         if active is not None:
             if active.submit.digest() != digest:
-                self._reply(question, Conflict(submit.key))
+                self._reply(question, submit_model.Conflict(submit.key))
             else:
+                active.resubmitted |= submit.resubmitted
                 active.waiters.append(question)
             return
         kept = self._kept.get(submit.key)
         if kept is not None:
             same = kept[0] == digest
-            self._reply(question, kept[1] if same else Conflict(submit.key))
+            self._reply(
+                question,
+                kept[1] if same else submit_model.Conflict(submit.key),
+            )
             return
         if len(self._active) >= IN_FLIGHT_LIMIT:
             self._reply(question, outcomes.NotRun('entry is full'))
             return
         self._begin(question, submit)
 
-    def _begin(self, question: ask.Ask, submit: Submit) -> None:
+    def _begin(self, question: ask.Ask, submit: submit_model.Submit) -> None:
         now = self.now()
         state = request_state.RequestState(
             key=submit.key,
@@ -162,22 +145,37 @@
             max_attempts=self.settings.max_attempts,
         )
         self._active[submit.key] = _Active(
-            submit, state, [question], {}, since=now
+            submit, state, [question], {}, now, submit.resubmitted
         )
         self.after(submit.budget_s, _Deadline(submit.key))
         self._prepare_repeats(submit)
-        if not submit.idempotent:
-            refusal = outcomes.NotRun('non-idempotent requests need the log')
+        if submit.idempotent:
+            self._attempt(submit.key, frozenset())
+        elif not self._claims.ask(submit):
+            refusal = outcomes.NotRun('claims are not ready')
             self._finish(submit.key, refusal)
+
+    @task.handles(claims.Ended)
+    def _on_claim_ended(self, event: claims.Ended) -> None:
+        taken = self._claims.take(event)
+        if taken is None:
             return
-        self._attempt(submit.key, frozenset())
+        key, value = taken
+        if not isinstance(value, claimant.Won):
+            changed = isinstance(value, claimant.Changed)
+            self._finish(key, submit_model.Conflict(key) if changed else value)
+            return
+        state = self._active[key].state
+        assert not state.attempts, 'request was sent before it was claimed'
+        self.ctx.metrics.count('claim_used')
+        self._attempt(key, frozenset())
 
     def _attempt(
         self, key: str, avoid: frozenset[str], hedge: bool = False
     ) -> str:
         active = self._active[key]
         self._attempts += 1
-        attempt = f'{self.ctx.incarnation}:{self._attempts}'
+        attempt = f'{self._attempt_prefix}:{self._attempts}'
         self._by_attempt[attempt] = key
         active.state.begin(attempt)
         left = active.state.deadline - self.now()
@@ -223,6 +221,10 @@
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
+        if isinstance(msg, messages.OutcomeQuery):
+            _, kept = self._kept.get(msg.request, ('', None))
+            self._claims.query(event, msg.request in self._active, kept)
+            return
         active = self._find(msg.attempt)
         if active is None or msg.attempt not in active.sessions:
             self.ctx.metrics.count('answer_late')
@@ -274,7 +276,10 @@
     @task.handles(_Deadline)
     def _on_deadline(self, event: _Deadline) -> None:
         active = self._active.get(event.key)
-        if active is None:
+        if active is None or self.now() < active.state.deadline:
+            return  # The timer belongs to an earlier submission of the id.
+        if self._claims.cancel(event.key):
+            self.after(claim_path.CANCEL_LIMIT_S, event)
             return
         if not event.withdrawn and self._withdraw(active):
             self.after(WITHDRAW_S, _Deadline(event.key, withdrawn=True))
@@ -326,7 +331,7 @@
             state = self._active[key].state
             self._apply(key, state.decline('retry budget is used up'))
 
-    def _prepare_repeats(self, submit: Submit) -> None:
+    def _prepare_repeats(self, submit: submit_model.Submit) -> None:
         """Count a new request in the budget and set the hedge timer."""
         self._budget.share = self.settings.retry_budget
         self._budget.deposit()
@@ -358,15 +363,27 @@
             self._hedges.remove(attempt)
             self._budget.refund()
 
-    def _finish(self, key: str, outcome: outcomes.Outcome) -> None:
+    def _finish(
+        self, key: str, outcome: outcomes.Outcome | submit_model.Conflict
+    ) -> None:
         active = self._active.pop(key)
+        if isinstance(outcome, outcomes.NotRun):
+            outcome = claim_path.infer_refusal(
+                outcome,
+                active.resubmitted,
+                not active.submit.idempotent and bool(active.state.attempts),
+            )
         self._withdraw(active)
+        self._claims.finish(key, outcome)
         for attempt in list(active.sessions):
             self._release(active, attempt)
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
             self._hedges.discard(attempt)
-        if not isinstance(outcome, outcomes.NotRun):
+        # A submission that lost its claim keeps nothing: the winner does.
+        if isinstance(outcome, outcomes.Done) or (
+            isinstance(outcome, outcomes.Unknown) and active.state.attempts
+        ):
             self._kept[key] = (active.submit.digest(), outcome)
             if len(self._kept) > REMEMBERED:
                 self._kept.popitem(last=False)
--- a/packages/runtime/src/kcr_runtime/process.py
+++ b/packages/runtime/src/kcr_runtime/process.py
@@ -4,12 +4,14 @@
 `Drained` to the process when nothing is left, or the bound ends it.
 """
 
+import dataclasses
 import json
 import logging
 import random
 import secrets
 import signal
 import sys
+import time
 import typing
 
 import structlog
@@ -30,6 +32,14 @@
     """Tell the process that the role has nothing left to do."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fatal:
+    """Tell the process to end with a failure."""
+
+    # Why it cannot go on.
+    reason: str
+
+
 def configure_logs(process: str, incarnation: str) -> None:
     """Write log lines as JSON to standard error."""
     structlog.configure(
@@ -55,6 +65,7 @@
     def __init__(self, role: roles.Role, cfg: settings.Options) -> None:
         from twisted.internet import reactor  # Installed on first import.
 
+        use_monotonic_clock(reactor)
         # Role that runs.
         self.role = role
         # Exit status of the process.
@@ -85,10 +96,15 @@
         return self.status
 
     def post(self, msg: typing.Any) -> bool:
-        """Accept the report that the role is drained."""
+        """Accept the report that the role is drained or cannot go on."""
         if isinstance(msg, Drained):
             self._stop()
             return True
+        if isinstance(msg, Fatal):
+            self._log.error('process cannot go on', reason=msg.reason)
+            self.status = 1
+            self._stop()
+            return True
         return False
 
     def begin(self) -> None:
@@ -154,6 +170,15 @@
         print(text, file=sys.stderr, flush=True)
 
 
+def use_monotonic_clock(reactor: typing.Any) -> None:
+    """Make a reactor tell a time that no clock correction moves.
+
+    Twisted reads the wall clock, which can step back and so prolong the
+    authority of a sidecar. This clock also counts time in suspension.
+    """
+    reactor.seconds = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def resident_kb() -> int:
     """Return the resident memory of this process in KiB; 0 if not known."""
     try:
