--- a/tests/entry/test_request_repeats.py
+++ b/tests/entry/test_request_repeats.py
@@ -12,6 +12,7 @@
 from kcr_entry import addresses
 from kcr_entry.fleet import membership
 from kcr_entry.work import requests
+from kcr_entry.work import submit
 from kcr_runtime import ask
 from kcr_runtime import metrics
 from kcr_runtime import task
@@ -73,7 +74,7 @@
 
     def submit(self, number: int) -> None:
         """Submit one idempotent request with a deadline of 1 s."""
-        body = requests.Submit(f'{number}', 'c', 's', 1.0, True, 0, b'')
+        body = submit.Submit(f'{number}', 'c', 's', 1.0, True, 0, b'')
         self.post(ask.Ask(f'{number}', addresses.HTTP, body))
 
     def place(self, attempt: str) -> None:
