Carry out the throttles and evictions of the interference task

task_control tells the interference task what runs, with the share that each task was given, and passes throttles to the worker. A stop needs no message: an epoch that is being evicted gets no more renewals of its lease.

With the share not noted, the check fails: assert 1.0 == 0.5 FAILED test_throttle_reaches_the_worker_and_is_told_back

--- a/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
@@ -62,6 +62,9 @@
         self._senders: dict[resources.Holder, str] = {}
         self._counted: collections.Counter[str] = collections.Counter()
         self._load: TasksLoad | None = None
+        # Shares of the tasks that interference holds back.
+        self._shares: dict[resources.Holder, float] = {}
+        self._told: events.TasksRunning | None = None
 
     def started(self) -> None:
         """Start the timer."""
@@ -134,6 +137,10 @@
     def _on_settings(self, msg: events.SettingsInForce) -> None:
         self._control.settings = msg.settings
         self._control.sizes.factor = msg.settings.unknown_size_factor
+        # Settings are delivered again and again; a restarted interference
+        # task gets the running tasks with them.
+        self._told = None
+        self._tell_interference()
 
     @task.handles(worker.ControllerTaken)
     def _on_controller(self, msg: worker.ControllerTaken) -> None:
@@ -174,6 +181,52 @@
         self._control.evict(msg.holder, msg.reason, self.now())
         self._carry_out()
 
+    @task.handles(events.Evict)
+    def _on_interference_evict(self, msg: events.Evict) -> None:
+        # A stop needs no message of its own: the lease of an epoch that is
+        # being evicted is not renewed, so the worker stops it.
+        holder = self._find_running(msg.task)
+        if holder is not None:
+            self._control.evict(holder, msg.reason, self.now())
+            self._carry_out()
+
+    @task.handles(events.Throttle)
+    def _on_throttle(self, msg: events.Throttle) -> None:
+        holder = self._find_running(msg.task)
+        if holder is not None:
+            self._shares[holder] = msg.share
+            self.send(addresses.WORKER, worker.Throttle(holder, msg.share))
+            self._tell_interference()
+
+    def _find_running(self, key: str) -> resources.Holder | None:
+        for holder, held in self._control.tasks.items():
+            if holder[0] == key and held.is_alive():
+                return holder
+        return None
+
+    def _tell_interference(self) -> None:
+        alive = {
+            holder: held
+            for holder, held in self._control.tasks.items()
+            if held.is_alive()
+        }
+        self._shares = {h: s for h, s in self._shares.items() if h in alive}
+        running = events.TasksRunning(
+            tuple(
+                events.RunningWork(
+                    held.spec.key,
+                    held.spec.kind,
+                    self._control.ledger.held(holder) or held.spec.demand,
+                    self._shares.get(holder, 1.0),
+                    held.spec.urgent,
+                )
+                for holder, held in alive.items()
+            )
+        )
+        if running != self._told:
+            self._told = running
+            self.send(addresses.INTERFERENCE, running)
+
     @task.handles(events.BeginDrain)
     def _on_begin_drain(self, msg: events.BeginDrain) -> None:
         self._control.drain(self.now())
@@ -214,6 +267,7 @@
         if load != self._load:
             self._load = load
             self.send(addresses.ANNOUNCER, load)
+        self._tell_interference()
 
     def _count(self) -> None:
         for name, value in self._control.counts.items():
--- a/packages/sidecar/src/kcr_sidecar/links/control.py
+++ b/packages/sidecar/src/kcr_sidecar/links/control.py
@@ -18,6 +18,7 @@
 REDELIVER_S = 5.0
 # Tasks that follow the settings.
 FOLLOWERS = (
+    addresses.INTERFERENCE,
     addresses.ANNOUNCER,
     addresses.ADMISSION,
     addresses.TASK_CONTROL,
