--- a/packages/sidecar/src/kcr_sidecar/addresses.py
+++ b/packages/sidecar/src/kcr_sidecar/addresses.py
@@ -11,7 +11,7 @@
 INTERFERENCE = 'capacity/interference'
 
 # Tasks that follow the settings of the document in force.
-SETTINGS_USERS = (
+FOLLOWERS = (
     ADMISSION,
     ANNOUNCER,
     SHUTDOWN,
--- a/packages/sidecar/src/kcr_sidecar/links/control.py
+++ b/packages/sidecar/src/kcr_sidecar/links/control.py
@@ -16,16 +16,6 @@
 # Time between two deliveries of the same settings, in seconds; a task that
 # was restarted has lost them.
 REDELIVER_S = 5.0
-# Tasks that follow the settings.
-FOLLOWERS = (
-    addresses.INTERFERENCE,
-    addresses.ANNOUNCER,
-    addresses.ADMISSION,
-    addresses.TASK_CONTROL,
-    addresses.WORKER,
-    addresses.SHUTDOWN,
-    addresses.INTERFERENCE,
-)
 # Bytes of a dump that fit into a frame with their envelope.
 MAX_DUMP_BYTES = messages.MAX_BODY_BYTES
 
@@ -86,7 +76,7 @@
         event = events.SettingsInForce(
             self._held.revision, self._held.settings
         )
-        for follower in FOLLOWERS:
+        for follower in addresses.FOLLOWERS:
             self.send(follower, event)
         for name in self.ctx.directory.addresses():
             if name.startswith(addresses.SESSIONS + '/'):
--- a/tests/entry/test_followers.py
+++ b/tests/entry/test_followers.py
@@ -10,8 +10,8 @@
 from kcr_entry import supervisor as entry_supervisor
 from kcr_runtime import supervisor
 from kcr_runtime import task
+from kcr_sidecar import addresses as sidecar_addresses
 from kcr_sidecar import events as sidecar_events
-from kcr_sidecar.links import control
 from kcr_sidecar import supervisor as sidecar_supervisor
 
 
@@ -44,7 +44,7 @@
         (
             sidecar_supervisor.Root,
             sidecar_events.SettingsInForce,
-            control.FOLLOWERS,
+            sidecar_addresses.FOLLOWERS,
         ),
     ],
     ids=['entry', 'sidecar'],
