Keep the claims of all regions in one stream

Cause: claims were kept per region, so that a caller who repeated a non-idempotent request in the other region could win there as well.

Ruled out: naming the claim region in the request, because a caller that fails over does not know it is bound to the first region; a claim stream chosen by hash over the regions of the document, because two documents give two streams for one id.

The test that shows two regions is not written yet.

Conclusion: at most once holds across regions by the same first record.

--- a/packages/core/src/kcr_core/records.py
+++ b/packages/core/src/kcr_core/records.py
@@ -15,6 +15,9 @@
 
 # Stream of documents.
 CONFIG_STREAM = 'config'
+# Stream of claims. It is one for all regions, because a caller may send a
+# request again in another region.
+CLAIMS_STREAM = 'claims'
 # Largest batch in one record.
 MAX_ITEMS = 2000
 
@@ -40,11 +43,6 @@
     return f'tasks.{region}'
 
 
-def claims_stream(region: str) -> str:
-    """Return the name of the claim stream of a region."""
-    return f'claims.{region}'
-
-
 @record('accepted')
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
--- a/packages/entry/src/kcr_entry/log/supervisor.py
+++ b/packages/entry/src/kcr_entry/log/supervisor.py
@@ -32,7 +32,7 @@
     return (
         (records.CONFIG_STREAM, addresses.IN_FORCE),
         (records.tasks_stream(region), addresses.TASKS),
-        (records.claims_stream(region), addresses.CLAIMS),
+        (records.CLAIMS_STREAM, addresses.CLAIMS),
     )
 
 
--- a/packages/entry/src/kcr_entry/work/claims.py
+++ b/packages/entry/src/kcr_entry/work/claims.py
@@ -95,7 +95,7 @@
         super().__init__(ctx, address)
         # Clock of Unix time, to compare with the callers' time of issue.
         self.wall = wall
-        self._stream = records.claims_stream(ctx.cfg.region)
+        self._stream = records.CLAIMS_STREAM
         life = f'{ctx.incarnation}:{ctx.rng.getrandbits(48):012x}'
         self._table = claims.Table()
         self._claimant = claimant.Claimant(ctx.incarnation, life, self._table)
--- a/tests/entry/claim_world.py
+++ b/tests/entry/claim_world.py
@@ -17,7 +17,7 @@
 from kcr_runtime.wire import session
 import log_world
 
-STREAM = 'claims.r1'
+STREAM = 'claims'
 BODY = b'body'
 
 
--- a/tests/entry/test_appender.py
+++ b/tests/entry/test_appender.py
@@ -12,7 +12,7 @@
 from kcr_entry.log import reader
 import log_world
 
-STREAM = 'claims.r1'
+STREAM = 'claims'
 
 
 class Entry:
