Move the listener out of the session module and count children directly

Ruled out: a counter in the listener, which is not told of ended sessions.

Conclusion: the directory counts the children of each supervisor.

--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -9,6 +9,7 @@
 from kcr_entry.fleet import peers
 from kcr_runtime import supervisor
 from kcr_runtime import task
+from kcr_runtime.wire import listener
 from kcr_runtime.wire import session
 
 # Task that handles each message from the wire.
@@ -64,10 +65,10 @@
         )
 
 
-def make_listener(ctx: task.Context, address: str) -> session.Listener:
+def make_listener(ctx: task.Context, address: str) -> listener.Listener:
     """Return the listener for sidecars and other entries."""
     host, port = ctx.cfg.listen.rsplit(':', 1)
-    return session.Listener(
+    return listener.Listener(
         ctx,
         address,
         make_routes(ctx),
--- a/packages/runtime/src/kcr_runtime/task.py
+++ b/packages/runtime/src/kcr_runtime/task.py
@@ -57,15 +57,24 @@
     def __init__(self) -> None:
         # Running nodes by address.
         self._nodes: dict[str, Node] = {}
+        # Number of running nodes by the address of their supervisor.
+        self._children: collections.Counter[str] = collections.Counter()
 
     def add(self, address: str, node: Node) -> None:
         """Make a node reachable."""
+        if address not in self._nodes:
+            self._children[address.rpartition('/')[0]] += 1
         self._nodes[address] = node
 
     def remove(self, address: str, node: Node) -> None:
         """Make a node unreachable unless another has its address."""
         if self._nodes.get(address) is node:
             del self._nodes[address]
+            self._children[address.rpartition('/')[0]] -= 1
+
+    def count_children(self, address: str) -> int:
+        """Return the number of running nodes below a supervisor."""
+        return self._children[address]
 
     def send(self, address: str, msg: typing.Any) -> bool:
         """Post to a task; return False if it is absent or its box full."""
--- /dev/null
+++ b/packages/runtime/src/kcr_runtime/wire/listener.py
@@ -0,0 +1,71 @@
+"""Accept connections and start a session for each."""
+
+import typing
+
+from twisted.internet import defer
+
+from kcr_runtime import supervisor
+from kcr_runtime import task
+from kcr_runtime.wire import connection
+from kcr_runtime.wire import session
+
+
+class Listener(task.Task):
+    """Own a listening port and start a session for each connection."""
+
+    def __init__(
+        self,
+        ctx: task.Context,
+        address: str,
+        routes: session.Routes,
+        host: str,
+        port: int,
+        sessions: str,
+        limit: int,
+    ) -> None:
+        super().__init__(ctx, address)
+        # Where the messages of the sessions go.
+        self.routes = routes
+        # Address to bind.
+        self.host = host
+        # Port to bind; 0 for any.
+        self.port = port
+        # Address of the supervisor of the sessions.
+        self.sessions = sessions
+        # Connections accepted at the same time.
+        self.limit = limit
+        self._listening: typing.Any = None
+        self._accepted = 0
+        self._revision = 0
+
+    def started(self) -> None:
+        """Bind the port."""
+        factory = connection.ConnectionFactory(self._accept)
+        self._listening = self.ctx.reactor.listenTCP(
+            self.port, factory, interface=self.host
+        )
+        self.log.info('listening', port=self._listening.getHost().port)
+
+    def stopped(self) -> defer.Deferred[None]:
+        """Close the port."""
+        return defer.maybeDeferred(self._listening.stopListening)
+
+    @task.handles(session.SetRevision)
+    def _on_set_revision(self, msg: session.SetRevision) -> None:
+        self._revision = msg.revision
+
+    def _accept(self) -> connection.Connection:
+        if self.ctx.directory.count_children(self.sessions) >= self.limit:
+            self.ctx.metrics.count('connection_refused')
+            return typing.cast(connection.Connection, None)
+        self._accepted += 1
+        made: list[session.Session] = []
+
+        def factory(ctx: task.Context, address: str) -> session.Session:
+            made.append(session.Session(ctx, address, self.routes))
+            made[0].revision = self._revision
+            return made[0]
+
+        spec = supervisor.ChildSpec(f'{self._accepted}', factory, True)
+        self.send(self.sessions, supervisor.StartChild(spec))
+        return made[0].adopt()
--- a/tests/runtime/test_supervisor.py
+++ b/tests/runtime/test_supervisor.py
@@ -126,3 +126,14 @@
     clock.advance(2.0)
     assert child.count == 0
     assert not child.post(Note())
+
+
+def test_children_are_counted_below_their_supervisor() -> None:
+    """Guard against a listener that loses count of its sessions."""
+    ctx, clock = make_context()
+    root = OneForOne(ctx, 'parent')
+    root.begin()
+    assert ctx.directory.count_children('parent') == 2
+    root.post(supervisor.StopChild('a'))
+    clock.advance(0)
+    assert ctx.directory.count_children('parent') == 1
