Explain requests, bound kept answers by bytes, and keep binary answers whole

Cause: an operator could ask why a task waits but not where a request ran. The table of kept answers was bounded by 2,000 entries only, so that answers of 1 MiB could take 2 GB. An answer that is no UTF-8 lost bytes.

Ruled out: keeping every answer for the dedupe window; a dropped answer is safe, because a repeat is decided by the claims of the log.

Conclusion: GET /v1/requests/CALLER/ID and explain-request show the attempts and the reason for the requests that an entry remembers.

--- a/packages/cli/src/kcr_cli/main.py
+++ b/packages/cli/src/kcr_cli/main.py
@@ -174,6 +174,23 @@
     )
 
 
+def explain_request(
+    caller: str,
+    request_id: str,
+    *,
+    entry: list[str] | None = None,
+    json: bool = False,
+) -> None:
+    """Show where a request was tried and why it ended as it did."""
+    run(
+        lambda asker, out: questions.explain_request(
+            asker, out, caller, request_id
+        ),
+        entry,
+        json,
+    )
+
+
 def drain(
     instance: str,
     file: pathlib.Path,
@@ -205,6 +222,7 @@
     'history': history,
     'status': status,
     'dump': dump,
+    'explain-request': explain_request,
     'explain-task': explain_task,
     'drain': drain,
 }
--- a/packages/cli/src/kcr_cli/questions.py
+++ b/packages/cli/src/kcr_cli/questions.py
@@ -66,7 +66,29 @@
 ) -> exits.Exit:
     """Show the state of a task and why it waits."""
     path = f'/v1/tasks/{quote(caller)}/{quote(task_id)}'
-    found = await asker.ask_any(path)
+    return show(out, await asker.ask_any(path))
+
+
+async def explain_request(
+    asker: client.Client, out: output.Output, caller: str, request_id: str
+) -> exits.Exit:
+    """Show where a request was tried and why it ended as it did.
+
+    Each entry remembers only the requests that it handled.
+    """
+    path = f'/v1/requests/{quote(caller)}/{quote(request_id)}'
+    answers = await asker.ask_all(path)
+    for found in answers:
+        if isinstance(found, client.Reply) and found.status == 200:
+            return show(out, found)
+    none = client.NoReply('', 'no entry is named', False)
+    return show(out, answers[0] if answers else none)
+
+
+def show(
+    out: output.Output, found: client.Reply | client.NoReply
+) -> exits.Exit:
+    """Print the fields of an answer, or why there is none."""
     if not isinstance(found, client.Reply) or found.status != 200:
         return fail(out, found)
     rows = [
--- a/packages/core/src/kcr_core/request_state.py
+++ b/packages/core/src/kcr_core/request_state.py
@@ -53,6 +53,8 @@
     attempts: dict[str, AttemptState] = dataclasses.field(default_factory=dict)
     # Endpoint of each attempt.
     instances: dict[str, str] = dataclasses.field(default_factory=dict)
+    # Attempt whose answer is the outcome; empty for none.
+    answered: str = ''
     # Last reason given by an attempt.
     reason: str = 'no attempt was made'
     # The outcome, once it is decided.
@@ -88,6 +90,7 @@
         """Take the whole answer of an attempt."""
         if attempt not in self.attempts or self.outcome is not None:
             return Wait()
+        self.answered = attempt
         return self._decide(outcomes.Done(status, body))
 
     def refused(self, attempt: str, reason: str, now: float) -> Step:
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -4,6 +4,8 @@
 state by message, and turns the answer into a response.
 """
 
+import base64
+import dataclasses
 import typing
 
 import klein
@@ -20,6 +22,7 @@
 from kcr_entry.front import operator_routes
 from kcr_entry.front import replies
 from kcr_entry.front import task_routes
+from kcr_entry.work import explanations
 from kcr_entry.work import submit as submit_model
 from kcr_runtime import ask
 from kcr_runtime import process
@@ -88,6 +91,8 @@
         add(self._app, 'GET', '/healthz', self._get_health)
         add(self._app, 'GET', '/v1/dump', self._get_dump)
         add(self._app, 'POST', '/v1/requests', self._post_request)
+        path = '/v1/requests/<caller>/<name>'
+        add(self._app, 'GET', path, self._get_request)
         task_routes.TaskRoutes(self._ask_open).add(self._app)
         operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
 
@@ -155,6 +160,24 @@
     def _get_dump(self, req: iweb.IRequest) -> bytes:
         return replies.respond(req, 200, self.ctx.directory.dump())
 
+    async def _get_request(
+        self, req: iweb.IRequest, caller: str, name: str
+    ) -> bytes:
+        body = explanations.Explain(f'{caller}/{name}')
+        value = await self._ask(addresses.REQUESTS, body)
+        found = getattr(value, 'found', None)
+        if found is None:
+            reason = f'{caller}/{name} is not remembered by this entry'
+            return replies.respond(req, http.NOT_FOUND, {'error': reason})
+        shown = {
+            'request': body.key,
+            'outcome': found.name,
+            'reason': found.reason,
+            'took_ms': round(found.took_ms, 3),
+            'tried': [dataclasses.asdict(item) for item in found.tried],
+        }
+        return replies.respond(req, http.OK, shown)
+
     async def _post_request(self, req: iweb.IRequest) -> bytes:
         model = replies.read(req, models.RequestModel)
         if isinstance(model, bytes):
@@ -171,14 +194,19 @@
         return _respond_outcome(req, value)
 
 
+def _show(body: bytes) -> dict[str, typing.Any]:
+    """Return the whole body as text, or as base64 if it is no UTF-8."""
+    try:
+        return {'body': body.decode(), 'length': len(body)}
+    except UnicodeDecodeError:
+        encoded = base64.b64encode(body).decode()
+        return {'body_base64': encoded, 'length': len(body)}
+
+
 def _respond_outcome(req: iweb.IRequest, value: typing.Any) -> bytes:
     if isinstance(value, outcomes.Done):
-        body = value.body.decode('utf-8', 'replace')
-        return replies.respond(
-            req,
-            http.OK,
-            {'outcome': 'done', 'status': value.status, 'body': body},
-        )
+        shown = {'outcome': 'done', 'status': value.status}
+        return replies.respond(req, http.OK, {**shown, **_show(value.body)})
     if isinstance(value, outcomes.NotRun):
         return replies.respond(
             req,
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -1,6 +1,5 @@
 """Own the requests in flight: attempts, retries, deadlines, answers."""
 
-import collections
 import dataclasses
 import typing
 
@@ -8,6 +7,7 @@
 from kcr_core import dispatch
 from kcr_core import messages
 from kcr_core import outcomes
+from kcr_core import recent
 from kcr_core import request_state
 from kcr_core import retry_budget
 from kcr_core import types
@@ -16,13 +16,12 @@
 from kcr_entry.fleet import membership
 from kcr_entry.work import claim_path
 from kcr_entry.work import claims
+from kcr_entry.work import explanations
 from kcr_entry.work import submit as submit_model
 from kcr_runtime import ask
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
-# Outcomes that are kept for repeats of the same request.
-REMEMBERED = 2000
 # Requests in flight at one entry before new ones are refused.
 IN_FLIGHT_LIMIT = 5000
 # Time in which membership returns an attempt that was not sent, in seconds;
@@ -77,9 +76,7 @@
         self._latencies = retry_budget.Latencies()
         self._hedges: set[str] = set()
         self._claims = claim_path.ClaimPath(self)
-        self._kept: collections.OrderedDict[
-            str, tuple[str, outcomes.Outcome]
-        ] = collections.OrderedDict()
+        self._recent = recent.Recent()
 
     @task.handles(events.SettingsInForce)
     def _on_settings(self, event: events.SettingsInForce) -> None:
@@ -91,28 +88,21 @@
         return {
             **super().dump(),
             'in_flight': len(self._active),
-            'kept': len(self._kept),
+            'remembered': len(self._recent),
             'retry_budget': {
                 'tokens': round(self._budget.tokens, 3),
                 'spent': self._budget.spent,
                 'declined': self._budget.declined,
             },
-            'oldest': [
-                {
-                    'request': key,
-                    'age_s': round(self.now() - active.since, 3),
-                    'attempts': {
-                        attempt: state.value
-                        for attempt, state in active.state.attempts.items()
-                    },
-                }
-                for key, active in list(self._active.items())[:20]
-            ],
+            'oldest': explanations.list_oldest(self._active, self.now()),
         }
 
     @task.handles(ask.Ask)
     def _on_submit(self, question: ask.Ask) -> None:
         submit = question.body
+        if isinstance(submit, explanations.Explain):
+            self._explain(question, submit.key)
+            return
         assert isinstance(submit, submit_model.Submit)
         digest = submit.digest()
         active = self._active.get(submit.key)
@@ -123,19 +113,26 @@
                 active.resubmitted |= submit.resubmitted
                 active.waiters.append(question)
             return
-        kept = self._kept.get(submit.key)
-        if kept is not None:
-            same = kept[0] == digest
-            self._reply(
-                question,
-                kept[1] if same else submit_model.Conflict(submit.key),
-            )
+        ended = self._recent.find(submit.key)
+        if ended is not None and ended.digest != digest:
+            self._reply(question, submit_model.Conflict(submit.key))
+            return
+        if ended is not None and ended.outcome is not None:
+            self._reply(question, ended.outcome)
             return
         if len(self._active) >= IN_FLIGHT_LIMIT:
             self._reply(question, outcomes.NotRun('entry is full'))
             return
         self._begin(question, submit)
 
+    def _explain(self, question: ask.Ask, key: str) -> None:
+        active = self._active.get(key)
+        found = self._recent.find(key)
+        if active is not None:
+            took_ms = (self.now() - active.since) * 1000
+            found = explanations.describe(active, None, None, took_ms)
+        self._reply(question, explanations.Explained(found))
+
     def _begin(self, question: ask.Ask, submit: submit_model.Submit) -> None:
         now = self.now()
         state = request_state.RequestState(
@@ -222,7 +219,8 @@
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
         if isinstance(msg, messages.OutcomeQuery):
-            _, kept = self._kept.get(msg.request, ('', None))
+            ended = self._recent.find(msg.request)
+            kept = ended.outcome if ended else None
             self._claims.query(event, msg.request in self._active, kept)
             return
         active = self._find(msg.attempt)
@@ -384,14 +382,14 @@
         # entry sent it; one that lost its claim is for the winner to keep.
         sent = bool(active.state.attempts) and not active.submit.idempotent
         kinds = (outcomes.Done, outcomes.Unknown) if sent else (outcomes.Done,)
-        if isinstance(outcome, kinds):
-            self._kept[key] = (active.submit.digest(), outcome)
-            if len(self._kept) > REMEMBERED:
-                self._kept.popitem(last=False)
+        took_ms = (self.now() - active.since) * 1000
+        if not isinstance(outcome, submit_model.Conflict):
+            kept = outcome if isinstance(outcome, kinds) else None
+            self._recent.put(
+                key, explanations.describe(active, outcome, kept, took_ms)
+            )
         self.ctx.metrics.count('request', outcome=type(outcome).__name__)
-        self.ctx.metrics.record_ms(
-            'request_ms', (self.now() - active.since) * 1000
-        )
+        self.ctx.metrics.record_ms('request_ms', took_ms)
         for question in active.waiters:
             self._reply(question, outcome)
 
