Let the document set the quantile after which requests are hedged

ControlSettings has hedge_quantile, but an operator could not turn the hedges off: the document carried only hedge_s.

--- a/packages/document/src/kcr_document/document.py
+++ b/packages/document/src/kcr_document/document.py
@@ -215,6 +215,7 @@
         max_attempts=retries.max_attempts,
         retry_budget=retries.budget,
         hedge_s=retries.hedge_s,
+        hedge_quantile=retries.hedge_quantile,
         endpoint_policy=doc.policies.endpoint,
         placement_policy=doc.policies.placement,
         interference_policy=doc.policies.interference,
--- a/packages/document/src/kcr_document/models.py
+++ b/packages/document/src/kcr_document/models.py
@@ -183,7 +183,15 @@
         0.1, '1', 0, 1, 'share of requests that may be retried or hedged'
     )
     hedge_s: float = number(
-        0.0, 's', 0, 60, 'delay before a request is hedged; 0 for never'
+        0.0, 's', 0, 60, 'least delay before a request is hedged'
+    )
+    hedge_quantile: float = number(
+        0.95,
+        '1',
+        0,
+        0.999,
+        'quantile of latency after which a request is hedged; '
+        'no hedges with 0 here and in hedge_s',
     )
 
 
