Give the sessions of a restarted listener names of their own

Cause: a listener that its supervisor restarts counted its sessions from 1 again and would have named a new session as one that still runs.

Ruled out: stopping all sessions with the listener; they are healthy.

Conclusion: a session's name carries a random part of the listener's life.

--- a/packages/runtime/src/kcr_runtime/wire/listener.py
+++ b/packages/runtime/src/kcr_runtime/wire/listener.py
@@ -36,6 +36,8 @@
         self.limit = limit
         self._listening: typing.Any = None
         self._accepted = 0
+        # Sessions outlive a restarted listener, so names must not repeat.
+        self._life = f'{ctx.rng.getrandbits(32):08x}'
         self._revision = 0
 
     def started(self) -> None:
@@ -66,6 +68,7 @@
             made[0].revision = self._revision
             return made[0]
 
-        spec = supervisor.ChildSpec(f'{self._accepted}', factory, True)
+        name = f'{self._life}-{self._accepted}'
+        spec = supervisor.ChildSpec(name, factory, True)
         self.send(self.sessions, supervisor.StartChild(spec))
         return made[0].adopt()
