Read fewer records of the log at a time

Cause: a read asked for 500 records, and a record has up to 256 KiB, so that the text, the parsed JSON and the decoded items of up to 128 MB were in memory at once; CPython does not give most of it back.

A real entry that starts against a log with 40,000 live tasks in 100 records of 400 items (14.8 MB): resident 137.2 MB with 500, 98.5 MB with 64, 94.3 MB with 16, 91.9 MB with 4 records a read; read after 3.1, 2.8, 3.4 and 3.5 s. 64 is taken: a reader with 60 ms to the log and back still gets 1,000 records a second, and the log accepts several hundred.

Ruled out: gc.freeze with higher thresholds (94.7 MB against 94.3 with 16). The entry stays over 64 MB with that many tasks; docs/CAPACITY.md says what would change that. tests/entry passes.

--- a/packages/entry/src/kcr_entry/log/reader.py
+++ b/packages/entry/src/kcr_entry/log/reader.py
@@ -19,8 +19,11 @@
 # Time that a read waits at the log for a record, in ms. It bounds the age of
 # the view, which an entry reports with each vouch.
 POLL_WAIT_MS = 1000
-# Records of one read.
-READ_LIMIT = 500
+# Records of one read. A record has up to 256 KiB and all of a read are in
+# memory at once: with 500, an entry that started with 40,000 live tasks kept
+# 137 MB, with 64 it keeps 99 MB. Over 60 ms to the log and back, 64 records
+# still allow 1,000 records/s, more than the log accepts.
+READ_LIMIT = 64
 # Shortest and longest delay after a failed read, in seconds.
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 2.0
