--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/capacity_fakes.py
@@ -0,0 +1,91 @@
+"""Attach many sidecars to one entry from a single process.
+
+Each connection says hello, announces its endpoint and sends heartbeats, as
+a sidecar at rest does; it has no runner and no worker.
+"""
+
+import random
+import typing
+
+import defopt
+from twisted.internet import endpoints
+from twisted.internet import reactor as default_reactor
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_runtime.wire import connection
+
+# Time over which the connections are opened, per connection, in seconds.
+SPREAD_S = 0.01
+
+
+class Fake:
+    """Be one sidecar without work."""
+
+    def __init__(self, reactor: typing.Any, port: int, number: int) -> None:
+        self._reactor = reactor
+        self._target = f'127.0.0.1:{port}'
+        self._number = number
+        self._seq = 0
+        self._rng = random.Random(number)
+        self._conn: connection.Connection | None = None
+
+    def dial(self) -> None:
+        """Open the connection."""
+        host, port = self._target.split(':')
+        point = endpoints.TCP4ClientEndpoint(self._reactor, host, int(port))
+        point.connect(connection.ConnectionFactory(self._make))
+
+    def _make(self) -> connection.Connection:
+        self._conn = connection.Connection(
+            self._target, self._opened, lambda msg: None, lambda reason: None
+        )
+        return self._conn
+
+    def _opened(self, conn: connection.Connection) -> None:
+        name = f'instance-{self._number:05d}'
+        place = types.Place(
+            'region-0', f'zone-{self._number % 4}', 'rack-0', name
+        )
+        conn.send(
+            messages.Hello(
+                messages.PROTOCOL_VERSION,
+                'sidecar',
+                f'sidecar-{name}',
+                f'{self._rng.getrandbits(64):016x}',
+                place,
+            )
+        )
+        room = types.Demand(16.0, 60_000.0, 1)
+        capacity = types.Capacity(8, 64, room)
+        conn.send(messages.EndpointState('web', capacity, 1))
+        self._beat()
+
+    def _beat(self) -> None:
+        assert self._conn is not None, 'beat before the connection'
+        self._seq += 1
+        room = types.Demand(16.0, 60_000.0, 1)
+        self._conn.send(messages.Heartbeat(self._seq, 0, 0, 0, room))
+        self._reactor.callLater(self._rng.uniform(0.9, 1.1), self._beat)
+
+
+def run(*, port: int, count: int) -> None:
+    """Attach sidecars to an entry until the process is ended.
+
+    :param port: port of the entry for sidecars, on the loopback address
+    :param count: number of sidecars
+    """
+    reactor: typing.Any = default_reactor
+    for number in range(count):
+        fake = Fake(reactor, port, number)
+        reactor.callLater(number * SPREAD_S, fake.dial)
+    reactor.run()
+
+
+def main() -> None:
+    """Run the command line."""
+    defopt.run(run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/capacity_net.py
@@ -0,0 +1,316 @@
+"""Join whole processes of the system in one interpreter, on a fake clock.
+
+Each process has a host: a reactor whose clock the measurement moves and
+whose sockets are queues of bytes. The processor time that a host spends is
+counted, so that the cost of one role can be told from that of the others.
+"""
+
+from collections import abc
+import heapq
+import itertools
+import time
+import typing
+
+from twisted.internet import address
+from twisted.internet import base
+from twisted.internet import error
+from twisted.internet import interfaces
+from twisted.python import failure
+import zope.interface
+
+# Address of every host.
+LOOPBACK = '127.0.0.1'
+# Step of the fake clock, in seconds.
+STEP_S = 0.005
+
+
+class Net:
+    """Own the hosts, the listening ports and the bytes under way."""
+
+    def __init__(self) -> None:
+        # Fake time in seconds.
+        self.now = 0.0
+        # Hosts in the order in which they run.
+        self.hosts: list[Host] = []
+        # Listening factory and host by port.
+        self.ports: dict[int, tuple[typing.Any, Host]] = {}
+        # Transports with bytes for their protocol.
+        self.due: list[Transport] = []
+
+    def add(self, name: str) -> 'Host':
+        """Return a new host."""
+        self.hosts.append(Host(self, name))
+        return self.hosts[-1]
+
+    def run(self, seconds: float) -> None:
+        """Let time pass on all hosts, and carry their bytes."""
+        for _ in range(max(1, round(seconds / STEP_S))):
+            self.now += STEP_S
+            for host in self.hosts:
+                host.measure(host.fire)
+            while self.due:
+                due, self.due = self.due, []
+                for transport in due:
+                    transport.host.measure(transport.deliver)
+                for host in self.hosts:
+                    host.measure(host.fire)
+
+
+@zope.interface.implementer(interfaces.IHostResolution)
+class Resolver:
+    """Resolve IP addresses, the only names in use."""
+
+    # Name that is resolved, for twisted.
+    name = LOOPBACK
+
+    def resolveHostName(  # noqa: N802
+        self,
+        receiver: typing.Any,
+        name: str,
+        portNumber: int = 0,  # noqa: N803
+        *args: typing.Any,
+        **kwargs: typing.Any,
+    ) -> 'Resolver':
+        """Tell the address at once."""
+        receiver.resolutionBegan(self)
+        receiver.addressResolved(make_address(portNumber))
+        receiver.resolutionComplete()
+        return self
+
+    def cancel(self) -> None:
+        """Do nothing; the address was told."""
+
+
+@zope.interface.implementer(interfaces.IReactorPluggableNameResolver)
+class Host:
+    """Be the reactor of one process."""
+
+    def __init__(self, net: Net, name: str) -> None:
+        # Net that the host is part of.
+        self.net = net
+        # Name of the process.
+        self.name = name
+        # Processor time of the process, in seconds.
+        self.cpu_s = 0.0
+        # Bytes and writes to sockets.
+        self.sent_bytes = 0
+        self.writes = 0
+        # Resolver of IP addresses.
+        self.nameResolver = Resolver()  # noqa: N815
+        self._calls: list[tuple[float, int, base.DelayedCall]] = []
+        self._count = itertools.count()
+
+    def measure(self, work: abc.Callable[[], None]) -> None:
+        """Do some work of the process and count its processor time."""
+        began = time.thread_time()
+        work()
+        self.cpu_s += time.thread_time() - began
+
+    def seconds(self) -> float:
+        """Return the fake time."""
+        return self.net.now
+
+    def callLater(  # noqa: N802
+        self,
+        delay: float,
+        func: abc.Callable[..., object],
+        *args: typing.Any,
+        **kwargs: typing.Any,
+    ) -> base.DelayedCall:
+        """Call a function after a delay."""
+        call = base.DelayedCall(
+            self.net.now + delay,
+            func,
+            args,
+            kwargs,
+            lambda gone: None,
+            self._put,
+            self.seconds,
+        )
+        self._put(call)
+        return call
+
+    def _put(self, call: base.DelayedCall) -> None:
+        heapq.heappush(self._calls, (call.getTime(), next(self._count), call))
+
+    def fire(self) -> None:
+        """Run the calls that are due."""
+        while self._calls and self._calls[0][0] <= self.net.now:
+            call = heapq.heappop(self._calls)[2]
+            if call.cancelled or call.called:
+                continue
+            if call.getTime() > self.net.now:
+                self._put(call)
+                continue
+            call.called = 1
+            call.func(*call.args, **call.kw)
+
+    def installNameResolver(  # noqa: N802
+        self, resolver: typing.Any
+    ) -> typing.Any:
+        """Keep the resolver that there is."""
+        return resolver
+
+    def listenTCP(  # noqa: N802
+        self,
+        port: int,
+        factory: typing.Any,
+        backlog: int = 50,
+        interface: str = '',
+    ) -> 'Port':
+        """Accept connections."""
+        self.net.ports[port] = (factory, self)
+        return Port(self.net, port)
+
+    def connectTCP(  # noqa: N802
+        self,
+        host: str,
+        port: int,
+        factory: typing.Any,
+        timeout: float = 30,
+        bindAddress: typing.Any = None,  # noqa: N803
+    ) -> 'Connector':
+        """Open a connection; both ends are connected at once."""
+        connector = Connector()
+        factory.doStart()
+        factory.startedConnecting(connector)
+        found = self.net.ports.get(port)
+        if found is None:
+            refused = failure.Failure(error.ConnectionRefusedError())
+            factory.clientConnectionFailed(connector, refused)
+            return connector
+        accepting, peer = found
+        there = accepting.buildProtocol(make_address(0))
+        here = factory.buildProtocol(make_address(port))
+        client = Transport(self, here, port)
+        server = Transport(peer, there, port)
+        client.peer, server.peer = server, client
+        there.makeConnection(server)
+        here.makeConnection(client)
+        return connector
+
+
+class Connector:
+    """Stand for a connection that is being made."""
+
+    def stopConnecting(self) -> None:  # noqa: N802
+        """Do nothing; a connection is made at once."""
+
+    def disconnect(self) -> None:
+        """Do nothing; the protocol closes its transport."""
+
+
+class Port:
+    """Stand for a listening port."""
+
+    def __init__(self, net: Net, port: int) -> None:
+        self._net = net
+        self._port = port
+
+    def getHost(self) -> address.IPv4Address:  # noqa: N802
+        """Return the address."""
+        return make_address(self._port)
+
+    def stopListening(self) -> None:  # noqa: N802
+        """Accept nothing more."""
+        self._net.ports.pop(self._port, None)
+
+
+@zope.interface.implementer(interfaces.ITransport, interfaces.IPushProducer)
+class Transport:
+    """Carry the bytes of one end of a connection."""
+
+    def __init__(self, host: Host, protocol: typing.Any, port: int) -> None:
+        # Host of this end.
+        self.host = host
+        # Protocol of this end.
+        self.protocol = protocol
+        # Other end.
+        self.peer: Transport | None = None
+        # Whether the connection ends.
+        self.disconnecting = False
+        self._port = port
+        self._waiting: list[bytes] = []
+        self._lost = False
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the other end."""
+        if self.disconnecting or self.peer is None or not data:
+            return
+        self.host.sent_bytes += len(data)
+        self.host.writes += 1
+        self.peer._take(data)
+
+    def writeSequence(  # noqa: N802
+        self, parts: abc.Iterable[bytes]
+    ) -> None:
+        """Send bytes to the other end in one write."""
+        self.write(b''.join(parts))
+
+    def _take(self, data: bytes) -> None:
+        if not self._waiting:
+            self.host.net.due.append(self)
+        self._waiting.append(data)
+
+    def deliver(self) -> None:
+        """Hand the bytes that have arrived to the protocol."""
+        waiting, self._waiting = self._waiting, []
+        if waiting and not self._lost:
+            self.protocol.dataReceived(b''.join(waiting))
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close both ends after what was written has arrived."""
+        if not self.disconnecting:
+            self.disconnecting = True
+            self.host.callLater(0, self._lose)
+            if self.peer is not None:
+                self.peer.host.callLater(0, self.peer._lose)
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Close both ends."""
+        self.loseConnection()
+
+    def _lose(self) -> None:
+        if self._lost:
+            return
+        self.deliver()
+        self.disconnecting = self._lost = True
+        done = failure.Failure(error.ConnectionDone())
+        self.protocol.connectionLost(done)
+
+    def getPeer(self) -> address.IPv4Address:  # noqa: N802
+        """Return the address of the other end."""
+        return make_address(self._port)
+
+    def getHost(self) -> address.IPv4Address:  # noqa: N802
+        """Return the address of this end."""
+        return make_address(self._port)
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Do nothing; every write is a segment of its own."""
+
+    def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
+        """Do nothing."""
+
+    def registerProducer(  # noqa: N802
+        self, producer: typing.Any, streaming: bool
+    ) -> None:
+        """Do nothing; the queue takes everything."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802
+        """Do nothing."""
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Do nothing; the measured loads are small."""
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Do nothing."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Close the connection."""
+        self.loseConnection()
+
+
+def make_address(port: int) -> address.IPv4Address:
+    """Return an address on the loopback interface."""
+    return address.IPv4Address('TCP', LOOPBACK, port)
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/capacity_process.py
@@ -0,0 +1,205 @@
+"""Measure real processes on loopback: memory, processor share, start."""
+
+import sys
+import time
+import typing
+
+from kcr_core import records
+from kcr_emulator import capacity_plan
+from kcr_emulator import capacity_state
+from kcr_emulator import harness
+from kcr_emulator import http
+from kcr_runtime import log_records
+
+Values = dict[str, float]
+
+# Time of one measurement of the processor share, in seconds.
+WINDOW_S = 8.0
+# Time until a deployment is ready, in seconds.
+READY_S = 30.0
+# Attached fake sidecars.
+ATTACHED = (0, 100, 300)
+# Live tasks in the stream that an entry reads when it starts.
+LIVE = 40_000
+# Items of one record of that stream.
+ITEMS = 400
+# Instances that these tasks are spread over.
+FLEET = 2275
+# Requests a second under load.
+IDEMPOTENT_PER_S = 120
+SINGLE_PER_S = 20
+
+
+def watch(
+    deployment: harness.Deployment, seconds: float
+) -> dict[str, tuple[float, float]]:
+    """Return processor share and resident MB of the system's processes."""
+    own = {
+        name: process
+        for name, process in deployment.processes.items()
+        if name.startswith(('entry-', 'sidecar/'))
+    }
+    before = {name: p.cpu_seconds() for name, p in own.items()}
+    began = time.monotonic()
+    time.sleep(seconds)
+    spent = time.monotonic() - began
+    return {
+        name: (
+            (p.cpu_seconds() - before[name]) / spent,
+            p.resident_kb() / 1024.0,
+        )
+        for name, p in own.items()
+    }
+
+
+def count_up(url: str) -> int:
+    """Return the number of endpoints that an entry takes for up."""
+    status, dump = http.call('GET', f'{url}/v1/dump')
+    if status != 200:
+        return -1
+    known = dump['fleet/membership']['endpoints'].values()
+    return sum(e['phase'] == 'up' for e in known)
+
+
+def wait_up(deployment: harness.Deployment, count: int) -> None:
+    """Wait until every entry sees a number of endpoints."""
+    urls = deployment.entry_urls()
+    harness.wait_for(
+        lambda: all(count_up(url) >= count for url in urls),
+        READY_S,
+        f'{count} endpoints',
+    )
+
+
+def measure_rest() -> dict[str, Values]:
+    """Return share and memory of real processes at rest and under load."""
+    with harness.Deployment(harness.Shape(entries=2)) as deployment:
+        deployment.start()
+        wait_up(deployment, 3)
+        time.sleep(3.0)
+        rest = watch(deployment, WINDOW_S)
+        out = deployment.folder / 'load.json'
+        command = [sys.executable, '-m', 'kcr_emulator.load_tool']
+        command += ['--out', str(out), '--seconds', str(WINDOW_S + 3.0)]
+        command += ['--idempotent-per-s', str(IDEMPOTENT_PER_S)]
+        command += ['--single-per-s', str(SINGLE_PER_S)]
+        command += ['--entries', *deployment.entry_urls()]
+        sender = harness.Managed(
+            'load', command, deployment.folder / 'load.log'
+        )
+        deployment.processes['load'] = sender
+        sender.start()
+        time.sleep(3.0)
+        load = watch(deployment, WINDOW_S)
+    found = {}
+    for name, (share, memory) in rest.items():
+        found[name] = {
+            'core % at rest': share * 100.0,
+            'Rss MB at rest': memory,
+            'core % under load': load[name][0] * 100.0,
+            'Rss MB under load': load[name][1],
+        }
+    return found
+
+
+def measure_attached() -> Values:
+    """Return the slopes of an entry by the sidecars attached to it."""
+    shares, memories, found = [], [], {}
+    for count in ATTACHED:
+        shape = harness.Shape(entries=1, instances=0)
+        with harness.Deployment(shape) as deployment:
+            deployment.start()
+            wait_up(deployment, 0)
+            if count:
+                attach(deployment, count)
+                wait_up(deployment, count)
+            time.sleep(3.0)
+            share, memory = watch(deployment, WINDOW_S)['entry-0']
+        shares.append((float(count), share))
+        memories.append((float(count), memory))
+        found[f'core % with {count}'] = share * 100.0
+        found[f'Rss MB with {count}'] = memory
+    share_fit = capacity_plan.fit(shares)
+    memory_fit = capacity_plan.fit(memories)
+    return {
+        **found,
+        'us/s per sidecar': share_fit.slope * 1e6,
+        'us/s without sidecars': share_fit.base * 1e6,
+        'Rss KB per sidecar': memory_fit.slope * 1024.0,
+        'Rss MB without sidecars': memory_fit.base,
+    }
+
+
+def attach(deployment: harness.Deployment, count: int) -> None:
+    """Start a process of fake sidecars."""
+    command = [sys.executable, '-m', 'kcr_emulator.capacity_fakes']
+    command += ['--port', str(deployment.entries['entry-0'].wire)]
+    command += ['--count', str(count)]
+    fakes = harness.Managed('fakes', command, deployment.folder / 'fakes.log')
+    deployment.processes['fakes'] = fakes
+    fakes.start()
+
+
+def fill_log(url: str) -> float:
+    """Write the live tasks to the log; return the bytes of the records."""
+    stream = records.tasks_stream('region-0')
+    size = 0
+    for first in range(0, LIVE, ITEMS):
+        items = tuple(
+            records.Accepted(
+                capacity_state.make_spec(number),
+                capacity_state.make_home(number, FLEET),
+                int(time.time() * 1000),
+            )
+            for number in range(first, first + ITEMS)
+        )
+        data = log_records.encode(records.Batch('writer', items))
+        size += len(data)
+        body = {'id': f'fill:{first}', 'data': data}
+        path = f'{url}/v1/streams/{stream}/records'
+        status, answer = http.call('POST', path, body)
+        assert status == 200, answer
+        time.sleep(0.01)
+    return float(size)
+
+
+def measure_start() -> Values:
+    """Return time and memory of an entry that reads the live tasks."""
+    shape = harness.Shape(entries=1, instances=0)
+    with harness.Deployment(shape) as deployment:
+        deployment.start()
+        wait_up(deployment, 0)
+        entry = deployment.processes['entry-0']
+        time.sleep(2.0)
+        empty = entry.resident_kb()
+        entry.kill()
+        size = fill_log(deployment.log_url())
+        began = time.monotonic()
+        entry.start()
+        url = deployment.entry_urls()[0]
+        harness.wait_for(lambda: count_live(url) == LIVE, 120.0, 'tasks')
+        spent = time.monotonic() - began
+        used = entry.cpu_seconds()
+        time.sleep(3.0)
+        full = entry.resident_kb()
+        share, _ = watch(deployment, WINDOW_S)['entry-0']
+    return {
+        'live tasks': float(LIVE),
+        'bytes read per task': size / LIVE,
+        's until read': spent,
+        'processor s until read': used,
+        'processor us per task': used / LIVE * 1e6,
+        'Rss MB before': empty / 1024.0,
+        'Rss MB after': full / 1024.0,
+        'Rss KB per task': (full - empty) / LIVE,
+        'core % at rest after': share * 100.0,
+    }
+
+
+def count_live(url: str) -> int:
+    """Return the live tasks of an entry; -1 without an answer."""
+    status, dump = http.call('GET', f'{url}/v1/dump')
+    if status != 200:
+        return -1
+    state: dict[str, typing.Any] = dump['work/tasks']
+    return int(state['live']) if state['caught_up'] else -1
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/capacity_state.py
@@ -0,0 +1,291 @@
+"""Measure the memory of each kind of state and the cost of decisions.
+
+Every object is built as its owner builds it, from decoded text, so that no
+string is shared which would not be shared in a daemon.
+"""
+
+from collections import abc
+import dataclasses
+import functools
+import gc
+import json
+import random
+import time
+import tracemalloc
+import typing
+
+from kcr_core import claims
+from kcr_core import document_text
+from kcr_core import homes
+from kcr_core import ledger
+from kcr_core import membership
+from kcr_core import messages
+from kcr_core import placement
+from kcr_core import records
+from kcr_core import task_control
+from kcr_core import types
+from kcr_document import document
+from kcr_emulator import bench_cost
+from kcr_emulator import capacity_plan
+from kcr_emulator import documents
+from kcr_emulator import harness
+from kcr_runtime import log_records
+from kcr_runtime.wire import codec
+
+Values = dict[str, float]
+
+# Two sizes between which the slope of memory is taken.
+SIZES = (1000, 5000)
+# Numbers of endpoints of the measured fleets.
+FLEETS = (10, 100, 1000, 2300)
+# Tasks placed in one measurement.
+PLACED = 300
+# Demand of these tasks; the smallest fleet has room for all of them.
+SMALL = types.Demand(0.1, 10.0)
+# Line between the documents of a file.
+BREAK = '---\n'
+# Instances of the measured documents.
+DOCUMENTS = (100, 1000)
+
+
+def make_spec(number: int) -> types.TaskSpec:
+    """Return a task as a caller submits it."""
+    return types.TaskSpec(
+        f'task-{number:08d}',
+        'caller-7',
+        f'team-{number % 250}',
+        'batch',
+        types.Demand(2.0, 1000.0, 1),
+        run_s=600.0,
+        job=f'job-{number // 20}',
+    )
+
+
+def make_home(number: int, fleet: int) -> types.Home:
+    """Return the home of a task in a fleet."""
+    name = number % fleet
+    return types.Home(f'instance-{name:05d}', f'{name:016x}', 1)
+
+
+def copy_record(item: typing.Any) -> typing.Any:
+    """Return a record as a reader decodes it."""
+    kind, value = json.loads(log_records.encode_item(item))
+    return codec.from_plain(records.RECORDS.get(kind), value)
+
+
+def bytes_per(build: abc.Callable[[int], object]) -> float:
+    """Return the bytes of state per unit, from two sizes."""
+    points = []
+    # The interpreter's table of shared names grows here and not in a window.
+    build(SIZES[-1])
+    for size in SIZES:
+        gc.collect()
+        tracemalloc.start()
+        held = build(size)
+        gc.collect()
+        used, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert held is not None
+        points.append((float(size), float(used)))
+    return capacity_plan.fit(points).slope
+
+
+def build_ledger(size: int, parked: bool) -> ledger.Ledger:
+    """Return a ledger with live tasks; 17 of them share an instance."""
+    state = ledger.Ledger()
+    for number in range(size):
+        home = None if parked else make_home(number, max(1, size // 17))
+        reason = 'no room now' if parked else ''
+        item = records.Accepted(make_spec(number), home, 1000, reason)
+        state.apply(copy_record(item), 0.0, 1000)
+    return state
+
+
+def build_ended(size: int) -> ledger.Ledger:
+    """Return a ledger with ended tasks, which it bounds."""
+    state = build_ledger(size, False)
+    for key in list(state.live):
+        item = records.FinishedRecord(key, 1, 'done', '')
+        state.apply(copy_record(item), 0.0, 1000)
+    return state
+
+
+def build_claims(size: int) -> claims.Table:
+    """Return a table of claims."""
+    table = claims.Table()
+    for number in range(size):
+        item = records.Claimed(
+            f'caller-7/request-{number:08d}',
+            f'{number:032x}',
+            '0123456789abcdef',
+            1000 + number,
+            f'0123456789abcdef:{number}',
+        )
+        table.apply(copy_record(item))
+    return table
+
+
+def build_home(size: int) -> list[task_control.Control]:
+    """Return homes that hold 20 waiting tasks each."""
+    found = []
+    for first in range(0, size, 20):
+        home = task_control.Control(
+            'me', types.Demand(64.0, 64000.0, 8), types.ControlSettings()
+        )
+        for number in range(first, first + 20):
+            msg = messages.Assign(make_spec(number), 1, 'me')
+            copied = codec.decode(codec.encode(msg))
+            home.assign(copied, 0.0)
+            home.take()
+        found.append(home)
+    return found
+
+
+def build_fleet(size: int) -> tuple[membership.View, homes.Homes]:
+    """Return what an entry knows of its endpoints, without connections."""
+    view = membership.View(1.0)
+    places = homes.Homes(ledger.Ledger(), random.Random(1))
+    room = types.Demand(16.0, 60_000.0, 1)
+    for number in range(size):
+        home = make_home(number, size)
+        place = types.Place(
+            'region-0',
+            f'zone-{number % 4}',
+            f'rack-{number // 3}',
+            home.instance,
+        )
+        hello = messages.Hello(1, 'sidecar', 's', home.incarnation, place)
+        hello = codec.decode(codec.encode(hello))
+        view.opened(f'fleet/sessions/{number}', hello, 0.0)
+        endpoint = view.endpoints[hello.place.instance]
+        capacity = types.Capacity(8, 64, room)
+        state = messages.EndpointState('web', capacity, 1)
+        view.announced(endpoint, codec.decode(codec.encode(state)))
+        beat = messages.Heartbeat(number, 7, 3, 4, room, 0, 12.5)
+        endpoint.beat = codec.decode(codec.encode(beat))
+        places.offer(homes.Offer(home, place, room, room, True, frozenset()))
+    places.rooms(0.0)
+    return view, places
+
+
+def measure_bytes() -> Values:
+    """Return the bytes of state per unit."""
+    return {
+        'entry: running task': bytes_per(lambda n: build_ledger(n, False)),
+        'entry: parked task': bytes_per(lambda n: build_ledger(n, True)),
+        'entry: ended task': bytes_per(build_ended),
+        'entry: claim': bytes_per(build_claims),
+        'entry: endpoint, without connection': bytes_per(build_fleet),
+        'sidecar: held task': bytes_per(build_home),
+    }
+
+
+def measure_document() -> Values:
+    """Return bytes and time per instance of a document.
+
+    The file holds a small trial document and the production document.
+    """
+    points: dict[str, list[tuple[float, float]]] = {}
+    for size in DOCUMENTS:
+        text = make_text(size)
+        works: dict[str, abc.Callable[[], object]] = {
+            'publish': functools.partial(document.read, text),
+            'follow': functools.partial(
+                document.read_settings, text, 'production'
+            ),
+        }
+        packed = document_text.pack(text)
+        found = {
+            'text, B': float(len(text)),
+            'packed text, B': float(len(packed)),
+        }
+        for name, work in works.items():
+            kept, peak, spent = weigh(work)
+            found[f'{name}: kept, B'] = kept
+            found[f'{name}: peak, B'] = peak
+            found[f'{name}: us'] = spent * 1e6
+        for name, value in found.items():
+            points.setdefault(name, []).append((float(size), value))
+    return {
+        f'{name} per instance': capacity_plan.fit(held).slope
+        for name, held in points.items()
+    }
+
+
+def make_text(size: int) -> str:
+    """Return the canonical text of a file with a number of instances."""
+    small, large = (
+        documents.make_document(harness.Shape(instances=count))
+        for count in (3, size)
+    )
+    trial, production = small.split(BREAK)[0], large.split(BREAK)[1]
+    return document.parse(f'{trial}{BREAK}{production}'.encode()).text
+
+
+def weigh(work: abc.Callable[[], object]) -> tuple[float, float, float]:
+    """Return bytes kept, bytes at the peak and seconds of some work."""
+    work()
+    gc.collect()
+    tracemalloc.start()
+    held = work()
+    kept, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert held is not None
+    began = time.thread_time()
+    work()
+    return float(kept), float(peak), time.thread_time() - began
+
+
+def measure_records() -> Values:
+    """Return bytes and time of the records of a task."""
+    home = make_home(1, 2275)
+    items = {
+        'accepted': records.Accepted(make_spec(1), home, 1000),
+        'moved': records.Moved('caller-7/task-00000001', 2, home),
+        'finished': records.FinishedRecord(
+            'caller-7/task-00000001', 1, 'done'
+        ),
+        'claimed': records.Claimed(
+            'caller-7/request-00000001', '0' * 32, '0' * 16, 1, '0' * 20
+        ),
+    }
+    found = {}
+    for name, item in items.items():
+        text = log_records.encode(records.Batch('0' * 16, (item,) * 100))
+        began = time.thread_time()
+        for _ in range(20):
+            log_records.decode(text)
+        spent = (time.thread_time() - began) / 2000
+        # The log returns the text of a record as a JSON string.
+        found[f'{name}, B'] = len(json.dumps(text)) / 100.0
+        found[f'{name}, decode us'] = spent * 1e6
+    return found
+
+
+def measure_choices() -> dict[str, Values]:
+    """Return microseconds per decision by the number of endpoints."""
+    choices = {
+        f'endpoint choice, {policy}, us': {
+            str(size): bench_cost.measure_ns(policy, size) / 1000.0
+            for size in FLEETS
+        }
+        for policy in ('least_cost', 'two_choices')
+    }
+    placed = {str(size): measure_placement(size) for size in FLEETS}
+    return {**choices, 'placement of a task, us': placed}
+
+
+def measure_placement(size: int) -> float:
+    """Return the time to place a task and note it, in microseconds."""
+    _, places = build_fleet(size)
+    policy = placement.POLICIES.get('spread')
+    began = time.thread_time()
+    for number in range(PLACED):
+        spec = dataclasses.replace(make_spec(number), demand=SMALL)
+        choice = places.choose(policy, spec, 1.0)
+        assert isinstance(choice, placement.Placed)
+        places.promise(spec.key, choice.home.instance, spec.demand)
+        if number % 50 == 49:
+            for done in range(number - 49, number + 1):
+                places.settle(make_spec(done).key)
+    return (time.thread_time() - began) / PLACED * 1e6
--- /dev/null
+++ b/packages/emulator/src/kcr_emulator/capacity_world.py
@@ -0,0 +1,193 @@
+"""Run real entries and sidecars with the stand-ins on one fake clock.
+
+The roles are built through the daemon's registry of roles, so what is
+measured is the whole of a role: its tree, codec, connections and tasks.
+"""
+
+import collections
+import importlib
+import logging
+import random
+import time
+import typing
+
+import structlog
+from twisted.internet import defer
+
+from kcr_core import messages
+from kcr_emulator import capacity_net
+from kcr_emulator import log as log_emulator
+from kcr_emulator import runner as runner_emulator
+from kcr_emulator import worker as worker_emulator
+from kcr_emulator import worker_state
+from kcr_runtime import http_client
+from kcr_runtime import metrics
+from kcr_runtime import roles
+from kcr_runtime import task
+from kcr_runtime.wire import connection
+from kcr_runtime.wire import session
+
+LOG_PORT = 1000
+HTTP_PORTS = 2000
+WIRE_PORTS = 3000
+RUNNER_PORTS = 4000
+WORKER_PORTS = 5000
+# Time in which a new world comes to rest, in seconds: all have dialed, the
+# streams are read, and the sidecars hold the leases of their workers.
+SETTLE_S = 4.0
+# Module of each role; the daemon has the same table.
+MODULES = ('kcr_entry.role', 'kcr_sidecar.role')
+
+
+def prepare() -> None:
+    """Register the roles and keep their log lines off the terminal."""
+    for name in MODULES:
+        importlib.import_module(name)
+    quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
+    structlog.configure(wrapper_class=quiet)
+
+
+class World:
+    """Hold the log, some entries and some instances."""
+
+    def __init__(self, entries: int, instances: int) -> None:
+        # Net that joins the processes.
+        self.net = capacity_net.Net()
+        # Hosts of the entries and of the sidecars.
+        self.entries: list[capacity_net.Host] = []
+        self.sidecars: list[capacity_net.Host] = []
+        # Contexts of the entries.
+        self.contexts: list[task.Context] = []
+        # The log.
+        host = self.net.add('log')
+        self.log = log_emulator.LogEmulator(host)
+        host.listenTCP(LOG_PORT, self.log.site())
+        # Callers.
+        self.caller = self.net.add('caller')
+        self._clients = [
+            http_client.HttpClient(self.caller, _at(HTTP_PORTS + n), 64)
+            for n in range(entries)
+        ]
+        for number in range(entries):
+            self._add_entry(number, entries)
+        for number in range(instances):
+            self._add_instance(number, entries)
+        self.net.run(SETTLE_S)
+
+    def _start(
+        self, role_name: str, name: str, values: dict[str, typing.Any]
+    ) -> capacity_net.Host:
+        role = roles.ROLES.get(role_name)
+        host = self.net.add(name)
+        common = {'process': name, 'region': 'region-0', 'zone': 'zone-0'}
+        ctx = task.Context(
+            reactor=host,
+            directory=task.Directory(),
+            rng=random.Random(name),
+            cfg=role.options.model_validate({**common, **values}),
+            metrics=metrics.Metrics(name),
+            incarnation=f'{random.Random(name).getrandbits(64):016x}',
+        )
+        if role_name == 'entry':
+            self.contexts.append(ctx)
+        host.measure(role.root(ctx, '').begin)
+        return host
+
+    def _add_entry(self, number: int, entries: int) -> None:
+        others = [n for n in range(entries) if n != number]
+        values = {
+            'listen': _at(WIRE_PORTS + number),
+            'http': _at(HTTP_PORTS + number),
+            'log': _at(LOG_PORT),
+            'peers': [_at(WIRE_PORTS + n) for n in others],
+        }
+        name = f'entry-{number}'
+        self.entries.append(self._start('entry', name, values))
+
+    def _add_instance(self, number: int, entries: int) -> None:
+        host = self.net.add(f'platform-{number}')
+        runner = runner_emulator.RunnerEmulator(host, 64, 0.0, number)
+        host.listenTCP(RUNNER_PORTS + number, runner.site())
+        machine = worker_state.Machine(
+            {'processors': 64.0, 'memory_mb': 64000.0, 'accelerators': 0},
+            worker_state.Factors((1.0, 1.0), (1.0, 1.0)),
+            1.0,
+            number,
+        )
+        worker = worker_emulator.WorkerEmulator(host, machine, number)
+        host.listenTCP(WORKER_PORTS + number, worker.site())
+        values = {
+            'instance': f'instance-{number}',
+            'service': 'web',
+            'runner': _at(RUNNER_PORTS + number),
+            'worker': _at(WORKER_PORTS + number),
+            'slots': 64,
+            'processors': 64.0,
+            'memory_mb': 64000.0,
+            'entries': [_at(WIRE_PORTS + n) for n in range(entries)],
+        }
+        name = f'sidecar-{number}'
+        self.sidecars.append(self._start('sidecar', name, values))
+
+    def call(
+        self, method: str, path: str, value: typing.Any, entry: int = 0
+    ) -> defer.Deferred[http_client.HttpOutcome]:
+        """Send an HTTP request to an entry as a caller does."""
+        return self._clients[entry].request_json(method, path, value, 20.0)
+
+
+class Recorder:
+    """Note the messages that are sent and the time of their handlers."""
+
+    def __init__(self) -> None:
+        # One message of each tag, and the number that were sent.
+        self.samples: dict[str, messages.Message] = {}
+        self.sent: collections.Counter[str] = collections.Counter()
+        # Seconds by message and step: `send` is encoding and framing at the
+        # sending session, `route` the receiving session, `handle` the task.
+        self.spent: collections.defaultdict[tuple[str, str], float] = (
+            collections.defaultdict(float)
+        )
+        self._send = connection.Connection.send
+        self._handle = task.Task._handle
+
+    def __enter__(self) -> 'Recorder':
+        recorder = self
+
+        def send(conn: connection.Connection, msg: typing.Any) -> bool:
+            tag = messages.TAGS[type(msg)]
+            recorder.samples[tag] = msg
+            recorder.sent[tag] += 1
+            return recorder._send(conn, msg)
+
+        def handle(node: task.Task, msg: typing.Any) -> None:
+            tag = messages.TAGS.get(type(getattr(msg, 'msg', None)), '')
+            began = time.thread_time()
+            recorder._handle(node, msg)
+            spent = time.thread_time() - began
+            recorder.spent[tag, infer_step(node, msg)] += spent
+
+        setattr(connection.Connection, 'send', send)
+        setattr(task.Task, '_handle', handle)
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        setattr(connection.Connection, 'send', self._send)
+        setattr(task.Task, '_handle', self._handle)
+
+    def step_us(self, tag: str, step: str) -> float:
+        """Return the time of one step per message, in microseconds."""
+        return self.spent[tag, step] / max(1, self.sent[tag]) * 1e6
+
+
+def infer_step(node: task.Task, msg: typing.Any) -> str:
+    """Return the step of a message that a handler stands for."""
+    if isinstance(msg, session.Send):
+        return 'send'
+    if isinstance(msg, session.Received):
+        return 'handle'
+    return 'route' if isinstance(node, session.Session) else 'other'
+
+
+def _at(port: int) -> str:
+    return f'{capacity_net.LOOPBACK}:{port}'
