Do not refuse an attempt that waits, runs or ran

Cause: `Slots.admit` answered a second arrival of an attempt with `Refuse`. The admission task sent it to the entry as a proof that the attempt never runs, dropped the message, and failed with a KeyError when the slots ran the attempt later. After an ended attempt the refusal was a false proof too.

Ruled out: frames of one connection arrive once and in order, so two deliveries need an entry that sends an attempt twice; the entry's own check does not cover a Refused that overtakes the answer.

A second arrival is now `Repeated` and gets no second answer; one that was refused before is refused again.

--- a/packages/core/src/kcr_core/slots.py
+++ b/packages/core/src/kcr_core/slots.py
@@ -37,7 +37,18 @@
     attempt: str
 
 
-Decision = Run | Refuse | Queued
+@dataclasses.dataclass(frozen=True, slots=True)
+class Repeated:
+    """State that the attempt waits, runs or ran; it gets no second answer.
+
+    A refusal would be taken for a proof that the attempt never ran.
+    """
+
+    # Attempt that was received again.
+    attempt: str
+
+
+Decision = Run | Refuse | Queued | Repeated
 
 
 class Slots:
@@ -59,7 +70,8 @@
         self.waiting: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._ended: collections.OrderedDict[str, None] = (
+        # Ended attempts and whether each was refused.
+        self._ended: collections.OrderedDict[str, bool] = (
             collections.OrderedDict()
         )
 
@@ -79,8 +91,10 @@
         Only an attempt that would wait is refused for its expected time: a
         free slot always runs it, so that the run time is measured again.
         """
+        if self._refused(attempt):
+            return Refuse(attempt, 'attempt was refused before')
         if self._is_known(attempt):
-            return Refuse(attempt, 'attempt was received twice')
+            return Repeated(attempt)
         if self.draining:
             return self._refuse(attempt, 'endpoint is leaving')
         if now >= deadline:
@@ -99,7 +113,7 @@
         """Free the slot of an attempt and admit waiting ones."""
         assert attempt in self.active, 'finished attempt was not running'
         self.active.remove(attempt)
-        self._remember(attempt)
+        self._remember(attempt, refused=False)
         return self.advance(now)
 
     def abandon(self, attempt: str, now: float) -> list[Decision]:
@@ -140,16 +154,19 @@
             or attempt in self._ended
         )
 
+    def _refused(self, attempt: str) -> bool:
+        return self._ended.get(attempt, False)
+
     def _run(self, attempt: str) -> Run:
         self.active.add(attempt)
         assert self.used() <= self.slots, 'slots are overcommitted'
         return Run(attempt)
 
     def _refuse(self, attempt: str, reason: str) -> Refuse:
-        self._remember(attempt)
+        self._remember(attempt, refused=True)
         return Refuse(attempt, reason)
 
-    def _remember(self, attempt: str) -> None:
-        self._ended[attempt] = None
+    def _remember(self, attempt: str, refused: bool) -> None:
+        self._ended[attempt] = refused
         if len(self._ended) > REMEMBERED:
             self._ended.popitem(last=False)
--- a/packages/sidecar/src/kcr_sidecar/capacity/admission.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -132,13 +132,16 @@
             reason = 'slots are not rebuilt yet'
             self._answer(event.session, messages.Refused(msg.attempt, reason))
             return
-        if msg.attempt not in self._attempts:
-            self._attempts[msg.attempt] = _Attempt(
-                msg, event.session, deadline, now
-            )
-        self._grants.arrived(event.session)
         service_s = self._latency_ms / 1000.0
-        self._run([self._slots.admit(msg.attempt, deadline, now, service_s)])
+        decision = self._slots.admit(msg.attempt, deadline, now, service_s)
+        if isinstance(decision, slots.Repeated):
+            self.ctx.metrics.count('attempt_repeated')
+            return
+        self._attempts[msg.attempt] = _Attempt(
+            msg, event.session, deadline, now
+        )
+        self._grants.arrived(event.session)
+        self._run([decision])
 
     def _run(self, decisions: list[slots.Decision]) -> None:
         for decision in decisions:
@@ -162,11 +165,7 @@
         assert self.send(addresses.RUNNER, call), 'runner task is not there'
 
     def _refuse(self, refusal: slots.Refuse) -> None:
-        if refusal.attempt in self._slots.active:
-            return
-        held = self._attempts.pop(refusal.attempt, None)
-        if held is None:
-            return
+        held = self._attempts.pop(refusal.attempt)
         self.ctx.metrics.count('attempt_refused')
         self._answer(
             held.session, messages.Refused(refusal.attempt, refusal.reason)
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -52,3 +52,19 @@
     owner.observe({'old-1', 'old-2'}, 0.0)
     assert isinstance(owner.admit('a', 10.0, 0.0), slots.Queued)
     assert owner.observe({'old-2'}, 1.0) == [slots.Run('a')]
+
+
+def test_attempt_that_is_received_twice_is_not_refused() -> None:
+    """Guard against a false proof that a waiting or ended attempt never ran.
+
+    Found by the machine of requests: an attempt was delivered twice while it
+    waited for a slot, was refused, and ran afterwards.
+    """
+    owner = slots.Slots(slots=1, connections=4)
+    assert isinstance(owner.admit('a', 10.0, 0.0), slots.Run)
+    assert isinstance(owner.admit('b', 10.0, 0.0), slots.Queued)
+    assert owner.admit('b', 10.0, 0.0) == slots.Repeated('b')
+    assert owner.finish('a', 1.0) == [slots.Run('b')]
+    assert owner.admit('b', 10.0, 1.0) == slots.Repeated('b')
+    owner.finish('b', 2.0)
+    assert owner.admit('b', 10.0, 2.0) == slots.Repeated('b')
--- /dev/null
+++ b/tests/sidecar/test_admission.py
@@ -0,0 +1,82 @@
+"""Check that the slots of the runner are never overcommitted."""
+
+import typing
+
+import fakes
+import pytest
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_runtime import http_client
+from kcr_runtime.wire import session
+from kcr_sidecar import addresses
+from kcr_sidecar.capacity import admission
+from kcr_sidecar.platform import runner
+
+DONE = http_client.Reply(200, b'')
+
+
+@pytest.fixture
+def bench() -> fakes.Bench:
+    """Return the admission of a runner with one slot, ready."""
+    bench = fakes.Bench('links/e', addresses.RUNNER, addresses.ANNOUNCER)
+    bench.ctx.cfg.slots, bench.ctx.cfg.connections = 1, 4
+    node = admission.Admission(bench.ctx, addresses.ADMISSION)
+    bench.ctx.directory.add(addresses.ADMISSION, node)
+    node.begin()
+    bench.advance(0.1)
+    answer_status(bench, ask(bench), ())
+    return bench
+
+
+def ask(bench: fakes.Bench) -> runner.AskStatus:
+    """Return the only question for the calls of the runner."""
+    [question] = bench.nodes[addresses.RUNNER].take(runner.AskStatus)
+    return typing.cast(runner.AskStatus, question)
+
+
+def answer_status(
+    bench: fakes.Bench, question: runner.AskStatus, served: tuple[str, ...]
+) -> None:
+    """Answer a question for the calls of the runner."""
+    status = runner.Status(frozenset(served))
+    bench.post(question.reply_to, status)
+
+
+def execute(bench: fakes.Bench, attempt: str) -> None:
+    """Deliver an attempt."""
+    place = types.Place('r', 'z', 'k', 'e')
+    hello = messages.Hello(1, 'entry', 'e', 'e', place)
+    msg = messages.Execute(attempt, f'c/{attempt}', 'svc', 5000, False, b'')
+    bench.post(addresses.ADMISSION, session.Received('links/e', hello, msg))
+
+
+def calls(bench: fakes.Bench) -> list[str]:
+    """Return the attempts that were sent to the runner since the last look."""
+    found = bench.nodes[addresses.RUNNER].take(runner.Call)
+    return [call.attempt for call in found]
+
+
+def end(bench: fakes.Bench, attempt: str, outcome: typing.Any) -> None:
+    """End a call."""
+    bench.post(addresses.ADMISSION, runner.CallEnded(attempt, outcome))
+
+
+def answers(bench: fakes.Bench) -> list[typing.Any]:
+    """Return what the entry got since the last look."""
+    return [sent.msg for sent in bench.nodes['links/e'].take(session.Send)]
+
+
+def test_attempt_received_twice_runs_once_and_is_not_refused(
+    bench: fakes.Bench,
+) -> None:
+    """Guard against a refusal of an attempt that runs later."""
+    for attempt in ('a', 'b', 'b', 'a'):
+        execute(bench, attempt)
+    assert (calls(bench), answers(bench)) == (['a'], [])
+    end(bench, 'a', DONE)
+    execute(bench, 'a')
+    assert calls(bench) == ['b']
+    end(bench, 'b', DONE)
+    kinds = [type(msg) for msg in answers(bench)]
+    assert kinds == [messages.Executed, messages.Executed]
