Ask the runner for its calls from one timer

Cause: each call that ended without an answer set a timer of its own for the next question to the runner, and each answer that still listed foreign calls set another. While one such call stayed, every further one added a question per 0.2 s. A lost answer (the runner task was restarted) ended its chain, and with a single chain the slots stayed taken or were never ready.

One timer now runs while calls are foreign or the slots are not rebuilt. A question is repeated after 2.5 s without an answer; the runner task gives up after 2 s. Found by reading while the list of calls was corrected.

--- a/packages/sidecar/src/kcr_sidecar/capacity/admission.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -21,6 +21,9 @@
 
 # Time between questions about calls of an older incarnation, in seconds.
 FOREIGN_POLL_S = 0.2
+# Time after which a question without an answer is asked again, in seconds.
+# The runner task gives up after 2 s; an answer is lost when it is restarted.
+STATUS_LIMIT_S = 2.5
 # Time between looks at waiting attempts' deadlines, in seconds.
 ADVANCE_S = 0.05
 # Share of a new service time in the running mean.
@@ -80,6 +83,11 @@
         self._grants = grants.Grants()
         self._window = service_window.Window(self.now())
         self._ready = False
+        # Whether a timer for the next question to the runner is set. One is
+        # enough; a timer per abandoned call would multiply the questions.
+        self._asking_later = False
+        # Time of the question that is not answered yet.
+        self._asked_at = -STATUS_LIMIT_S
         self._latency_ms = 0.0
         self._draining = False
 
@@ -103,13 +111,20 @@
 
     @task.handles(_AskForeign)
     def _on_ask_foreign(self, msg: _AskForeign) -> None:
+        self._asking_later = False
+        if self._ready and not self._slots.foreign:
+            return
+        self._ask_later()
+        if self._asked_at + STATUS_LIMIT_S > self.now():
+            return
+        self._asked_at = self.now()
         question = runner.AskStatus(self.address, self._slots.ask())
         self.send(addresses.RUNNER, question)
 
     @task.handles(runner.Status)
     def _on_status(self, status: runner.Status) -> None:
+        self._asked_at = -STATUS_LIMIT_S
         if status.attempts is None:
-            self.after(FOREIGN_POLL_S, _AskForeign())
             return
         decisions = self._slots.observe(
             set(status.attempts), status.number, self.now()
@@ -117,10 +132,14 @@
         if not self._ready:
             self.log.info('slots rebuilt', foreign=len(self._slots.foreign))
         self._ready = True
-        if self._slots.foreign:
-            self.after(FOREIGN_POLL_S, _AskForeign())
+        self._ask_later()
         self._run(decisions)
 
+    def _ask_later(self) -> None:
+        if not self._asking_later:
+            self._asking_later = True
+            self.after(FOREIGN_POLL_S, _AskForeign())
+
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
@@ -185,7 +204,7 @@
         if isinstance(event.outcome, http_client.NoAnswer):
             self._run(self._slots.abandon(event.attempt, self.now()))
             self._grants.ended(held.session, self._room())
-            self.after(FOREIGN_POLL_S, _AskForeign())
+            self._ask_later()
             return
         self._run(self._slots.finish(event.attempt, self.now()))
         self._grants.ended(held.session, self._room())
--- a/tests/sidecar/test_admission.py
+++ b/tests/sidecar/test_admission.py
@@ -99,3 +99,18 @@
     assert calls(bench) == ['a', 'b', 'c']
     answer_status(bench, ask(bench), ())
     assert calls(bench) == ['d']
+
+
+def test_abandoned_calls_share_one_timer(bench: fakes.Bench) -> None:
+    """Guard against questions that grow with each call, or that stop."""
+    for attempt in ('a', 'b'):
+        execute(bench, attempt)
+        end(bench, attempt, NO_ANSWER)
+    bench.advance(5 * admission.FOREIGN_POLL_S)
+    for _ in range(3):
+        found = bench.nodes[addresses.RUNNER].take(runner.AskStatus)
+        assert len(found) == 1
+        answer_status(bench, found[0], ('a', 'b'))
+        bench.advance(admission.FOREIGN_POLL_S)
+    bench.advance(2 * admission.STATUS_LIMIT_S)
+    assert bench.nodes[addresses.RUNNER].take(runner.AskStatus)
