--- a/packages/core/src/kcr_core/slots.py
+++ b/packages/core/src/kcr_core/slots.py
@@ -37,7 +37,18 @@
     attempt: str
 
 
-Decision = Run | Refuse | Queued
+@dataclasses.dataclass(frozen=True, slots=True)
+class Repeated:
+    """State that the attempt waits, runs or ran; it gets no second answer.
+
+    A refusal would be taken for a proof that the attempt never ran.
+    """
+
+    # Attempt that was received again.
+    attempt: str
+
+
+Decision = Run | Refuse | Queued | Repeated
 
 
 class Slots:
@@ -59,7 +70,14 @@
         self.waiting: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._ended: collections.OrderedDict[str, None] = (
+        # Questions to the runner for its calls, and the newest one answered.
+        self._asked = 0
+        self._answered = 0
+        # Number of the last question before each call was abandoned. An
+        # answer to that question or an older one may not list the call.
+        self._abandoned: dict[str, int] = {}
+        # Ended attempts and whether each was refused.
+        self._ended: collections.OrderedDict[str, bool] = (
             collections.OrderedDict()
         )
 
@@ -79,8 +97,10 @@
         Only an attempt that would wait is refused for its expected time: a
         free slot always runs it, so that the run time is measured again.
         """
+        if self._refused(attempt):
+            return Refuse(attempt, 'attempt was refused before')
         if self._is_known(attempt):
-            return Refuse(attempt, 'attempt was received twice')
+            return Repeated(attempt)
         if self.draining:
             return self._refuse(attempt, 'endpoint is leaving')
         if now >= deadline:
@@ -99,17 +119,37 @@
         """Free the slot of an attempt and admit waiting ones."""
         assert attempt in self.active, 'finished attempt was not running'
         self.active.remove(attempt)
-        self._remember(attempt)
+        self._remember(attempt, refused=False)
         return self.advance(now)
 
     def abandon(self, attempt: str, now: float) -> list[Decision]:
         """Keep the slot of an attempt that may still run at the runner."""
         self.foreign.add(attempt)
+        self._abandoned[attempt] = self._asked
         return self.finish(attempt, now)
 
-    def observe(self, served: set[str], now: float) -> list[Decision]:
-        """Take the runner's list of calls; free slots that it has ended."""
-        self.foreign = served - self.active
+    def ask(self) -> int:
+        """Return the number of a new question for the runner's calls."""
+        self._asked += 1
+        return self._asked
+
+    def observe(
+        self, served: set[str], question: int, now: float
+    ) -> list[Decision]:
+        """Take the runner's list of calls; free slots that it has ended.
+
+        The list was made after the question was asked; calls that were
+        abandoned after that keep their slots until a later answer.
+        """
+        if question <= self._answered:
+            return []
+        self._answered = question
+        self._abandoned = {
+            attempt: asked
+            for attempt, asked in self._abandoned.items()
+            if asked >= question
+        }
+        self.foreign = served - self.active | set(self._abandoned)
         return self.advance(now)
 
     def advance(self, now: float) -> list[Decision]:
@@ -140,16 +180,19 @@
             or attempt in self._ended
         )
 
+    def _refused(self, attempt: str) -> bool:
+        return self._ended.get(attempt, False)
+
     def _run(self, attempt: str) -> Run:
         self.active.add(attempt)
         assert self.used() <= self.slots, 'slots are overcommitted'
         return Run(attempt)
 
     def _refuse(self, attempt: str, reason: str) -> Refuse:
-        self._remember(attempt)
+        self._remember(attempt, refused=True)
         return Refuse(attempt, reason)
 
-    def _remember(self, attempt: str) -> None:
-        self._ended[attempt] = None
+    def _remember(self, attempt: str, refused: bool) -> None:
+        self._ended[attempt] = refused
         if len(self._ended) > REMEMBERED:
             self._ended.popitem(last=False)
