Decide throttles in the state machine and keep them over a restart

The owner of the tasks kept throttled shares beside the state machine, the worker adapter and the task control had one message each that nothing else used, and a lost throttle was never repeated. Control now decides throttles and evictions by task; one action carries a throttle, and a share that the worker's list contradicts is sent again. A restarted sidecar takes the share from the list: at full speed the task would slow the service again before the interference task has measured anything. Setting it back to 1 was ruled out for that reason.

A throttle was never undone when the service got no calls, because no tail was reported. An idle service is now reported, and the shares are given back. A throttled task no longer teaches a size that is too small for its kind.

The checks run the capacity tasks of a sidecar beside such an instance on a fake clock.

--- a/packages/core/src/kcr_core/interference.py
+++ b/packages/core/src/kcr_core/interference.py
@@ -66,7 +66,7 @@
 
     # Monotonic time at which the measured window began.
     since: float
-    # Tail latency (p99) of the service in ms.
+    # Tail latency (p99) of the service in ms; 0 when it is idle.
     p99_ms: float
     # Share of the slots in use.
     load: float
@@ -134,6 +134,9 @@
         stops = self._stop_late(now)
         if stops:
             return stops
+        if measured.p99_ms <= 0.0:
+            # Nothing can be learnt without calls, and nothing is slowed.
+            return [SetShare(t.task, 1.0) for t in tasks if t.share < 1.0]
         if self._is_settling(measured, now):
             self.held_back += 1
             return []
--- a/packages/core/src/kcr_core/task_actions.py
+++ b/packages/core/src/kcr_core/task_actions.py
@@ -28,6 +28,8 @@
     checkpoint: str = ''
     # Result or failure text.
     detail: str = ''
+    # Share of full speed at which it runs.
+    share: types.Quantity = 1.0
 
     @property
     def holder(self) -> resources.Holder:
@@ -92,6 +94,16 @@
     holder: resources.Holder
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Throttle:
+    """Ask the worker to run an epoch at a share of full speed."""
+
+    # Epoch to slow down or to speed up.
+    holder: resources.Holder
+    # The share; 1 ends the throttling.
+    share: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Forget:
     """Ask the worker to forget an ended epoch."""
@@ -119,6 +131,6 @@
     msg: messages.Message
 
 
-Action = Start | Renew | Stop | Forget | AskList | Report
+Action = Start | Renew | Stop | Throttle | Forget | AskList | Report
 
 StartResult = typing.Literal['started', 'refused', 'unknown']
--- a/packages/core/src/kcr_core/task_control.py
+++ b/packages/core/src/kcr_core/task_control.py
@@ -37,7 +37,7 @@
         )
         found = {task.holder: task for task in listing.tasks}
         for task in listing.tasks:
-            self._take_listed(task, now)
+            self._take_listed(task, listing.mark, now)
         for holder, held in list(self.tasks.items()):
             if holder not in found and held.is_alive():
                 self._take_absent(held, listing, now)
@@ -47,7 +47,9 @@
         self._early_stops.clear()
         self.tick(now)
 
-    def _take_listed(self, task: actions.WorkerTask, now: float) -> None:
+    def _take_listed(
+        self, task: actions.WorkerTask, mark: int, now: float
+    ) -> None:
         held = self.tasks.get(task.holder)
         if held is None and task.holder in self.ended:
             # The command to forget it was lost, or the list is older.
@@ -62,13 +64,19 @@
             self._conclude(held, task, now)
         elif held.phase is Phase.STARTING:
             self._confirm_start(held, now)
+        elif task.share != held.share and held.share_mark < mark:
+            # The command was lost; the answer to it is not waited for.
+            self._throttle(held, held.share)
 
     def _adopt(self, task: actions.WorkerTask, now: float) -> task_held.Held:
         held = task_held.Held(task.spec, task.epoch, task.checkpoint, now)
         held.phase = Phase.RUNNING
         held.started_at = held.renewed_at = now
         held.renewed_at -= self.settings.task_lease_s
-        held.mark = self._next_mark()
+        held.mark = held.share_mark = self._next_mark()
+        # A task that was throttled stays so: at full speed it would slow the
+        # service again before the interference task has measured anything.
+        held.share = min(1.0, task.share)
         self.tasks[task.holder] = held
         self.ended.note(task.holder)
         self.counts['adopted'] += 1
@@ -146,6 +154,35 @@
         self._conclude(held, task, now)
         self._admit(now)
 
+    def throttle_task(self, key: str, share: float) -> None:
+        """Give the running epoch of a task a share of full speed."""
+        held = self._find_alive(key)
+        if held is not None and held.phase is Phase.RUNNING:
+            self.counts['throttles'] += 1
+            self._throttle(held, min(1.0, max(0.0, share)))
+
+    def evict_task(self, key: str, reason: str, now: float) -> None:
+        """Checkpoint and stop the epoch of a task that runs here.
+
+        A second call needs no stronger command: an epoch that is being
+        stopped gets no more renewals, so its lease ends it.
+        """
+        held = self._find_alive(key)
+        if held is not None:
+            self.evict(held.holder, reason, now)
+
+    def alive(self) -> list[task_held.Held]:
+        """Return the epochs that the worker may run."""
+        return [held for held in self.tasks.values() if held.is_alive()]
+
+    def _find_alive(self, key: str) -> task_held.Held | None:
+        found = [held for held in self.alive() if held.spec.key == key]
+        return max(found, key=lambda held: held.epoch, default=None)
+
+    def _throttle(self, held: task_held.Held, share: float) -> None:
+        held.share, held.share_mark = share, self._next_mark()
+        self._out.append(actions.Throttle(held.holder, share))
+
     def renewed(self, holder: resources.Holder, result: str) -> None:
         """Take the answer to a renewal: `renewed`, `refused`, `unknown`."""
         held = self.tasks.get(holder)
@@ -166,8 +203,10 @@
             held = self.tasks.get(usage.holder)
             if held is None or held.phase is not Phase.RUNNING:
                 continue
-            held.samples += 1
-            self.sizes.observe(held.spec, usage.used, held.samples, now)
+            if held.share == 1.0:
+                # A throttled task shows less than its kind needs.
+                held.samples += 1
+                self.sizes.observe(held.spec, usage.used, held.samples, now)
             self._fit(held, usage.used, now)
         self._relieve(now)
         self._admit(now)
--- a/packages/core/src/kcr_core/task_held.py
+++ b/packages/core/src/kcr_core/task_held.py
@@ -70,6 +70,10 @@
     renewed_at: float = 0.0
     # Reservation in a renewal without answer yet.
     renewing: types.Demand | None = None
+    # Share of full speed that the worker is told.
+    share: float = 1.0
+    # Mark of the last throttle, to recognise older listings.
+    share_mark: int = 0
     # Report of the end.
     report: messages.Finished | messages.Evicted | None = None
     # Time at which the report was sent last.
--- a/packages/emulator/src/kcr_emulator/runner.py
+++ b/packages/emulator/src/kcr_emulator/runner.py
@@ -15,6 +15,8 @@
 from twisted.web import iweb
 from twisted.web import server
 
+from kcr_emulator import noise
+
 
 class RunnerEmulator:
     """Serve one emulated runner over HTTP."""
@@ -30,6 +32,8 @@
         self.service_ms = service_ms
         # Factor on the service time, to emulate a slow runner.
         self.slowdown = 1.0
+        # Tasks that slow the service; none by default.
+        self.noise = noise.Noise({})
         # Share of calls that fail at once.
         self.failing = 0.0
         # Whether calls are held until the runner resumes.
@@ -72,6 +76,9 @@
 
     async def _work(self) -> None:
         mean_s = self.service_ms / 1000.0 * self.slowdown
+        # The other calls are the load that a call meets.
+        load = min(1.0, (len(self.active) - 1) / max(1, self.slots))
+        mean_s *= self.noise.slowdown(load, float(self.reactor.seconds()))
         delay = self._rng.expovariate(1.0 / mean_s) if mean_s else 0.0
         await _sleep(self.reactor, delay)
         while self.paused:
--- a/packages/emulator/src/kcr_emulator/serve.py
+++ b/packages/emulator/src/kcr_emulator/serve.py
@@ -6,13 +6,21 @@
 from twisted.internet import reactor as default_reactor
 
 from kcr_emulator import log as log_emulator
+from kcr_emulator import noise as task_noise
 from kcr_emulator import runner as runner_emulator
 from kcr_emulator import worker as worker_emulator
 from kcr_emulator import worker_state
 
 
 def runner(
-    *, port: int, slots: int = 8, service_ms: float = 5.0, seed: int = 1
+    *,
+    port: int,
+    slots: int = 8,
+    service_ms: float = 5.0,
+    seed: int = 1,
+    worker: str = '',
+    noise: typing.Sequence[str] = (),
+    noise_lag_s: float = 0.5,
 ) -> None:
     """Serve an emulated runner.
 
@@ -20,9 +28,16 @@
     :param slots: calls served at the same time
     :param service_ms: mean service time in milliseconds
     :param seed: seed of the service times
+    :param worker: host:port of the worker whose tasks slow the service
+    :param noise: kind=share by which one core slows the loaded service
+    :param noise_lag_s: time until a change of the tasks shows, in seconds
     """
     reactor: typing.Any = default_reactor
     emulator = runner_emulator.RunnerEmulator(reactor, slots, service_ms, seed)
+    if worker:
+        effects = task_noise.infer_effects(noise)
+        emulator.noise = task_noise.Noise(effects, noise_lag_s)
+        emulator.noise.poll(reactor, worker)
     reactor.listenTCP(port, emulator.site(), interface='127.0.0.1')
     reactor.run()
 
--- a/packages/emulator/src/kcr_emulator/worker.py
+++ b/packages/emulator/src/kcr_emulator/worker.py
@@ -58,6 +58,7 @@
         self._route(TASK + '/throttle', 'POST', self._throttle)
         self._route(TASK + '/stop', 'POST', self._stop)
         self._route('/v1/usage', 'GET', self._usage)
+        self._app.route('/load', methods=['GET'])(self._load)
         self._app.route('/control', methods=['POST'])(self._control)
         self._app.route('/counts', methods=['GET'])(self._counts)
         self._loop = task.LoopingCall(self._step)
@@ -186,6 +187,10 @@
     def _usage(self, name: str, body: Json) -> tuple[int, Json]:
         return 200, {'tasks': self.machine.usage(self.now())}
 
+    def _load(self, req: iweb.IRequest) -> bytes:
+        self._step()
+        return json.dumps({'cores': self.machine.cores()}).encode()
+
     def _control(self, req: iweb.IRequest) -> bytes:
         wanted = json.load(typing.cast(typing.Any, req).content)
         for name in ('outage', 'delay_s', 'losing'):
@@ -219,6 +224,7 @@
         'reserved': run.reserved,
         'checkpoint': run.checkpoint,
         'detail': run.detail,
+        'share': run.speed,
     }
 
 
--- a/packages/emulator/src/kcr_emulator/worker_state.py
+++ b/packages/emulator/src/kcr_emulator/worker_state.py
@@ -189,6 +189,16 @@
                 )
         return out
 
+    def cores(self) -> dict[str, float]:
+        """Return the cores that each kind of task uses now."""
+        cores: dict[str, float] = {}
+        for run in self.runs.values():
+            if run.state == 'running' and run.history:
+                used = run.history[-1][1]['processors']
+                kind = run.spec['kind']
+                cores[kind] = cores.get(kind, 0.0) + used
+        return cores
+
     def _count(self) -> None:
         running = [r for r in self.runs.values() if r.state == 'running']
         for name in RESOURCES:
--- a/packages/sidecar/src/kcr_sidecar/capacity/admission.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -177,7 +177,8 @@
         held = self._attempts.pop(event.attempt)
         took_ms = (self.now() - held.started) * 1000
         self._latency_ms += LATENCY_SHARE * (took_ms - self._latency_ms)
-        self._window.add(took_ms)
+        if is_served(event.outcome):
+            self._window.add(took_ms, self.now())
         self.ctx.metrics.record_ms('service_ms', took_ms)
         self._answer(held.session, infer_answer(event))
         if isinstance(event.outcome, http_client.NoAnswer):
@@ -206,13 +207,16 @@
 
     def _report_service(self) -> None:
         """Report the tail of the calls that ended since the last report."""
+        now, used = self.now(), self._slots.used()
         p99_ms = self._window.quantile_ms(0.99)
+        if not used and self._window.is_idle(now):
+            p99_ms = 0.0
         if p99_ms is None:
             return
-        load = self._slots.used() / self._slots.slots
+        load = used / self._slots.slots
         measured = events.ServiceMeasured(self._window.since, p99_ms, load)
         self.send(addresses.INTERFERENCE, measured)
-        self._window = service_window.Window(self.now())
+        self._window = service_window.Window(now)
 
     def _answer(self, name: str, msg: messages.Message) -> None:
         self.send(name, session.Send(msg))
@@ -250,6 +254,16 @@
         )
 
 
+def is_served(outcome: http_client.HttpOutcome) -> bool:
+    """Tell whether the time of a call is one of the service.
+
+    A runner that refuses at once would otherwise look fast.
+    """
+    if isinstance(outcome, http_client.Reply):
+        return outcome.status < 500
+    return isinstance(outcome, http_client.NoAnswer)
+
+
 def infer_answer(event: runner.CallEnded) -> messages.Message:
     """Return the message that tells the entry how a call ended."""
     outcome = event.outcome
--- a/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
@@ -35,16 +35,6 @@
     running: tuple[types.RunningTask, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EvictTask:
-    """Ask for an epoch to be checkpointed and stopped."""
-
-    # Epoch of the task.
-    holder: resources.Holder
-    # Why.
-    reason: str
-
-
 class _Tick:
     pass
 
@@ -62,8 +52,6 @@
         self._senders: dict[resources.Holder, str] = {}
         self._counted: collections.Counter[str] = collections.Counter()
         self._load: TasksLoad | None = None
-        # Shares of the tasks that interference holds back.
-        self._shares: dict[resources.Holder, float] = {}
         self._told: events.TasksRunning | None = None
 
     def started(self) -> None:
@@ -176,51 +164,27 @@
         self._control.measured(msg.usages, self.now())
         self._carry_out()
 
-    @task.handles(EvictTask)
-    def _on_evict(self, msg: EvictTask) -> None:
-        self._control.evict(msg.holder, msg.reason, self.now())
-        self._carry_out()
-
     @task.handles(events.Evict)
-    def _on_interference_evict(self, msg: events.Evict) -> None:
-        # A stop needs no message of its own: the lease of an epoch that is
-        # being evicted is not renewed, so the worker stops it.
-        holder = self._find_running(msg.task)
-        if holder is not None:
-            self._control.evict(holder, msg.reason, self.now())
-            self._carry_out()
+    def _on_evict(self, msg: events.Evict) -> None:
+        self._control.evict_task(msg.task, msg.reason, self.now())
+        self._carry_out()
 
     @task.handles(events.Throttle)
     def _on_throttle(self, msg: events.Throttle) -> None:
-        holder = self._find_running(msg.task)
-        if holder is not None:
-            self._shares[holder] = msg.share
-            self.send(addresses.WORKER, worker.Throttle(holder, msg.share))
-            self._tell_interference()
-
-    def _find_running(self, key: str) -> resources.Holder | None:
-        for holder, held in self._control.tasks.items():
-            if holder[0] == key and held.is_alive():
-                return holder
-        return None
+        self._control.throttle_task(msg.task, msg.share)
+        self._carry_out()
 
     def _tell_interference(self) -> None:
-        alive = {
-            holder: held
-            for holder, held in self._control.tasks.items()
-            if held.is_alive()
-        }
-        self._shares = {h: s for h, s in self._shares.items() if h in alive}
         running = events.TasksRunning(
             tuple(
                 events.RunningWork(
                     held.spec.key,
                     held.spec.kind,
-                    self._control.ledger.held(holder) or held.spec.demand,
-                    self._shares.get(holder, 1.0),
+                    self._control.ledger.held(held.holder) or held.spec.demand,
+                    held.share,
                     held.spec.urgent,
                 )
-                for holder, held in alive.items()
+                for held in self._control.alive()
             )
         )
         if running != self._told:
--- a/packages/sidecar/src/kcr_sidecar/events.py
+++ b/packages/sidecar/src/kcr_sidecar/events.py
@@ -70,7 +70,8 @@
 
     # Monotonic time at which the measured window began.
     since: float
-    # Tail latency (p99) of the calls that ended in the window, in ms.
+    # Tail latency (p99) of the calls that ended in the window, in ms; 0 when
+    # the service is idle.
     p99_ms: float
     # Share of the slots in use.
     load: float
--- a/packages/sidecar/src/kcr_sidecar/platform/worker.py
+++ b/packages/sidecar/src/kcr_sidecar/platform/worker.py
@@ -79,16 +79,6 @@
     usages: tuple[actions.Usage, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Throttle:
-    """Ask the worker to slow a task down."""
-
-    # Epoch of the task.
-    holder: resources.Holder
-    # Share of full speed.
-    speed: float
-
-
 class _RenewController:
     pass
 
@@ -224,9 +214,9 @@
         body = self._command(cmd.holder)
         defer.ensureDeferred(self._call('DELETE', task_path(cmd.holder), body))
 
-    @task.handles(Throttle)
-    def _on_throttle(self, cmd: Throttle) -> None:
-        body = {**self._command(cmd.holder), 'speed': cmd.speed}
+    @task.handles(actions.Throttle)
+    def _on_throttle(self, cmd: actions.Throttle) -> None:
+        body = {**self._command(cmd.holder), 'speed': cmd.share}
         path = task_path(cmd.holder) + '/throttle'
         defer.ensureDeferred(self._call('POST', path, body))
 
--- a/tests/sidecar/fakes.py
+++ b/tests/sidecar/fakes.py
@@ -15,6 +15,8 @@
     """Hold the options that the tasks read."""
 
     service = 'svc'
+    slots = 4
+    connections = 64
     entries = ('127.0.0.1:1', '127.0.0.1:2')
     region = zone = rack = instance = process = 'x'
 
--- /dev/null
+++ b/tests/sidecar/interference_world.py
@@ -0,0 +1,244 @@
+"""Run the capacity tasks of a sidecar beside an emulated instance."""
+
+import random
+import typing
+
+import fakes
+
+from kcr_core import messages
+from kcr_core import resources
+from kcr_core import task_actions as actions
+from kcr_core import types
+from kcr_emulator import noise
+from kcr_emulator import worker_state
+from kcr_runtime import http_client
+from kcr_runtime.wire import codec
+from kcr_runtime.wire import session
+from kcr_sidecar import addresses
+from kcr_sidecar.capacity import admission
+from kcr_sidecar.capacity import interference
+from kcr_sidecar.capacity import task_control
+from kcr_sidecar import events
+from kcr_sidecar.platform import runner
+from kcr_sidecar.platform import worker
+
+LINK = 'links/sessions/127.0.0.1:1'
+HELLO = messages.Hello(
+    1, 'entry', 'e', 'einc', types.Place('x', 'x', 'x', 'e')
+)
+STEP_S = 0.02
+# Mean service time of an undisturbed call; its p99 is about 46 ms.
+SERVICE_S = 0.01
+SLOTS = fakes.Config.slots
+CAPACITY = {'processors': 8.0, 'memory_mb': 8000.0, 'accelerators': 0}
+
+
+class Platform(fakes.Recorder):
+    """Stand in for the adapters of the worker and the runner."""
+
+    def __init__(self, bench: fakes.Bench, effects: dict[str, float]) -> None:
+        super().__init__()
+        # Bench whose clock counts.
+        self.bench = bench
+        # Tasks of the emulated worker.
+        self.machine = worker_state.Machine(
+            CAPACITY, worker_state.Factors((1.0, 1.0), (1.0, 1.0)), 1.0, 1
+        )
+        # Slowdown of the service by the tasks.
+        self.noise = noise.Noise(effects, 0.5)
+        # Throttles that are lost on the way to the worker.
+        self.losing = 0
+        # Time and key of each stop, and each share that was set.
+        self.stops: list[tuple[float, str]] = []
+        self.shares: list[tuple[str, float]] = []
+        self._rng = random.Random(1)
+        self._active = 0
+
+    @property
+    def now(self) -> float:
+        """Return the time of the clock."""
+        return float(self.bench.clock.seconds())
+
+    def post(self, msg: typing.Any) -> bool:
+        """Carry out a command of the sidecar."""
+        handler = getattr(self, f'_on_{type(msg).__name__.lower()}', None)
+        if handler is not None:
+            handler(msg)
+        return True
+
+    def tell(self, msg: typing.Any) -> None:
+        """Answer the owner of the tasks."""
+        self.bench.ctx.directory.send(addresses.TASK_CONTROL, msg)
+
+    def step(self) -> None:
+        """Let the tasks run."""
+        self.machine.step(self.now, 0)
+        self.noise.observe(self.machine.cores(), self.now)
+
+    def measure(self) -> None:
+        """Report the lagging use."""
+        found = {'tasks': self.machine.usage(self.now)}
+        self.tell(worker.Measured(worker.infer_usages(found)))
+
+    def _on_start(self, cmd: actions.Start) -> None:
+        body = {
+            'epoch': cmd.holder[1],
+            'spec': codec.to_plain(cmd.spec),
+            'reserved': codec.to_plain(cmd.reserved),
+            'checkpoint': cmd.checkpoint,
+            'lease_s': 5.0,
+        }
+        self.machine.start(cmd.holder[0], body, self.now, 0)
+        self.tell(worker.StartEnded(cmd.holder, 'started'))
+
+    def _on_renew(self, cmd: actions.Renew) -> None:
+        self.machine.runs[cmd.holder[0]].lease_until = self.now + 5.0
+        self.tell(worker.RenewEnded(cmd.holder, 'renewed'))
+
+    def _on_throttle(self, cmd: actions.Throttle) -> None:
+        self.shares.append((cmd.holder[0], cmd.share))
+        if self.losing:
+            self.losing -= 1
+            return
+        self.machine.runs[cmd.holder[0]].speed = cmd.share
+
+    def _on_stop(self, cmd: actions.Stop) -> None:
+        self.stops.append((self.now, cmd.holder[0]))
+        self.machine.stop(self.machine.runs[cmd.holder[0]], self.now, 0)
+        self.tell(worker.StopEnded(cmd.holder, self._describe(cmd.holder)))
+
+    def _on_asklist(self, ask: actions.AskList) -> None:
+        runs = list(self.machine.runs.values())
+        listed = tuple(self._describe((r.task, r.epoch)) for r in runs)
+        self.tell(actions.Listing(ask.mark, 1, listed))
+
+    def _describe(self, holder: resources.Holder) -> actions.WorkerTask:
+        run = self.machine.runs[holder[0]]
+        found = worker.infer_task(
+            {
+                'task': run.task,
+                'epoch': run.epoch,
+                'state': run.state,
+                'spec': run.spec,
+                'reserved': run.reserved,
+                'checkpoint': run.checkpoint,
+                'share': run.speed,
+            }
+        )
+        assert found is not None
+        return found
+
+    def _on_askstatus(self, ask: runner.AskStatus) -> None:
+        status = runner.Status(frozenset())
+        self.bench.ctx.directory.send(ask.reply_to, status)
+
+    def _on_call(self, call: runner.Call) -> None:
+        # The other calls are the load that a call meets.
+        factor = self.noise.slowdown(self._active / SLOTS, self.now)
+        self._active += 1
+        delay = self._rng.expovariate(1.0 / (SERVICE_S * factor))
+        self.bench.clock.callLater(delay, self._end, call)
+
+    def _end(self, call: runner.Call) -> None:
+        self._active -= 1
+        reply = http_client.Reply(200, b'')
+        self.bench.ctx.directory.send(
+            call.reply_to, runner.CallEnded(call.attempt, reply)
+        )
+
+
+class Relay(fakes.Recorder):
+    """Record the measurements on their way to the interference task."""
+
+    def __init__(self, node: interference.Interference) -> None:
+        super().__init__()
+        # The interference task.
+        self.node = node
+
+    def post(self, msg: typing.Any) -> bool:
+        """Record and pass on a message."""
+        super().post(msg)
+        return self.node.post(msg)
+
+
+class World:
+    """Join the capacity tasks, an instance and a stream of requests."""
+
+    def __init__(
+        self, control: types.ControlSettings, effects: dict[str, float]
+    ) -> None:
+        # Clock and recorded messages.
+        self.bench = fakes.Bench(LINK, addresses.ANNOUNCER)
+        # The instance.
+        self.platform = Platform(self.bench, effects)
+        # Requests per second.
+        self.rate = 150
+        self._sent = 0
+        self._control = control
+        for address in (addresses.WORKER, addresses.RUNNER):
+            self.bench.ctx.directory.add(address, self.platform)
+        # The policy's task.
+        self.policy = interference.Interference(self.bench.ctx, 'policy')
+        self.policy.begin()
+        # Messages to the policy's task.
+        self.relay = Relay(self.policy)
+        self.bench.ctx.directory.add(addresses.INTERFERENCE, self.relay)
+        admission.Admission(self.bench.ctx, addresses.ADMISSION).begin()
+        self._owner = self._begin()
+
+    def restart(self) -> None:
+        """Start the owner of the tasks, as a new incarnation does."""
+        self._owner.end()
+        self._owner = self._begin()
+
+    def _begin(self) -> task_control.TaskControl:
+        control = addresses.TASK_CONTROL
+        owner = task_control.TaskControl(self.bench.ctx, control)
+        owner.begin()
+        for address in (control, addresses.INTERFERENCE):
+            self.bench.post(address, events.SettingsInForce(1, self._control))
+        self.bench.post(control, session.Opened(LINK, HELLO))
+        self.bench.post(control, events.AuthorityChanged(True, False, 1e9))
+        self.bench.post(control, worker.ControllerTaken(1))
+        return owner
+
+    def start(self, name: str, kind: str) -> None:
+        """Assign a task of two cores."""
+        demand = types.Demand(2.0, 10.0)
+        spec = types.TaskSpec(name, 'c', 'team', kind, demand)
+        self.send(messages.Assign(spec, 1, 'me'), addresses.TASK_CONTROL)
+
+    def send(self, msg: messages.Message, address: str) -> None:
+        """Deliver a message of an entry."""
+        event = session.Received(LINK, HELLO, msg)
+        assert self.bench.ctx.directory.send(address, event)
+
+    def run(self, seconds: int) -> None:
+        """Let time pass while requests arrive."""
+        for _ in range(seconds):
+            for _ in range(round(1.0 / STEP_S)):
+                for _ in range(round(self.rate * STEP_S)):
+                    self._sent += 1
+                    call = messages.Execute(
+                        f'a{self._sent}', 'c/r', 'svc', 2000, True, b''
+                    )
+                    self.send(call, addresses.ADMISSION)
+                self.bench.clock.advance(STEP_S)
+                self.platform.step()
+            self.platform.measure()
+            divide = admission.Divide((LINK,))
+            self.bench.post(addresses.ADMISSION, divide)
+            self.bench.nodes[LINK].got.clear()
+            self.bench.nodes[addresses.ANNOUNCER].got.clear()
+
+    def tails(self) -> list[float]:
+        """Return the measured tails in ms since the last call."""
+        return [m.p99_ms for m in self.relay.take(events.ServiceMeasured)]
+
+    def running(self) -> dict[str, float]:
+        """Return the share of each task that the worker runs."""
+        return {
+            run.task: run.speed
+            for run in self.platform.machine.runs.values()
+            if run.state == 'running'
+        }
--- a/tests/sidecar/test_interference_control.py
+++ b/tests/sidecar/test_interference_control.py
@@ -47,8 +47,8 @@
     (work,) = last_told(bench).tasks
     assert (work.task, work.kind, work.share) == ('c/a', 'kind', 1.0)
     bench.post(CONTROL, events.Throttle('c/a', 0.5))
-    (command,) = bench.nodes[addresses.WORKER].take(worker.Throttle)
-    assert command == worker.Throttle(('c/a', 1), 0.5)
+    (command,) = bench.nodes[addresses.WORKER].take(actions.Throttle)
+    assert command == actions.Throttle(('c/a', 1), 0.5)
     assert last_told(bench).tasks[0].share == 0.5
 
 
