Move a task that failed to other workers before it ends

A task that a worker reported as failed ended for good, so a worker that fails everything it starts destroyed tasks, and being always idle it drew more of them. A restartable task now moves, with the instance on which it failed in the moved record, until it has failed on three distinct workers; its end names them. The instances are in the log and in restated records, so all entries decide the end alike. A task that must not run again ends at once.

The health of the workers is computed from the results in the log. A worker in quarantine gets no task but probes, which are batch tasks that may run again; at most a third of the workers are in quarantine. The dump and the reason why a task waits show it. A task that failed on every worker that could hold it waits with that reason instead of ending, because the fleet that one entry knows may be incomplete. Counting reports instead of records was ruled out: reports are repeated and reach one entry only.

--- a/packages/core/src/kcr_core/homes.py
+++ b/packages/core/src/kcr_core/homes.py
@@ -6,6 +6,7 @@
 import random
 
 from kcr_core import fencing
+from kcr_core import health
 from kcr_core import ledger
 from kcr_core import placement
 from kcr_core import types
@@ -52,6 +53,8 @@
         self.rng = rng
         # Newest offer of each instance.
         self.offers: dict[str, Offer] = {}
+        # Health of the workers, as the results in the log tell it.
+        self.health = health.Health()
         # Demand of tasks whose append is under way, by key.
         self._promised: dict[str, tuple[str, types.Demand]] = {}
         self._rooms: dict[str, placement.Room] = {}
@@ -74,6 +77,7 @@
         self.offers.pop(instance, None)
         self._rooms.pop(instance, None)
         self._load.pop(instance, None)
+        self.health.forget(instance)
 
     def present(self, instance: str) -> fencing.Present | None:
         """Return the incarnation that an instance is known to have."""
@@ -99,6 +103,20 @@
                 self._load.pop(home.instance, None)
                 self._stale.add(home.instance)
 
+    def judge(self, change: ledger.Change, now: float) -> None:
+        """Note a result that the log tells of.
+
+        The health of the workers is local and only guides placement, so
+        entries may differ in it.
+        """
+        if change.before is None:
+            return
+        name, fleet = change.before.instance, len(self.offers)
+        if change.outcome == 'failed':
+            self.health.failed(name, change.key, 'task failed', fleet, now)
+        elif change.outcome == 'done':
+            self.health.succeeded(name, change.key, now)
+
     def reset(self) -> None:
         """Drop what was computed from the ledger before it was reset."""
         self._load.clear()
@@ -130,24 +148,51 @@
         policy: placement.Policy,
         spec: types.TaskSpec,
         now: float,
-        avoid: abc.Container[str] = (),
+        avoid: abc.Collection[str] = (),
     ) -> placement.Choice:
         """Return the home of a task, or why it has none."""
         rooms = self.rooms(now)
-        if avoid:
-            rooms = [
-                dataclasses.replace(room, open=False)
-                if room.home.instance in avoid
-                else room
-                for room in rooms
-            ]
+        task = self.state.live.get(spec.key)
+        failed_on = task.failed_on if task is not None else ()
+        closed = self._list_closed(spec, now).union(avoid, failed_on)
         spread = self.spread(spec.job)
+        choice: placement.Choice | None = None
         if len(rooms) > 2 * SAMPLE:
-            some = self.rng.sample(rooms, SAMPLE)
+            some = close_rooms(self.rng.sample(rooms, SAMPLE), closed)
             choice = placement.choose_home(policy, spec, some, spread)
-            if isinstance(choice, placement.Placed):
-                return choice
-        return placement.choose_home(policy, spec, rooms, spread)
+        if not isinstance(choice, placement.Placed):
+            rooms = close_rooms(rooms, closed)
+            choice = placement.choose_home(policy, spec, rooms, spread)
+        if isinstance(choice, placement.Placed):
+            if choice.home.instance in self.health.quarantined:
+                self.health.probing(choice.home.instance, now)
+        elif isinstance(choice, placement.NoRoom):
+            choice = self._explain_closed(choice, failed_on)
+        return choice
+
+    def _list_closed(self, spec: types.TaskSpec, now: float) -> set[str]:
+        """Return the workers in quarantine that must not get the task.
+
+        A probe may fail, so only a batch task that may run again is one.
+        """
+        if spec.urgent or not spec.restartable:
+            return set(self.health.quarantined)
+        return {
+            name
+            for name in self.health.quarantined
+            if self.health.access(name, now) == 'closed'
+        }
+
+    def _explain_closed(
+        self, choice: placement.NoRoom, failed_on: tuple[str, ...]
+    ) -> placement.NoRoom:
+        reason = choice.reason
+        if failed_on:
+            reason += f'; not on {", ".join(failed_on)}, where it failed'
+        if self.health.quarantined:
+            count = len(self.health.quarantined)
+            reason += f'; {count} workers in quarantine for failing tasks'
+        return placement.NoRoom(reason)
 
     def _refresh(self, instance: str, now: float) -> None:
         offer = self.offers.get(instance)
@@ -192,6 +237,20 @@
     return offer.home, offer.capacity, offer.free, offer.open
 
 
+def close_rooms(
+    rooms: list[placement.Room], closed: abc.Collection[str]
+) -> list[placement.Room]:
+    """Return the rooms with the named instances closed to new work."""
+    if not closed:
+        return rooms
+    return [
+        dataclasses.replace(room, open=False)
+        if room.home.instance in closed
+        else room
+        for room in rooms
+    ]
+
+
 def at_most(first: types.Demand, second: types.Demand) -> types.Demand:
     """Return the smaller quantity of each resource."""
     return types.Demand(
--- a/packages/core/src/kcr_core/ledger.py
+++ b/packages/core/src/kcr_core/ledger.py
@@ -45,6 +45,8 @@
     before: types.Home | None = None
     # Epoch before the record; 0 for a new task.
     epoch: int = 0
+    # Result at the home before: `done`, `failed`, or empty for none.
+    outcome: str = ''
 
 
 IGNORED = Change('ignored')
@@ -152,8 +154,10 @@
         task.written_ms = self._written(now_ms)
         step = live_task.Move(item.epoch, item.home, item.reason)
         task.history = (*history, step)[-HISTORY_LIMIT:]
+        task.failed_on = live_task.add_failed(task.failed_on, item.failed)
         self._place(item.task, task)
-        return Change('moved', item.task, before, epoch)
+        outcome = 'failed' if item.failed else ''
+        return Change('moved', item.task, before, epoch, outcome)
 
     def _finish(self, item: records.FinishedRecord) -> Change:
         task = self.live.get(item.task)
@@ -185,7 +189,7 @@
             oldest, _ = self.ended.popitem(last=False)
             self.revived.pop(oldest, None)
         effect: Effect = 'cancelled' if outcome == 'cancelled' else 'finished'
-        return Change(effect, key, task.home, task.epoch)
+        return Change(effect, key, task.home, task.epoch, outcome)
 
     def _restate(
         self, item: records.Restated, now: float, now_ms: int
--- a/packages/core/src/kcr_core/live_task.py
+++ b/packages/core/src/kcr_core/live_task.py
@@ -4,6 +4,7 @@
 import hashlib
 import sys
 
+from kcr_core import health
 from kcr_core import records
 from kcr_core import types
 
@@ -42,6 +43,8 @@
     since: float
     # Epochs so far, newest last; empty while only one is known.
     history: tuple[Move, ...] = ()
+    # Distinct instances on which it failed, oldest first.
+    failed_on: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +83,13 @@
     return task.history or (Move(task.epoch, task.home, task.reason),)
 
 
+def add_failed(hosts: tuple[str, ...], instance: str) -> tuple[str, ...]:
+    """Return distinct hosts with one more, bounded by the newest."""
+    if not instance or instance in hosts:
+        return hosts
+    return (*hosts, instance)[-health.BAD_WORK_HOSTS :]
+
+
 def share_names(spec: types.TaskSpec) -> types.TaskSpec:
     """Return the task with one copy of each name that many tasks have."""
     return dataclasses.replace(
@@ -102,6 +112,7 @@
         reason=item.reason,
         written_ms=written_ms,
         since=now,
+        failed_on=item.failed_on,
     )
 
 
@@ -125,4 +136,5 @@
         checkpoint=task.checkpoint,
         at_ms=task.at_ms,
         reason=task.reason,
+        failed_on=task.failed_on,
     )
--- a/packages/core/src/kcr_core/records.py
+++ b/packages/core/src/kcr_core/records.py
@@ -73,6 +73,8 @@
     checkpoint: str = ''
     # Why it moved or is parked.
     reason: str = ''
+    # Instance on which the task failed; empty if it moves for other reasons.
+    failed: str = ''
 
 
 @record('finished')
@@ -116,6 +118,8 @@
     at_ms: types.Count
     # Why it is parked; empty with a home.
     reason: str = ''
+    # Instances on which it failed.
+    failed_on: tuple[str, ...] = ()
 
 
 @record('fenced')
--- a/packages/core/src/kcr_core/task_moves.py
+++ b/packages/core/src/kcr_core/task_moves.py
@@ -111,7 +111,7 @@
         task: live_task.Live,
         reason: str,
         look: Look,
-        avoid: abc.Container[str] = (),
+        avoid: abc.Collection[str] = (),
     ) -> records.Moved | records.FinishedRecord:
         """Return the record that takes a task to another home, or parks it."""
         key, spec = task.spec.key, task.spec
@@ -134,7 +134,7 @@
         if urgent + self._seen >= len(order):
             self._seen = 0
         order[urgent : urgent + self._seen] = []
-        failed: list[tuple[types.Demand, str]] = []
+        failed: list[tuple[types.Demand | None, str]] = []
         found: list[append_queue.Entry] = []
         for task in order:
             if len(found) >= LOOK_LIMIT or len(failed) >= SCAN_LIMIT:
@@ -150,18 +150,20 @@
         self,
         task: live_task.Live,
         look: Look,
-        failed: list[tuple[types.Demand, str]],
+        failed: list[tuple[types.Demand | None, str]],
         found: list[append_queue.Entry],
     ) -> None:
         key, spec = task.spec.key, task.spec
         # What needs at least as much as a task without room has none either.
         for demand, reason in failed:
-            if demand.fits(spec.demand):
+            if demand is not None and demand.fits(spec.demand):
                 self.why[key] = reason
                 return
         choice = self.places.choose(look.policy, spec, look.now)
         if not isinstance(choice, placement.Placed):
-            failed.append((spec.demand, choice.reason))
+            # Others may run where this task failed.
+            known = None if task.failed_on else spec.demand
+            failed.append((known, choice.reason))
             self.why[key] = choice.reason
             self.turns.forget(key)
             return
--- a/packages/entry/src/kcr_entry/work/reports.py
+++ b/packages/entry/src/kcr_entry/work/reports.py
@@ -11,6 +11,7 @@
 from kcr_core import messages
 from kcr_core import placement
 from kcr_core import records
+from kcr_core import work_failures
 from kcr_runtime.wire import session
 
 if typing.TYPE_CHECKING:
@@ -109,34 +110,47 @@
         if msg.task in owner.queue.busy:
             return
         item: typing.Any
-        if isinstance(msg, messages.Finished):
+        if isinstance(msg, messages.Evicted):
+            item = self._make_moved(
+                task, instance, f'evicted: {msg.reason}', msg.checkpoint
+            )
+        elif msg.outcome == 'failed':
+            item = work_failures.choose_end(task, instance, msg.detail)
+            if item is None:
+                detail = msg.detail[: ledger.DETAIL_LIMIT]
+                reason = f'failed on {instance}: {detail}'
+                item = self._make_moved(task, instance, reason, '', instance)
+        else:
             detail = msg.detail[: ledger.DETAIL_LIMIT]
             item = records.FinishedRecord(
                 msg.task, msg.epoch, msg.outcome, detail
             )
-        else:
-            item = self._make_moved(task, msg, instance)
         if not owner.append(msg.task, item, task.spec.urgent):
             owner.places.settle(msg.task)
 
     def _make_moved(
-        self, task: live_task.Live, msg: messages.Evicted, instance: str
+        self,
+        task: live_task.Live,
+        instance: str,
+        reason: str,
+        checkpoint: str,
+        failed: str = '',
     ) -> records.Moved:
         """Return the record of a task that has stopped for good."""
         owner = self.owner
-        look = owner.look()
-        reason = f'evicted: {msg.reason}'
+        look, key = owner.look(), task.spec.key
         choice = owner.places.choose(
             look.policy, task.spec, look.now, (instance,)
         )
         home = None
         if isinstance(choice, placement.Placed):
             home = choice.home
-            owner.places.promise(msg.task, home.instance, task.spec.demand)
+            owner.places.promise(key, home.instance, task.spec.demand)
         else:
             reason = f'{reason}; {choice.reason}'
-        checkpoint = msg.checkpoint
         if len(checkpoint) > CHECKPOINT_LIMIT:
             owner.ctx.metrics.count('checkpoint_too_large')
             checkpoint = ''
-        return records.Moved(msg.task, msg.epoch + 1, home, checkpoint, reason)
+        return records.Moved(
+            key, task.epoch + 1, home, checkpoint, reason, failed
+        )
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -123,6 +123,7 @@
             'log_age_s': None if age is None else round(age, 3),
             'appends_under_way': len(self.queue.under_way),
             'items_waiting': len(self.queue.waiting),
+            'workers': self.places.health.dump(),
             **self.asked.dump(),
         }
 
@@ -216,6 +217,7 @@
         self.places.follow(change)
         self.mover.follow(change)
         if self.caught_up:
+            self.places.judge(change, self.now())
             self.orders.follow(change)
             self._start_orders()
         self.reports.follow(change)
