--- a/packages/emulator/src/kcr_emulator/worker.py
+++ b/packages/emulator/src/kcr_emulator/worker.py
@@ -201,6 +201,7 @@
         return json.dumps(
             {
                 'starts': dict(machine.starts),
+                'resumed': machine.resumed,
                 'overcommitted': machine.overcommitted,
                 'overgranted': machine.overgranted,
                 'refused': self.refused,
--- a/packages/emulator/src/kcr_emulator/worker_state.py
+++ b/packages/emulator/src/kcr_emulator/worker_state.py
@@ -83,6 +83,8 @@
         self.runs: dict[str, Run] = {}
         # Starts by task and epoch.
         self.starts: collections.Counter[str] = collections.Counter()
+        # Checkpoint that each task and epoch was started from.
+        self.resumed: dict[str, str] = {}
         # Moments at which real sizes exceeded the capacity.
         self.overcommitted = 0
         # Moments at which reservations exceeded the capacity.
@@ -106,6 +108,7 @@
         run = self._make(task, epoch, body, now)
         self.runs[task] = run
         self.starts[f'{task}:{epoch}'] += 1
+        self.resumed[f'{task}:{epoch}'] = str(body['checkpoint'])
         self.intervals.setdefault(task, []).append([epoch, unix_ms, 0])
         self._count()
         return 200, 'started'
