--- a/packages/emulator/src/kcr_emulator/capacity_actors.py
+++ b/packages/emulator/src/kcr_emulator/capacity_actors.py
@@ -105,7 +105,7 @@
     world = capacity_world.World(1, 2)
     rates = rest_rates(world)
     before = {host.name: host.cpu_s for host in world.net.hosts}
-    began, appends = world.net.now, count_appends(world, 'claims.')
+    began, appends = world.net.now, count_appends(world, 'claims')
     got: list[typing.Any] = []
     for number in range(REQUESTS):
         body = make_request(number, idempotent)
@@ -115,7 +115,7 @@
     done = sum(b'"done"' in reply.body for reply in got)
     assert done == REQUESTS, f'{done} of {REQUESTS} were answered'
     spent = subtract_rest(world, before, rates, world.net.now - began)
-    appended = count_appends(world, 'claims.') - appends
+    appended = count_appends(world, 'claims') - appends
     return {
         'entry, us': spent['entry-0'] / REQUESTS * 1e6,
         'sidecar, us': (spent['sidecar-0'] + spent['sidecar-1'])
--- a/tests/emulator/test_capacity_world.py
+++ b/tests/emulator/test_capacity_world.py
@@ -40,4 +40,4 @@
     assert state['records'] == {'accepted': 1, 'finished': 1}
     for tag in ('heartbeat', 'heartbeat_ack', 'execute', 'finished'):
         assert recorder.sent[tag], f'no {tag} was sent'
-    assert capacity_actors.count_appends(world, 'claims.') == 1
+    assert capacity_actors.count_appends(world, 'claims') == 1
--- a/tests/sidecar/interference_world.py
+++ b/tests/sidecar/interference_world.py
@@ -129,7 +129,7 @@
         return found
 
     def _on_askstatus(self, ask: runner.AskStatus) -> None:
-        status = runner.Status(frozenset())
+        status = runner.Status(frozenset(), ask.number)
         self.bench.ctx.directory.send(ask.reply_to, status)
 
     def _on_call(self, call: runner.Call) -> None:
