Vouch for no unread list, and ask again for a start that was not heard

- A new incarnation that runs tasks of a fenced older one is fenced while the wait lasts.
Before its worker's list was read it was vouched for, so it could adopt tasks that other entries were about to move.
It now gets no fresh vouch until its state lists the tasks, and is no home for new work until then.
- Nothing was moved because of a state with controller epoch 0; this held.
- An eviction of a cancelled task was acknowledged; this held.
- A stopping entry fenced as before; it now stops watching when it drains.
- A start was reported to one entry only, and a lost message left the answer of an entry wrong for ever.
Starts and waits go to every entry that assigned the epoch, a full state is taken into the answers, and an entry that is asked for a task not known to run assigns it again, at most every 2 s.
A periodic summary was ruled out because it costs bytes of every daemon.

--- a/packages/core/src/kcr_core/task_dispatch.py
+++ b/packages/core/src/kcr_core/task_dispatch.py
@@ -102,6 +102,13 @@
             else:
                 line.stop[order.task] = order.epoch
 
+    def repeat(self, key: str) -> None:
+        """Queue the assignment of a live task again."""
+        task = self.state.live[key]
+        line = self.lines.get(task.home.instance) if task.home else None
+        if line is not None:
+            self._assign(line, key)
+
     def take(self) -> list[tuple[str, Order]]:
         """Return the orders of this tick with their sessions."""
         orders: list[tuple[str, Order]] = []
--- a/packages/entry/src/kcr_entry/events.py
+++ b/packages/entry/src/kcr_entry/events.py
@@ -139,6 +139,11 @@
     instance: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stopping:
+    """Tell that this entry is stopping and must fence nothing more."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeersChanged:
     """Report the other entries of the region that are connected."""
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -16,6 +16,7 @@
 from kcr_core import outcomes
 from kcr_entry import addresses
 from kcr_entry.configuration import questions
+from kcr_entry import events
 from kcr_entry.front import models
 from kcr_entry.front import operator_routes
 from kcr_entry.front import replies
@@ -94,6 +95,7 @@
     @task.handles(Drain)
     def _on_drain(self, msg: Drain) -> None:
         self._draining = True
+        self.send(addresses.FENCES, events.Stopping())
         self.after(BALANCER_S, _CloseListener())
 
     @task.handles(questions.ReadyChanged)
--- a/packages/entry/src/kcr_entry/work/fences.py
+++ b/packages/entry/src/kcr_entry/work/fences.py
@@ -28,6 +28,7 @@
         self._watch = fencing.Watch(self.settings, self.now())
         self._view = events.HomesChanged(frozenset(), {}, False)
         self._peers: dict[str, str] = {}
+        self._stopping = False
 
     def started(self) -> None:
         """Start the timer."""
@@ -41,8 +42,14 @@
             'fences_in_s': round(max(0.0, left), 3),
             'homes': len(self._view.homes),
             'peers': len(self._peers),
+            'stopping': self._stopping,
         }
 
+    @task.handles(events.Stopping)
+    def _on_stopping(self, event: events.Stopping) -> None:
+        # Sidecars leave a stopping entry, which then hears of nobody.
+        self._stopping = True
+
     @task.handles(events.SettingsInForce)
     def _on_settings(self, event: events.SettingsInForce) -> None:
         self._watch.settings = event.settings
@@ -73,6 +80,8 @@
 
     @task.handles(_Step)
     def _on_step(self, msg: _Step) -> None:
+        if self._stopping:
+            return
         self.after(STEP_S, _Step())
         view = self._view
         for action in self._watch.step(
--- a/packages/entry/src/kcr_entry/work/offers.py
+++ b/packages/entry/src/kcr_entry/work/offers.py
@@ -28,11 +28,32 @@
         place=event.place,
         capacity=event.state.capacity.resources,
         free=event.free,
-        open=event.phase == 'up',
+        open=event.phase == 'up' and is_rebuilt(event),
         running=list_running(event),
     )
 
 
+def is_rebuilt(event: events.EndpointSeen) -> bool:
+    """Tell whether the sidecar has read the list of its worker."""
+    return event.state is not None and event.state.controller_epoch > 0
+
+
+def is_new_session(
+    held: events.EndpointSeen | None, event: events.EndpointSeen
+) -> bool:
+    """Tell whether a sidecar has connected since it was last seen."""
+    return (
+        held is None or held.session != event.session or held.phase == 'gone'
+    )
+
+
+def is_new_state(
+    held: events.EndpointSeen | None, event: events.EndpointSeen
+) -> bool:
+    """Tell whether a sidecar has announced its state again."""
+    return held is None or held.state is not event.state
+
+
 def infer_key(item: typing.Any) -> str:
     """Return the key of a record that is written again."""
     if isinstance(item, records.Restated):
--- a/packages/entry/src/kcr_entry/work/reports.py
+++ b/packages/entry/src/kcr_entry/work/reports.py
@@ -23,6 +23,9 @@
 # Characters of a checkpoint name; a task with a longer one resumes from its
 # last recorded checkpoint, because a record of the log is bounded.
 CHECKPOINT_LIMIT = 16_384
+# Time after which a home is asked again for an epoch that is not known to
+# run, in seconds: a message that a task started may be lost.
+ASK_AGAIN_S = 2.0
 
 
 class Reports:
@@ -35,12 +38,28 @@
         self._notes: dict[str, tuple[int, str]] = {}
         # Session and epoch of the report that waits for each task.
         self._waiting: dict[str, tuple[str, int]] = {}
+        # Time at which the home of a task was last asked about it.
+        self._asked: dict[str, float] = {}
 
     def find_note(self, key: str, epoch: int) -> str | None:
         """Return why an epoch waits, empty if it runs, none if not known."""
         note = self._notes.get(key)
         return note[1] if note is not None and note[0] == epoch else None
 
+    def ask_again(self, key: str) -> None:
+        """Assign an epoch again, so that its home says whether it runs."""
+        now = self.owner.now()
+        # A home that got the epoch just now is still going to answer.
+        asked = self._asked.get(key, self.owner.state.live[key].since)
+        if now - asked < ASK_AGAIN_S:
+            return
+        self._asked.pop(key, None)
+        self._asked[key] = now
+        if len(self._asked) > WAITING_LIMIT:
+            del self._asked[next(iter(self._asked))]
+        self.owner.orders.repeat(key)
+        self.owner.start_orders()
+
     def follow(self, change: ledger.Change) -> None:
         """Acknowledge the report that a record settles."""
         key = change.key
@@ -51,11 +70,14 @@
         if held is not None:
             self._acknowledge(held[0], key, held[1])
 
-    def count_unknown(self, running: frozenset[tuple[str, int]]) -> None:
-        """Note running tasks without a record; they are left to run."""
+    def note_running(self, running: frozenset[tuple[str, int]]) -> None:
+        """Note running tasks; those without a record are left to run."""
         state = self.owner.state
-        for key, _ in running:
-            if key not in state.live and key not in state.ended:
+        for key, epoch in running:
+            task = state.live.get(key)
+            if task is not None and task.epoch == epoch:
+                self._notes[key] = (epoch, '')
+            elif key not in state.live and key not in state.ended:
                 self.owner.ctx.metrics.count('running_task_unknown')
                 self.owner.log.warning('task has no record', key=key)
 
--- a/packages/entry/src/kcr_entry/work/submissions.py
+++ b/packages/entry/src/kcr_entry/work/submissions.py
@@ -289,8 +289,11 @@
             text = f'instance {home.instance} is lost; moves in {left:.0f} s'
             return 'assigned', text
         note = owner.reports.find_note(key, task.epoch)
-        if note is not None:
-            return ('assigned', note) if note else ('running', '')
+        if note == '':
+            return 'running', ''
+        owner.reports.ask_again(key)
+        if note:
+            return 'assigned', note
         if home.instance not in owner.orders.lines:
             return 'assigned', f'{home.instance} is not connected here'
         return 'assigned', f'{home.instance} has not reported a start here'
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -219,7 +219,7 @@
         if self.caught_up:
             self.places.judge(change, self.now())
             self.orders.follow(change)
-            self._start_orders()
+            self.start_orders()
         self.reports.follow(change)
         self.asked.follow(change)
 
@@ -230,7 +230,8 @@
         cleared = set()
         for instance in instances:
             seen = self._seen.get(instance)
-            if seen is None or seen.state is None:
+            # A state before the worker's list was read tells of no task.
+            if seen is None or not offers.is_rebuilt(seen):
                 continue
             running = offers.list_running(seen)
             if fencing.is_fenced(seen.name, running, self.state):
@@ -253,12 +254,10 @@
         self.places.offer(offers.make_offer(event))
         if event.phase == 'gone':
             self.orders.disconnect(instance, event.session)
-        elif self.caught_up and (
-            held is None
-            or held.session != event.session
-            or held.phase == 'gone'
-        ):
+        elif self.caught_up and offers.is_new_session(held, event):
             self._connect(event)
+        elif self.caught_up and offers.is_new_state(held, event):
+            self.reports.note_running(offers.list_running(event))
 
     @task.handles(events.EndpointForgotten)
     def _on_forgotten(self, event: events.EndpointForgotten) -> None:
@@ -270,16 +269,17 @@
             return
         self.mover.watched.add(event.place.instance)
         running = offers.list_running(event)
-        self.reports.count_unknown(running)
+        self.reports.note_running(running)
         self.orders.connect(
             event.place.instance,
             event.incarnation,
             event.session,
             running,
         )
-        self._start_orders()
+        self.start_orders()
 
-    def _start_orders(self) -> None:
+    def start_orders(self) -> None:
+        """Send the queued orders soon."""
         if not self._ordering:
             self._ordering = True
             self.after(ORDER_S, _Order())
@@ -293,13 +293,13 @@
                 self.ctx.metrics.count('order_not_sent')
             self.ctx.metrics.count('order', kind=type(order).__name__)
         if orders:
-            self._start_orders()
+            self.start_orders()
 
     @task.handles(session.SendRefused)
     def _on_send_refused(self, event: session.SendRefused) -> None:
         if isinstance(event.msg, messages.Assign | messages.StopTask):
             self.orders.again(event.session, event.msg)
-            self._start_orders()
+            self.start_orders()
 
     @task.handles(session.Opened)
     @task.handles(session.Closed)
--- a/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
@@ -49,7 +49,8 @@
             ctx.incarnation, resources_here, types.ControlSettings()
         )
         self._sessions: list[str] = []
-        self._senders: dict[resources.Holder, str] = {}
+        # Sessions that assigned each epoch; at most one per open session.
+        self._senders: dict[resources.Holder, dict[str, None]] = {}
         self._counted: collections.Counter[str] = collections.Counter()
         self._load: TasksLoad | None = None
         self._told: events.TasksRunning | None = None
@@ -92,6 +93,8 @@
     def _on_closed(self, event: session.Closed) -> None:
         if event.session in self._sessions:
             self._sessions.remove(event.session)
+            for senders in self._senders.values():
+                senders.pop(event.session, None)
 
     @task.handles(session.DialFailed)
     def _on_dial_failed(self, event: session.DialFailed) -> None:
@@ -105,7 +108,8 @@
     def _on_received(self, event: session.Received) -> None:
         msg, now = event.msg, self.now()
         if isinstance(msg, messages.Assign):
-            self._senders[msg.spec.key, msg.epoch] = event.session
+            senders = self._senders.setdefault((msg.spec.key, msg.epoch), {})
+            senders[event.session] = None
             self._control.assign(msg, now)
         elif isinstance(msg, messages.StopTask):
             self._control.stop_task(msg, now)
@@ -216,11 +220,15 @@
     def _report(self, msg: messages.Message) -> None:
         if not self._sessions:
             return
-        name = self._senders.pop((msg.task, msg.epoch), '')
-        if name not in self._sessions:
+        holder = (msg.task, msg.epoch)
+        if isinstance(msg, messages.Started | messages.TaskWait):
+            # Every entry that assigned the epoch answers callers about it.
+            names = list(self._senders.get(holder, ()))
+        else:
             # A repeated report may reach another entry than the first one.
-            name = self.ctx.rng.choice(self._sessions)
-        self.send(name, session.Send(msg))
+            names = list(self._senders.pop(holder, ()))[-1:]
+        for name in names or [self.ctx.rng.choice(self._sessions)]:
+            self.send(name, session.Send(msg))
 
     def _announce(self) -> None:
         control = self._control
--- a/tests/entry/task_world.py
+++ b/tests/entry/task_world.py
@@ -107,6 +107,7 @@
         name: str,
         life: int = 1,
         running: tuple[types.RunningTask, ...] = (),
+        listed: bool = True,
     ) -> None:
         # Entry that it is connected to.
         self.entry = entry
@@ -122,10 +123,7 @@
             entry.ctx.directory.send(
                 target, session.Opened(self.address, self.hello)
             )
-        room = types.Demand(4.0, 100.0, 0)
-        capacity = types.Capacity(8, 64, room)
-        state = messages.EndpointState('svc', capacity, life, running)
-        self.report(addresses.MEMBERSHIP, state)
+        self.announce(life if listed else 0, running)
         self.beat()
         # The state reaches the owner of the ledger by way of membership.
         entry.world.run(0.05)
@@ -135,6 +133,15 @@
         event = session.Received(self.address, self.hello, msg)
         assert self.entry.ctx.directory.send(target, event)
 
+    def announce(
+        self, epoch: int, running: tuple[types.RunningTask, ...]
+    ) -> None:
+        """Send the full state; epoch 0 before the worker's list was read."""
+        room = types.Demand(4.0, 100.0, 0)
+        capacity = types.Capacity(8, 64, room)
+        state = messages.EndpointState('svc', capacity, epoch, running)
+        self.report(addresses.MEMBERSHIP, state)
+
     def beat(self, free: types.Demand | None = None) -> None:
         """Send a heartbeat."""
         self._seq += 1
--- a/tests/sidecar/test_interference_control.py
+++ b/tests/sidecar/test_interference_control.py
@@ -1,5 +1,7 @@
 """Check that the owner of the tasks follows the interference task."""
 
+import dataclasses
+
 import fakes
 
 from kcr_core import messages
@@ -67,3 +69,20 @@
     settings = types.ControlSettings()
     bench.post(CONTROL, events.SettingsInForce(1, settings))
     assert len(last_told(bench).tasks) == 1
+
+
+def test_start_is_reported_to_every_entry_that_assigned() -> None:
+    """Guard against entries that never hear of a start."""
+    bench = make()
+    second = 'links/sessions/127.0.0.1:2'
+    node = bench.nodes[second] = fakes.Recorder()
+    bench.ctx.directory.add(second, node)
+    bench.post(CONTROL, session.Opened(second, HELLO))
+    spec = dataclasses.replace(SPEC, task_id='b')
+    for name in (LINK, second):
+        assign = messages.Assign(spec, 1, 'me')
+        bench.post(CONTROL, session.Received(name, HELLO, assign))
+    bench.post(CONTROL, worker.StartEnded(('c/b', 1), 'started'))
+    for name in (LINK, second):
+        sent = [m.msg for m in bench.nodes[name].take(session.Send)]
+        assert messages.Started('c/b', 1) in sent
