Keep running tasks when the log goes down or an entry starts meanwhile

A sidecar lost its authority for a moment and stopped all tasks in two cases. First, in every outage of the log that outlasted the isolation limit: a vouch with a fresh view counts from the time of the view, so the last of them ended exactly when the entries began to vouch without a fresh view (announcer dump of a real sidecar: not authorized 5.25 s after the outage began, authorized again 0.11 s later, tasks stopped). Entries now treat a view as fresh up to half of the isolation limit. Second, when an entry process connected during the outage: it counted as never vouched until its first answer.

--- a/packages/core/src/kcr_core/authority.py
+++ b/packages/core/src/kcr_core/authority.py
@@ -38,13 +38,20 @@
         """Note the process at an address; return False at the bound.
 
         A new process at an address proves that the older one there is dead.
+        Until its first vouch the new one counts as vouched when the least of
+        the others was: its arrival neither ends nor prolongs the authority.
         """
         held = self._entries.get(target)
         if held is not None and held.incarnation == incarnation:
             return True
         if held is None and len(self._entries) >= MAX_ENTRIES:
             return False
-        self._entries[target] = _Entry(incarnation)
+        others = [
+            e.vouched_at for t, e in self._entries.items() if t != target
+        ]
+        if held is not None and not others:
+            others = [held.vouched_at]
+        self._entries[target] = _Entry(incarnation, min(others, default=NEVER))
         return True
 
     def refused(self, target: str) -> None:
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -15,7 +15,11 @@
 # Time after which an instance that is gone is dropped, in seconds. 770
 # instances are replaced a day, so about 32 are kept after they are gone.
 FORGET_S = 3600.0
-
+# Age of the view of the log, as a share of the isolation limit, up to which a
+# vouch says how old the view is. Such a vouch counts from the time of the
+# view, so all of them end at the isolation limit; the vouches of the second
+# case must have arrived by then, or every outage of the log stops all tasks.
+FRESH_SHARE = 0.5
 
 # Largest time between looks at the attempts that wait for a grant, in seconds.
 LOOK_S = 0.05
@@ -208,7 +212,7 @@
         if name[0] in view.instances and name not in view.cleared:
             return False, -1
         age_s = self.now() - view.asked_at
-        if age_s > self.settings.isolation_s:
+        if age_s > self.settings.isolation_s * FRESH_SHARE:
             return False, -1
         return False, int(age_s * 1000)
 
--- a/tests/core/test_authority.py
+++ b/tests/core/test_authority.py
@@ -70,3 +70,17 @@
     owner.opened('a', 'new')
     owner.vouched('a', 'inc-a', 130.0, -1, False)
     assert not owner.is_authorized(130.5)
+
+
+def test_new_entry_in_an_outage_neither_ends_nor_prolongs_authority() -> None:
+    """Guard against an entry whose start in an outage stops all tasks."""
+    owner = make('a')
+    owner.vouched('a', 'inc-a', 100.0, 0, False)
+    owner.vouched('a', 'inc-a', 120.0, -1, False)
+    owner.opened('b', 'inc-b')
+    assert owner.is_authorized(129.9)
+    owner.vouched('a', 'inc-a', 128.0, -1, False)
+    assert not owner.is_authorized(130.0)
+    owner.vouched('b', 'inc-b', 129.0, -1, False)
+    assert owner.is_authorized(137.9)
+    assert not owner.is_authorized(138.0)
