Prefer homes whose sidecar has room for what it will reserve

An entry places by declared sizes, while a sidecar reserves a kind that was never measured at the size factor of the settings, so a task could be sent to a home where it waits although another has room. The spread policy now prefers an instance whose heartbeat leaves room for the declared size times the factor, with recently placed tasks counted at that size too. It is no filter, because a measured kind needs less.

--- a/packages/core/src/kcr_core/homes.py
+++ b/packages/core/src/kcr_core/homes.py
@@ -53,6 +53,8 @@
         self.rng = rng
         # Newest offer of each instance.
         self.offers: dict[str, Offer] = {}
+        # Factor on the declared size of kinds that were never measured.
+        self.size_factor = types.ControlSettings().unknown_size_factor
         # Health of the workers, as the results in the log tell it.
         self.health = health.Health()
         # Demand of tasks whose append is under way, by key.
@@ -117,6 +119,12 @@
         elif change.outcome == 'done':
             self.health.succeeded(name, change.key, now)
 
+    def set_size_factor(self, factor: float) -> None:
+        """Follow the settings in force."""
+        if factor != self.size_factor:
+            self.size_factor = factor
+            self._stale.update(self.offers)
+
     def reset(self) -> None:
         """Drop what was computed from the ledger before it was reset."""
         self._load.clear()
@@ -141,7 +149,7 @@
                 zone, rack = held.place.zone, held.place.rack
                 zones[zone] = zones.get(zone, 0) + 1
                 racks[zone, rack] = racks.get((zone, rack), 0) + 1
-        return placement.JobSpread(zones, racks)
+        return placement.JobSpread(zones, racks, self.size_factor)
 
     def choose(
         self,
@@ -210,8 +218,11 @@
                 declared = declared.plus(demand)
                 recent = recent.plus(demand)
         free = offer.capacity.minus(declared)
+        spare = None
         if offer.free is not None:
             free = at_most(free, offer.free.minus(recent))
+            factor = max(1.0, self.size_factor)
+            spare = offer.free.minus(recent.scaled(factor))
         fenced = (instance, offer.home.incarnation) in self.state.fences
         self._rooms[instance] = placement.Room(
             home=offer.home,
@@ -219,6 +230,7 @@
             capacity=offer.capacity,
             free=free,
             open=offer.open and not fenced,
+            spare=spare,
         )
 
     def _infer_load(self, instance: str, now: float) -> '_Load':
--- a/packages/core/src/kcr_core/placement.py
+++ b/packages/core/src/kcr_core/placement.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from kcr_core import registry
+from kcr_core import sizes
 from kcr_core import types
 
 
@@ -21,6 +22,9 @@
     free: types.Demand
     # Whether the instance may get new work now.
     open: bool = True
+    # What its sidecar has left, if it reserves recent tasks at full size;
+    # none when that is not known.
+    spare: types.Demand | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,6 +35,8 @@
     zones: abc.Mapping[str, int]
     # Tasks by zone and rack.
     racks: abc.Mapping[tuple[str, str], int]
+    # Factor by which a home reserves more than an unmeasured kind declares.
+    size_factor: float = 1.0
 
 
 NO_SPREAD = JobSpread({}, {})
@@ -81,22 +87,35 @@
 ) -> Room | None:
     """Choose the least loaded instance; spread a job over racks and zones.
 
-    Instances with accelerators are kept for tasks that need them.
+    Instances with accelerators are kept for tasks that need them. After that,
+    an instance is preferred whose sidecar has room for what it will reserve.
     """
+    wanted = spec.demand.scaled(max(1.0, spread.size_factor))
 
-    def rank(room: Room) -> tuple[bool, int, int, float, str]:
+    def rank(room: Room) -> tuple[bool, int, int, bool, float, str]:
         zone, rack = room.place.zone, room.place.rack
         wasted = (
             spec.demand.accelerators == 0 and room.capacity.accelerators > 0
         )
         in_zone = spread.zones.get(zone, 0) if spec.job else 0
         in_rack = spread.racks.get((zone, rack), 0) if spec.job else 0
+        waits = is_short(room, wanted)
         load = infer_load(room, spec.demand)
-        return wasted, in_zone, in_rack, load, room.place.instance
+        return wasted, in_zone, in_rack, waits, load, room.place.instance
 
     return min(rooms, key=rank, default=None)
 
 
+def is_short(room: Room, wanted: types.Demand) -> bool:
+    """Tell whether the sidecar would let a task wait for its reservation.
+
+    It reserves no more than the instance has.
+    """
+    if room.spare is None:
+        return False
+    return not sizes.limit_to(wanted, room.capacity).fits(room.spare)
+
+
 def infer_load(room: Room, demand: types.Demand) -> float:
     """Return the highest share of a resource in use with the task."""
     left = room.free.minus(demand)
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -153,6 +153,7 @@
     @task.handles(events.SettingsInForce)
     def _on_settings(self, event: events.SettingsInForce) -> None:
         self.quotas = dict(event.quotas)
+        self.places.set_size_factor(event.settings.unknown_size_factor)
         for target in (addresses.FENCES, addresses.PEERS):
             self.send(target, event)
         wanted = event.settings.placement_policy
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -85,6 +85,43 @@
     assert isinstance(places.choose(policy, spec, 0.0), placement.Placed)
 
 
+def test_size_factor_follows_the_settings() -> None:
+    """Guard against a preference that ignores the document in force."""
+    rooms = {
+        'a': ['z/r', '16,100,0', '8,100,0'],
+        'b': ['z/r', '6,100,0', '5,100,0'],
+    }
+    places = make_homes({'rooms': rooms})
+    spec = types.TaskSpec('t', 'c', 'x', 'k', types.Demand(3.0))
+    policy = placement.POLICIES.get('spread')
+    found = {}
+    for factor in (2.0, 1.0):
+        places.set_size_factor(factor)
+        choice = places.choose(policy, spec, 0.0)
+        assert isinstance(choice, placement.Placed)
+        found[factor] = choice.home.instance
+    assert found == {2.0: 'a', 1.0: 'b'}
+
+
+def test_recent_tasks_count_at_the_size_that_is_reserved() -> None:
+    """Guard against a wave that fills a home before its next heartbeat."""
+    rooms = {
+        'a': ['z/r', '16,100,0', '8,100,0'],
+        'b': ['z/r', '64,100,0', '9,100,0'],
+    }
+    places = make_homes({'rooms': rooms})
+    policy = placement.POLICIES.get('spread')
+    demand = types.Demand(2.0)
+    homes_in_order = []
+    for number in range(4):
+        spec = types.TaskSpec(f't{number}', 'c', 'x', 'k', demand)
+        choice = places.choose(policy, spec, 0.0)
+        assert isinstance(choice, placement.Placed)
+        places.promise(spec.key, choice.home.instance, demand)
+        homes_in_order.append(choice.home.instance)
+    assert homes_in_order == ['a', 'a', 'b', 'b']
+
+
 QUOTAS = {'x': types.Demand(4.0, 100.0, 1)}
 
 
