Tell every entry that a task has started

A sidecar reported a start only to the entry whose assignment came last, and an adopted task to none, so the other entries went on to say 'assigned: instance-0 has not reported a start here' for a task that ran. With two entries and six tasks this held for two of the six, and after an eviction and a lost instance for four of six (state read at both entries, with the place read from the workers). Ruled out: the ledger, whose epoch and home were right at both entries, and a lost message.

A start or a wait is now reported to each session that assigned the epoch, at most one per connected entry, and an entry takes the running tasks of the full state as started. tests/processes/test_lost_home.py timed out after 60 s before and passes now.

--- a/packages/entry/src/kcr_entry/work/reports.py
+++ b/packages/entry/src/kcr_entry/work/reports.py
@@ -50,11 +50,14 @@
         if held is not None:
             self._acknowledge(held[0], key, held[1])
 
-    def count_unknown(self, running: frozenset[tuple[str, int]]) -> None:
-        """Note running tasks without a record; they are left to run."""
+    def take_running(self, running: frozenset[tuple[str, int]]) -> None:
+        """Note running tasks; those without a record are left to run."""
         state = self.owner.state
-        for key, _ in running:
-            if key not in state.live and key not in state.ended:
+        for key, epoch in running:
+            task = state.live.get(key)
+            if task is not None and task.epoch == epoch:
+                self._notes[key] = (epoch, '')
+            elif task is None and key not in state.ended:
                 self.owner.ctx.metrics.count('running_task_unknown')
                 self.owner.log.warning('task has no record', key=key)
 
--- a/packages/entry/src/kcr_entry/work/tasks.py
+++ b/packages/entry/src/kcr_entry/work/tasks.py
@@ -268,7 +268,7 @@
             return
         self.mover.watched.add(event.place.instance)
         running = offers.list_running(event)
-        self.reports.count_unknown(running)
+        self.reports.take_running(running)
         self.orders.connect(
             event.place.instance,
             event.incarnation,
--- a/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
@@ -59,7 +59,8 @@
             ctx.incarnation, resources_here, types.ControlSettings()
         )
         self._sessions: list[str] = []
-        self._senders: dict[resources.Holder, str] = {}
+        # Sessions that assigned an epoch and were not told of its start.
+        self._senders: dict[resources.Holder, list[str]] = {}
         self._counted: collections.Counter[str] = collections.Counter()
         self._load: TasksLoad | None = None
 
@@ -114,7 +115,10 @@
     def _on_received(self, event: session.Received) -> None:
         msg, now = event.msg, self.now()
         if isinstance(msg, messages.Assign):
-            self._senders[msg.spec.key, msg.epoch] = event.session
+            holder = (msg.spec.key, msg.epoch)
+            senders = self._senders.setdefault(holder, [])
+            if event.session not in senders:
+                senders.append(event.session)
             self._control.assign(msg, now)
         elif isinstance(msg, messages.StopTask):
             self._control.stop_task(msg, now)
@@ -199,11 +203,17 @@
     def _report(self, msg: messages.Message) -> None:
         if not self._sessions:
             return
-        name = self._senders.pop((msg.task, msg.epoch), '')
-        if name not in self._sessions:
-            # A repeated report may reach another entry than the first one.
-            name = self.ctx.rng.choice(self._sessions)
-        self.send(name, session.Send(msg))
+        holder = (msg.task, msg.epoch)
+        asked = self._senders.get(holder, [])
+        names = [name for name in asked if name in self._sessions]
+        if not isinstance(msg, messages.TaskWait):
+            self._senders.pop(holder, None)
+        if not isinstance(msg, messages.TaskWait | messages.Started):
+            # One entry is enough to write the record of an end.
+            names = names[-1:]
+        # A repeated report may reach another entry than the first one.
+        for name in names or [self.ctx.rng.choice(self._sessions)]:
+            self.send(name, session.Send(msg))
 
     def _announce(self) -> None:
         control = self._control
