--- a/tests/processes/process_world.py
+++ b/tests/processes/process_world.py
@@ -50,6 +50,10 @@
             if self.process(name).is_running()
         )
 
+    def health(self, number: int) -> int:
+        """Return the status of an entry's health check; 0 for none."""
+        return http.call('GET', f'{self.urls[number]}/healthz')[0]
+
     def up(self, number: int) -> set[str]:
         """Return the endpoints that an entry gives new work."""
         health, _ = http.call('GET', f'{self.urls[number]}/healthz')
@@ -77,6 +81,11 @@
         for url in self.deployment.runner_urls():
             self.control(url, **values)
 
+    def control_workers(self, **values: typing.Any) -> None:
+        """Set the behaviour of every worker."""
+        for url in self.deployment.worker_urls():
+            self.control(url, **values)
+
     def publish(self, text: str, base: int | None = None) -> None:
         """Try and promote a document and wait until it is in force."""
         answers: list[Json] = []
@@ -115,6 +124,16 @@
         status, value = http.call('GET', url)
         return value if status == 200 else None
 
+    def revision(self, entry: int) -> int:
+        """Return the revision in force at an entry; 0 if it is away."""
+        found = self.versions(entry)
+        return int(found['revision']) if found else 0
+
+    def history(self, entry: int) -> list[Json]:
+        """Return the newest verdicts about production documents."""
+        url = f'{self.urls[entry]}/v1/document/production/history'
+        return typing.cast(list[Json], http.call('GET', url)[1]['history'])
+
     def is_spread(self, revision: int) -> bool:
         """Tell whether entries and sidecars have reached a revision."""
         for number in range(len(self.urls)):
