--- a/packages/emulator/src/kcr_emulator/demo.py
+++ b/packages/emulator/src/kcr_emulator/demo.py
@@ -240,6 +240,7 @@
         counts = dataclasses.asdict(self.tally)
         for name, value in counts.items():
             print(f'  {name.replace("_", " "):18} {value:8}')
+        # A caller of a dead entry waits before it asks another one.
         for name, milliseconds in percentiles.items():
             print(f'  latency {name:10} {milliseconds:8.1f} ms')
         for name, kb in sorted(self._resident.items()):
--- a/packages/emulator/src/kcr_emulator/load_tool.py
+++ b/packages/emulator/src/kcr_emulator/load_tool.py
@@ -40,25 +40,28 @@
         idempotent_per_s, single_per_s, deadline_ms, twin_share, seed
     )
     sender = load.Load(reactor, entries, profile)
+    send_for(reactor, sender, seconds)
+    write(sender, out)
+
+
+def send_for(reactor: typing.Any, sender: load.Load, seconds: float) -> None:
+    """Send for a while; raise what the load raised."""
     failures: list[BaseException] = []
 
-    async def work() -> None:
+    async def send() -> None:
         sender.start()
         await task.deferLater(reactor, seconds, lambda: None)
         await sender.finish()
 
-    def ended(result: typing.Any) -> None:
+    def stop(result: typing.Any) -> None:
         if result is not None:
             failures.append(result.value)
         reactor.stop()
 
-    reactor.callWhenRunning(
-        lambda: defer.ensureDeferred(work()).addBoth(ended)
-    )
+    reactor.callWhenRunning(lambda: defer.ensureDeferred(send()).addBoth(stop))
     reactor.run()
     if failures:
         raise failures[0]
-    write(sender, out)
 
 
 def write(sender: load.Load, out: pathlib.Path) -> None:
