Measure running tasks at a real sidecar and steady the slopes

Cause: between two runs the processor time of a sidecar per entry was 403 and -6 microseconds a second, and the bytes of a parked task 629 and 146. The collector walked the heaps of all roles at the cost of the one that happened to run, and the interpreter's table of shared names grew in a window of tracemalloc.

--- a/packages/emulator/src/kcr_emulator/capacity.py
+++ b/packages/emulator/src/kcr_emulator/capacity.py
@@ -25,6 +25,7 @@
 PARTS: dict[str, abc.Callable[[], typing.Any]] = {
     'processes': capacity_process.measure_rest,
     'attached': capacity_process.measure_attached,
+    'held': capacity_process.measure_running,
     'start': capacity_process.measure_start,
     'kinds': capacity_actors.measure_kinds,
     'rest': capacity_actors.measure_rest,
@@ -40,6 +41,7 @@
 TITLES = {
     'processes': 'Real processes: 2 entries, 3 sidecars',
     'attached': 'Real entry with fake sidecars attached',
+    'held': 'Real sidecar by the tasks that it runs',
     'start': 'Real entry that reads the live tasks at its start',
     'kinds': 'Messages: bytes, and microseconds of each step',
     'rest': 'Processor at rest, whole roles on a fake clock',
--- a/packages/emulator/src/kcr_emulator/capacity_actors.py
+++ b/packages/emulator/src/kcr_emulator/capacity_actors.py
@@ -39,17 +39,21 @@
 
 
 def rest_rates(world: capacity_world.World) -> dict[str, float]:
-    """Return the least processor share of each host at rest."""
-    gc.collect()
-    gc.freeze()
+    """Return the least processor share of each host at rest.
+
+    The collector is off: in this process it would walk the heaps of all
+    roles at the cost of the one that happens to run.
+    """
     least: dict[str, float] = {}
     for _ in range(WINDOWS):
+        gc.collect()
+        gc.disable()
         before = {host.name: host.cpu_s for host in world.net.hosts}
         world.net.run(WINDOW_S)
         for host in world.net.hosts:
             rate = (host.cpu_s - before[host.name]) / WINDOW_S
             least[host.name] = min(rate, least.get(host.name, rate))
-    gc.unfreeze()
+        gc.enable()
     return least
 
 
--- a/packages/emulator/src/kcr_emulator/capacity_figures.py
+++ b/packages/emulator/src/kcr_emulator/capacity_figures.py
@@ -49,7 +49,7 @@
 def infer_sidecar(slopes: Slopes, size: capacity_plan.Size) -> list[Figure]:
     """Return the figures of one sidecar."""
     make = capacity_plan.make_figure
-    rest, running = slopes['rest'], slopes['running']
+    rest = slopes['rest']
     exchange = infer_exchange(slopes)
     beats = size.entries_per_region / size.heartbeat_s
     tasks = size.tasks_per_worker()
@@ -63,11 +63,7 @@
             [
                 (process['core % at rest'], 1, 'real process, 2 entries'),
                 (rest['sidecar per entry, us/s'] / 1e4, 1, 'third entry'),
-                (
-                    running['sidecar per running task, us/s'] / 1e4,
-                    tasks,
-                    'running tasks',
-                ),
+                (slopes['held']['us/s per task'] / 1e4, tasks, 'tasks'),
                 (slopes['tasks']['sidecar, us'] / 1e4, starts, 'starts/s'),
             ],
         ),
@@ -101,9 +97,9 @@
 
 
 def infer_entry(slopes: Slopes, size: capacity_plan.Size) -> list[Figure]:
-    """Return the figures of one entry."""
+    """Return the figures of the processor of one entry."""
     make = capacity_plan.make_figure
-    attached, start = slopes['attached'], slopes['start']
+    attached = slopes['attached']
     sidecars, rates = size.sidecars(), infer_rates(size)
     records = slopes['records']
     items = (records['accepted, decode us'], records['finished, decode us'])
@@ -140,6 +136,17 @@
                 ),
             ],
         ),
+    ]
+
+
+def infer_entry_state(
+    slopes: Slopes, size: capacity_plan.Size
+) -> list[Figure]:
+    """Return the figures of an entry's traffic, memory and start."""
+    make = capacity_plan.make_figure
+    attached, start = slopes['attached'], slopes['start']
+    sidecars = size.sidecars()
+    return [
         make(
             'entry: traffic of heartbeats, both directions',
             'B/s',
@@ -215,29 +222,51 @@
 
 
 def infer_documents(slopes: Slopes, size: capacity_plan.Size) -> list[Figure]:
+    """Return the figures of the size of a document."""
+    make = capacity_plan.make_figure
+    document = slopes['document']
+    return [
+        make(
+            'configuration: canonical text',
+            'B',
+            loading.MAX_BYTES,
+            [(document['text, B per instance'], size.workers, 'instances')],
+        ),
+        make(
+            'configuration: memory of an entry that takes a publication',
+            'MB',
+            MEMORY_MB,
+            [
+                (slopes['attached']['Rss MB without sidecars'], 1, 'at rest'),
+                (
+                    document['publish: peak, B per instance'] / MB,
+                    size.workers,
+                    'instances',
+                ),
+            ],
+        ),
+    ]
+
+
+def infer_changes(slopes: Slopes, size: capacity_plan.Size) -> list[Figure]:
     """Return the figures of a change of the configuration."""
     make = capacity_plan.make_figure
     document, control = slopes['document'], slopes['kinds']['control']
     packed = document['packed text, B per instance']
-    readers = size.entries_per_region
     # A control message takes encoding and sending; the sending of a
     # heartbeat stands for the latter, less its encoding.
     beat = slopes['kinds']['heartbeat']
     send = beat['send us'] - beat['encode us'] + control['encode us']
     follow = document['follow: us per instance']
+    changes = infer_rates(size).changes
+    links = size.workers * size.entries_per_region
     return [
-        make(
-            'configuration: canonical text',
-            'B',
-            loading.MAX_BYTES,
-            [(document['text, B per instance'], size.workers, 'instances')],
-        ),
         make(
             'configuration: time from the log to the last sidecar',
             's',
             IN_FORCE_S,
             [
-                (packed / LINK_BYTES_PER_S, size.workers * readers, 'link'),
+                (packed / LINK_BYTES_PER_S, links, 'link'),
                 (follow / 1e6, size.workers, 'instances read'),
                 (send / 1e6, size.sidecars(), 'control messages'),
             ],
@@ -249,29 +278,16 @@
             [
                 (
                     follow / 1e4,
-                    size.workers * infer_rates(size).changes,
+                    size.workers * changes,
                     'read/s',
                 ),
                 (
                     send / 1e4,
-                    size.sidecars() * infer_rates(size).changes,
+                    size.sidecars() * changes,
                     'control messages/s',
                 ),
             ],
         ),
-        make(
-            'configuration: memory of an entry that takes a publication',
-            'MB',
-            MEMORY_MB,
-            [
-                (slopes['attached']['Rss MB without sidecars'], 1, 'at rest'),
-                (
-                    document['publish: peak, B per instance'] / MB,
-                    size.workers,
-                    'instances',
-                ),
-            ],
-        ),
     ]
 
 
@@ -280,6 +296,8 @@
     return [
         *infer_sidecar(slopes, size),
         *infer_entry(slopes, size),
+        *infer_entry_state(slopes, size),
         *infer_log(slopes, size),
         *infer_documents(slopes, size),
+        *infer_changes(slopes, size),
     ]
--- a/packages/emulator/src/kcr_emulator/capacity_process.py
+++ b/packages/emulator/src/kcr_emulator/capacity_process.py
@@ -1,10 +1,12 @@
 """Measure real processes on loopback: memory, processor share, start."""
 
+import functools
 import sys
 import time
 import typing
 
 from kcr_core import records
+from kcr_emulator import capacity_actors
 from kcr_emulator import capacity_plan
 from kcr_emulator import capacity_state
 from kcr_emulator import harness
@@ -19,6 +21,8 @@
 READY_S = 30.0
 # Attached fake sidecars.
 ATTACHED = (0, 100, 300)
+# Tasks that run at one sidecar.
+RUNNING = (0, 16)
 # Live tasks in the stream that an entry reads when it starts.
 LIVE = 40_000
 # Items of one record of that stream.
@@ -130,6 +134,33 @@
     }
 
 
+def measure_running() -> Values:
+    """Return the share of a real sidecar by the tasks that it runs."""
+    shares: list[tuple[float, float]] = []
+    found: Values = {}
+    shape = harness.Shape(entries=1, instances=1)
+    with harness.Deployment(shape) as deployment:
+        deployment.start()
+        wait_up(deployment, 1)
+        url = deployment.entry_urls()[0]
+        for count in RUNNING:
+            for number in range(count):
+                body = capacity_actors.make_task(number, 1e6)
+                status, answer = http.call('POST', f'{url}/v1/tasks', body)
+                assert answer.get('outcome') == 'accepted', (status, answer)
+            harness.wait_for(
+                functools.partial(has_live, url, count),
+                READY_S,
+                f'{count} tasks',
+            )
+            time.sleep(5.0)
+            share, _ = watch(deployment, WINDOW_S)['sidecar/instance-0']
+            shares.append((float(count), share))
+            found[f'core % with {count} tasks'] = share * 100.0
+    slope = capacity_plan.fit(shares).slope
+    return {**found, 'us/s per task': slope * 1e6}
+
+
 def attach(deployment: harness.Deployment, count: int) -> None:
     """Start a process of fake sidecars."""
     command = [sys.executable, '-m', 'kcr_emulator.capacity_fakes']
@@ -196,6 +227,11 @@
     }
 
 
+def has_live(url: str, count: int) -> bool:
+    """Tell whether an entry has a number of live tasks."""
+    return count_live(url) == count
+
+
 def count_live(url: str) -> int:
     """Return the live tasks of an entry; -1 without an answer."""
     status, dump = http.call('GET', f'{url}/v1/dump')
--- a/packages/emulator/src/kcr_emulator/capacity_state.py
+++ b/packages/emulator/src/kcr_emulator/capacity_state.py
@@ -35,7 +35,9 @@
 Values = dict[str, float]
 
 # Two sizes between which the slope of memory is taken.
-SIZES = (1000, 5000)
+SIZES = (1000, 4000)
+# Runs of which the least counts.
+RUNS = 3
 # Numbers of endpoints of the measured fleets.
 FLEETS = (10, 100, 1000, 2300)
 # Tasks placed in one measurement.
@@ -75,19 +77,28 @@
 
 def bytes_per(build: abc.Callable[[int], object]) -> float:
     """Return the bytes of state per unit, from two sizes."""
-    points = []
-    # The interpreter's table of shared names grows here and not in a window.
-    build(SIZES[-1])
-    for size in SIZES:
+    build(1)
+    points = [(float(size), least_bytes(build, size)) for size in SIZES]
+    return capacity_plan.fit(points).slope
+
+
+def least_bytes(build: abc.Callable[[int], object], size: int) -> float:
+    """Return the bytes of a state; the least of several runs.
+
+    The interpreter's table of shared names may grow in a run, which counts
+    for the run and not for the state.
+    """
+    found = []
+    for _ in range(RUNS):
         gc.collect()
         tracemalloc.start()
         held = build(size)
         gc.collect()
-        used, _ = tracemalloc.get_traced_memory()
+        found.append(tracemalloc.get_traced_memory()[0])
         tracemalloc.stop()
         assert held is not None
-        points.append((float(size), float(used)))
-    return capacity_plan.fit(points).slope
+        del held
+    return float(min(found))
 
 
 def build_ledger(size: int, parked: bool) -> ledger.Ledger:
