--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	PYTHONHASHSEED=0 $(BIN)/pytest
 
 soak: install
-	$(BIN)/python -m kcr_emulator.soak --seed $(SEED) --steps $(STEPS)
+	$(BIN)/python tests/core/soak.py --seed $(SEED) --steps $(STEPS)
 
 bench: install
 	$(BIN)/python -m kcr_emulator.bench --seed $(SEED)
