--- a/packages/emulator/src/kcr_emulator/harness.py
+++ b/packages/emulator/src/kcr_emulator/harness.py
@@ -132,6 +132,9 @@
     zones: int = 2
     # Mean service time of the runners, in ms.
     service_ms: float = 5.0
+    # Slowdown of each runner by the tasks beside it, as `kind=share`; none
+    # by default.
+    noise: tuple[str, ...] = ()
     # Slots of each runner.
     slots: int = 8
     # Cores of each worker for tasks.
@@ -246,6 +249,7 @@
 
     def _runner(self, ports: InstancePorts) -> list[str]:
         shape = self.shape
+        noise = ['--worker', f'{LOOPBACK}:{ports.worker}', '--noise']
         return self._emulator(
             'runner',
             ports.runner,
@@ -253,6 +257,7 @@
             str(shape.slots),
             '--service-ms',
             str(shape.service_ms),
+            *((*noise, *shape.noise) if shape.noise else ()),
         )
 
     def _worker(self, ports: InstancePorts) -> list[str]:
