--- a/packages/core/src/kcr_core/task_control.py
+++ b/packages/core/src/kcr_core/task_control.py
@@ -15,6 +15,10 @@
 
 Phase = task_held.Phase
 
+# Difference between a share that is listed and one that was asked for, from
+# which the command counts as lost; a worker may round.
+SHARE_STEP = 0.05
+
 
 class Control(task_home.Home):
     """Own the tasks, the reservations and the view of the worker."""
@@ -64,7 +68,10 @@
             self._conclude(held, task, now)
         elif held.phase is Phase.STARTING:
             self._confirm_start(held, now)
-        elif task.share != held.share and held.share_mark < mark:
+        elif (
+            abs(task.share - held.share) > SHARE_STEP
+            and held.share_mark < mark
+        ):
             # The command was lost; the answer to it is not waited for.
             self._throttle(held, held.share)
 
