Take a task that comes back for a new one in the bound of evictions

A trial with real processes (one instance, batch=6) evicted two tasks, which came back under a new epoch half a second later. The interference task took them for the ones that had been told to go, and stopped both 22 s later with "did not end after its eviction": four evictions within 23 s, with a bound of two a minute. The governor now forgets a task that has ended with every change of the running tasks, not only with a measurement.

Without it, the check fails: AssertionError: assert Evict(task='c/1', reason='did not end after its eviction', stop=True) is Evict(task='c/1', reason='service is above its target', stop=False)

--- a/packages/core/src/kcr_core/interference.py
+++ b/packages/core/src/kcr_core/interference.py
@@ -126,8 +126,7 @@
         now: float,
     ) -> list[Act]:
         """Take a measurement and return the acts that follow from it."""
-        running = {task.task for task in tasks}
-        self.leaving = {n: t for n, t in self.leaving.items() if n in running}
+        self.note_running(tasks)
         self._history.append((now, infer_amounts(tasks[:MAX_TASKS])))
         # A task that was told to go counts as gone in the plan.
         tasks = [t for t in tasks[:MAX_TASKS] if t.task not in self.leaving]
@@ -160,6 +159,15 @@
             self.acted_at = now
         return acts
 
+    def note_running(self, tasks: abc.Sequence[Task]) -> None:
+        """Forget the tasks that have ended since they were told to go.
+
+        Called for every change, because an evicted task may come back under a
+        new epoch before the next measurement.
+        """
+        running = {task.task for task in tasks}
+        self.leaving = {n: t for n, t in self.leaving.items() if n in running}
+
     def _stop_late(self, now: float) -> list[Act]:
         """Stop tasks whose eviction has not ended in time."""
         late = [n for n, t in self.leaving.items() if now - t >= STOP_AFTER_S]
--- a/packages/sidecar/src/kcr_sidecar/capacity/interference.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/interference.py
@@ -50,6 +50,7 @@
             )
             for work in msg.tasks
         )
+        self._governor.note_running(self._tasks)
 
     @task.handles(events.ServiceMeasured)
     def _on_measured(self, msg: events.ServiceMeasured) -> None:
--- a/tests/sidecar/test_interference_task.py
+++ b/tests/sidecar/test_interference_task.py
@@ -5,6 +5,7 @@
 
 from twisted.internet import task as twisted_task
 
+from kcr_core import interference as interference_core
 from kcr_core import types
 from kcr_runtime import metrics
 from kcr_runtime import task
@@ -63,3 +64,11 @@
     ]
     assert isinstance(last, events.Evict) and not last.stop
     assert subject.dump()['throttled'] == {'c/1': 0.25}
+    # The task comes back under a new epoch, and is not the one that left.
+    for works in ((), (events.RunningWork('c/1', 'k', demand),)):
+        subject.post(events.TasksRunning(works))
+        clock.advance(0)
+    clock.advance(interference_core.STOP_AFTER_S)
+    subject.post(events.ServiceMeasured(clock.seconds(), 90.0, 0.8))
+    clock.advance(0)
+    assert owner.asked[-1] is last
