--- a/tests/processes/process_world.py
+++ b/tests/processes/process_world.py
@@ -4,6 +4,7 @@
 from collections import abc
 from concurrent import futures
 import contextlib
+import signal
 import time
 import typing
 
@@ -129,6 +130,19 @@
         found = self.versions(entry)
         return int(found['revision']) if found else 0
 
+    def trial_revision(self) -> int:
+        """Return the revision in force in the trial environment."""
+        url = f'http://127.0.0.1:{self.deployment.trial.http}/v1/versions'
+        return int(http.call('GET', url)[1]['revision'])
+
+    def freeze(self, name: str) -> None:
+        """Stop a process without ending it."""
+        self.process(name).signal(signal.SIGSTOP)
+
+    def wake(self, name: str) -> None:
+        """Let a frozen process go on."""
+        self.process(name).signal(signal.SIGCONT)
+
     def history(self, entry: int) -> list[Json]:
         """Return the newest verdicts about production documents."""
         url = f'{self.urls[entry]}/v1/document/production/history'
