--- a/packages/emulator/src/kcr_emulator/runner.py
+++ b/packages/emulator/src/kcr_emulator/runner.py
@@ -61,14 +61,26 @@
         self.runs[request] += 1
         if len(self.active) > self.slots:
             self.overcommitted += 1
+        # Klein cancels the handler when the caller is gone; a real runner
+        # goes on to serve such a call, and it holds its slot.
+        served = defer.ensureDeferred(self._serve(attempt))
+        ended: defer.Deferred[bool] = defer.Deferred()
+        served.addCallback(
+            lambda whole: None if ended.called else ended.callback(whole)
+        )
+        if not await ended:
+            req.setResponseCode(500)
+            return b'failed'
+        return f'{request}:'.encode() + body
+
+    async def _serve(self, attempt: str) -> bool:
         try:
             if self._rng.random() < self.failing:
-                req.setResponseCode(500)
-                return b'failed'
+                return False
             await self._work()
         finally:
             self.active.discard(attempt)
-        return f'{request}:'.encode() + body
+        return True
 
     async def _work(self) -> None:
         mean_s = self.service_ms / 1000.0 * self.slowdown
--- a/tests/processes/test_graceful_stops.py
+++ b/tests/processes/test_graceful_stops.py
@@ -116,6 +116,33 @@
     world.wait_ready()
 
 
+def test_stopping_entry_waits_for_slow_calls(
+    world: process_world.World,
+) -> None:
+    """Guard against an entry that ends before its open requests have."""
+    names = [f'slow-{n}' for n in range(4)]
+    entry = world.process('entry-1')
+    world.control_runners(paused=True)
+    try:
+        asked = {name: world.ask_later(1, name) for name in names}
+        process_world.wait_for(
+            lambda: all(world.runs()[name] for name in names), 'all run'
+        )
+        entry.signal(signal.SIGTERM)
+        process_world.wait_for(
+            lambda: world.health(1) == 0, 'the listener is closed'
+        )
+    finally:
+        world.control_runners(paused=False)
+    for name, fut in asked.items():
+        answer = fut.result(process_world.LIMIT_S)
+        assert answer.get('body') == f'test/{name}:body of {name}', answer
+    assert entry.popen is not None
+    assert entry.popen.wait(process_world.LIMIT_S) == 0
+    entry.start()
+    world.wait_ready()
+
+
 def test_stopping_sidecar_cuts_no_request(world: process_world.World) -> None:
     """Guard against a sidecar that drops calls when it is told to stop."""
     callers = Callers(world)
--- a/tests/processes/test_restarted_sidecar.py
+++ b/tests/processes/test_restarted_sidecar.py
@@ -17,6 +17,8 @@
 TASKS = 24
 # Time after which a caller gives up, in ms.
 DEADLINE_MS = 4_000
+# Calls that are begun between two steps.
+SERVED = 24
 # Times that the sidecar is killed.
 KILLS = 2
 
@@ -25,7 +27,7 @@
 def world() -> abc.Iterator[process_world.World]:
     """Return a small deployment with a slow service."""
     shape = harness.Shape(
-        instances=2, slots=4, service_ms=800.0, processors=8.0
+        instances=2, slots=4, service_ms=300.0, processors=8.0
     )
     with process_world.deploy(shape) as world:
         yield world
@@ -60,11 +62,21 @@
             )
         for _ in range(KILLS):
             process_world.wait_for(lambda: is_busy(world), 'both are busy')
-            enough = sum(world.runs().values()) + CALLERS
-            # The runner goes on to serve the calls of the killed process.
+            enough = sum(world.runs().values()) + SERVED
+            # The runner goes on to serve the calls of the killed process
+            # until after its successor is there.
+            url = world.deployment.runner_urls()[0]
+            world.control(url, paused=True)
+            process_world.wait_for(lambda: is_busy(world), 'all are held')
             world.process('sidecar/instance-0').kill()
             world.process('sidecar/instance-0').start()
             world.wait_ready()
+            process_world.wait_for(
+                functools.partial(has_served, world, enough),
+                'the other instance goes on',
+            )
+            enough += SERVED
+            world.control(url, paused=False)
             process_world.wait_for(
                 functools.partial(has_served, world, enough),
                 'calls are served after the restart',
