Do not take a 503 of the runner as a proof, nor restart on an old call

Cause: found by reading. A runner's 503 was reported as Refused, which is a proof of "not run"; a service may answer so after it has begun. A call that ended after its admission task was restarted raised KeyError, which restarted the task again for each such call. An assertion also held the sending of the call, which `python -O` would have left out.

Ruled out: passing the 503 on as an answer; an idempotent request can still be answered by another endpoint.

Conclusion: a 503 may have run; a non-idempotent request ends unknown.

--- a/packages/sidecar/src/kcr_sidecar/capacity/admission.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -184,7 +184,8 @@
             held.msg.body,
             self.address,
         )
-        assert self.send(addresses.RUNNER, call), 'runner task is not there'
+        sent = self.send(addresses.RUNNER, call)
+        assert sent, 'runner task is not there'
 
     def _refuse(self, refusal: slots.Refuse) -> None:
         held = self._attempts.pop(refusal.attempt)
@@ -195,7 +196,12 @@
 
     @task.handles(runner.CallEnded)
     def _on_call_ended(self, event: runner.CallEnded) -> None:
-        held = self._attempts.pop(event.attempt)
+        held = self._attempts.pop(event.attempt, None)
+        if held is None:
+            # This task was restarted; the slot is foreign until it is listed
+            # as free, and the entry's deadline ends the attempt as unknown.
+            self.ctx.metrics.count('call_unknown')
+            return
         took_ms = (self.now() - held.started) * 1000
         self._latency_ms += LATENCY_SHARE * (took_ms - self._latency_ms)
         if is_served(event.outcome):
@@ -292,7 +298,8 @@
         if len(outcome.body) > messages.MAX_BODY_BYTES:
             return messages.Failed(event.attempt, 'answer is too large')
         if outcome.status == 503:
-            return messages.Refused(event.attempt, 'runner refused', True)
+            # A service may answer so after it has begun: this is no proof.
+            return messages.Failed(event.attempt, 'runner answered 503')
         return messages.Executed(
             event.attempt, outcome.status, len(outcome.body), outcome.body
         )
--- a/tests/sidecar/test_admission.py
+++ b/tests/sidecar/test_admission.py
@@ -114,3 +114,19 @@
         bench.advance(admission.FOREIGN_POLL_S)
     bench.advance(2 * admission.STATUS_LIMIT_S)
     assert bench.nodes[addresses.RUNNER].take(runner.AskStatus)
+
+
+def test_call_of_a_restarted_task_is_ignored(bench: fakes.Bench) -> None:
+    """Guard against a restart loop after the admission was restarted."""
+    end(bench, 'older', DONE)
+    execute(bench, 'a')
+    assert calls(bench) == ['a']
+    end(bench, 'a', DONE)
+    assert [type(msg) for msg in answers(bench)] == [messages.Executed]
+
+
+def test_answer_503_is_no_proof_of_not_run(bench: fakes.Bench) -> None:
+    """Guard against "not run" after a service that failed on the way."""
+    execute(bench, 'a')
+    end(bench, 'a', http_client.Reply(503, b''))
+    assert [type(msg) for msg in answers(bench)] == [messages.Failed]
