--- a/tests/core/request_model.py
+++ b/tests/core/request_model.py
@@ -17,6 +17,8 @@
 
 SLOTS = 2
 CONNECTIONS = 4
+# Share of the requests that may be retried or hedged.
+RETRY_SHARE = 0.25
 # Lists of calls on their way to a sidecar; more questions wait.
 LISTS = 4
 CAPACITY = types.Capacity(SLOTS, CONNECTIONS, types.Demand())
@@ -152,7 +154,7 @@
     def __init__(self, policy: str = 'least_cost') -> None:
         self.now = 100.0
         self.settings = types.ControlSettings(
-            endpoint_policy=policy, retry_budget=0.5
+            endpoint_policy=policy, retry_budget=RETRY_SHARE
         )
         self.links: list[request_entry.Link] = []
         # Messages on their way: connection, whether to the entry, message.
--- a/tests/core/test_requests_machine.py
+++ b/tests/core/test_requests_machine.py
@@ -9,10 +9,13 @@
 import request_model
 
 from kcr_core import dispatch
+from kcr_core import retry_budget
 
 FATES = ('stored', 'stored', 'lost', 'refused', 'unknown')
 # Small, so that the queue is filled within few steps.
 QUEUE_LIMIT = 3
+# Small, so that the budget is used up within few steps.
+INITIAL_TOKENS = 2.0
 BUDGETS = (0.1, 2.0, 5.0, 5.0)
 WAITS = (*(0.05, 0.05, 0.5, 0.5) * 2, 3.0, 700.0)
 # Steps with their weights.
@@ -52,10 +55,15 @@
         self.world = request_model.World()
         self.limit = mock.patch.object(dispatch, 'QUEUE_LIMIT', QUEUE_LIMIT)
         self.limit.start()
+        self.tokens = mock.patch.object(
+            retry_budget, 'INITIAL_TOKENS', INITIAL_TOKENS
+        )
+        self.tokens.start()
 
     def teardown(self) -> None:
-        """Put the bound of the queue back."""
+        """Put the bounds back."""
         self.limit.stop()
+        self.tokens.stop()
 
     @stateful.initialize(
         policy=strategies.sampled_from(['random', 'least_cost', 'granted'])
@@ -268,13 +276,16 @@
             assert len(endpoint.serving) <= request_model.SLOTS, 'overcommit'
             held = len(owner.active) + len(owner.waiting)
             assert held <= request_model.CONNECTIONS, 'queue at the sidecar'
-            free = sum(endpoint.grants.free.values())
-            assert free <= request_model.SLOTS, 'more grants than slots'
+            granted = sum(endpoint.grants.free.values())
+            granted += sum(endpoint.grants.active.values())
+            assert granted <= request_model.SLOTS, 'more grants than slots'
         for entry in self.world.entries:
             assert entry.dispatcher.waiting() <= QUEUE_LIMIT, 'queue bound'
             spent = entry.budget.spent
-            share = 0.5 * entry.budget.requests
-            assert spent <= 10 + share, 'retry budget is exceeded'
+            share = request_model.RETRY_SHARE * entry.budget.requests
+            assert spent <= INITIAL_TOKENS + share + 1e-6, (
+                'retry budget is exceeded'
+            )
             for key, active in entry.active.items():
                 assert active.state.outcome is None, f'{key} is not answered'
 
