Make the life of a process a machine, and end it when a port is in use

Cause: found by reading. A daemon whose port was in use logged nothing and ran on without listening, because the error was lost in the reactor.

Ruled out: letting the supervisor restart the listener, because the port of another process does not become free by trying.

Figures: before, the daemon ran on (seen by reading only); now it ends with status 1 and "cannot listen" (test_port_in_use_ends_the_process).

Conclusion: new, running, draining, stopping are states of one machine.

--- a/packages/runtime/src/kcr_runtime/process.py
+++ b/packages/runtime/src/kcr_runtime/process.py
@@ -1,7 +1,8 @@
 """Run one role as a process: reactor, root supervisor, signals.
 
 SIGTERM and SIGINT start a graceful shutdown; the role's drain task posts
-`Drained` to the process when nothing is left, or the bound ends it.
+`Drained` to the process when nothing is left, or the bound ends it. The life
+of the process is an automat machine.
 """
 
 import dataclasses
@@ -14,8 +15,10 @@
 import time
 import typing
 
+import automat
 import structlog
 from twisted.internet import defer
+from twisted.internet import error
 
 from kcr_runtime import metrics
 from kcr_runtime import roles
@@ -59,6 +62,19 @@
     )
 
 
+class Life(typing.Protocol):
+    """List the inputs of the life cycle of a process."""
+
+    def begin(self) -> None:
+        """Start the root supervisor."""
+
+    def drain(self) -> None:
+        """Begin a graceful shutdown."""
+
+    def stop(self) -> None:
+        """Stop the root supervisor and end."""
+
+
 class Process:
     """Own the root supervisor and the signals of one process."""
 
@@ -84,8 +100,9 @@
         self._log = structlog.get_logger()
         self._root = role.root(self.ctx, '')
         self._root.on_failure = self._root_failed
-        self._draining = False
-        self._stopping = False
+        # Phase of the life cycle, for the dump.
+        self.phase = 'new'
+        self._life = LIFE(self)
 
     def run(self) -> int:
         """Run until stopped; return the exit status."""
@@ -98,12 +115,12 @@
     def post(self, msg: typing.Any) -> bool:
         """Accept the report that the role is drained or cannot go on."""
         if isinstance(msg, Drained):
-            self._stop()
+            self._life.stop()
             return True
         if isinstance(msg, Fatal):
             self._log.error('process cannot go on', reason=msg.reason)
             self.status = 1
-            self._stop()
+            self._life.stop()
             return True
         return False
 
@@ -118,42 +135,41 @@
         """Return the metrics and the memory of the process."""
         return {
             'incarnation': self.ctx.incarnation,
-            'draining': self._draining,
+            'phase': self.phase,
             'rss_kb': resident_kb(),
             'metrics': self.ctx.metrics.read(),
         }
 
     def _start(self) -> None:
-        reactor = self.ctx.reactor
+        call = self.ctx.reactor.callFromThread
         for signum in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(
-                signum,
-                lambda *_: reactor.callFromThread(self._drain),
-            )
-        signal.signal(
-            signal.SIGUSR1,
-            lambda *_: reactor.callFromThread(self._print_dump),
-        )
-        self._root.begin()
+            signal.signal(signum, lambda *_: call(self._life.drain))
+        signal.signal(signal.SIGUSR1, lambda *_: call(self._print_dump))
+        self._life.begin()
+
+    def begin_root(self) -> None:
+        """Start the root; a port that is in use ends the process."""
+        try:
+            self._root.begin()
+        except error.CannotListenError as exc:
+            self._log.error('cannot listen', error=str(exc))
+            self.status = 1
+            self.ctx.reactor.callLater(0, self._life.stop)
+            return
         self._log.info('started')
 
-    def _drain(self) -> None:
-        if self._draining:
-            return
-        self._draining = True
+    def begin_drain(self) -> None:
+        """Ask the role to finish what it has, with an upper bound."""
         self._log.info('draining')
-        self.ctx.reactor.callLater(SHUTDOWN_LIMIT_S, self._stop)
+        self.ctx.reactor.callLater(SHUTDOWN_LIMIT_S, self._life.stop)
         if not self.ctx.directory.send(
             self.role.drain_task, self.role.drain()
         ):
-            self._stop()
+            self.ctx.reactor.callLater(0, self._life.stop)
 
-    def _stop(self) -> None:
-        if self._stopping:
-            return
-        self._stopping = True
-        done = self._root.end()
-        done.addBoth(lambda _: self._exit())
+    def end_root(self) -> None:
+        """Stop the root and then the reactor."""
+        self._root.end().addBoth(lambda _: self._exit())
 
     def _exit(self) -> None:
         self._log.info('stopped')
@@ -163,13 +179,49 @@
     def _root_failed(self, exc: BaseException) -> None:
         self._log.error('root supervisor failed', error=str(exc))
         self.status = 1
-        self._stop()
+        self._life.stop()
 
     def _print_dump(self) -> None:
         text = json.dumps(self.ctx.directory.dump(), default=str)
         print(text, file=sys.stderr, flush=True)
 
 
+def _build_life() -> typing.Any:
+    builder = automat.TypeMachineBuilder(Life, Process)
+    new = builder.state('new')
+    running = builder.state('running')
+    draining = builder.state('draining')
+    stopping = builder.state('stopping')
+
+    @new.upon(Life.begin).to(running)
+    def on_begin(life: Life, process: Process) -> None:
+        process.phase = 'running'
+        process.begin_root()
+
+    @running.upon(Life.drain).to(draining)
+    def on_drain(life: Life, process: Process) -> None:
+        process.phase = 'draining'
+        process.begin_drain()
+
+    def on_stop(life: Life, process: Process) -> None:
+        process.phase = 'stopping'
+        process.end_root()
+
+    for state in (running, draining):
+        state.upon(Life.stop).to(stopping)(on_stop)
+
+    def ignore(life: Life, process: Process) -> None:
+        """Take no notice of an input that comes too late."""
+
+    for state in (draining, stopping):
+        state.upon(Life.drain).to(state)(ignore)
+    stopping.upon(Life.stop).to(stopping)(ignore)
+    return builder.build()
+
+
+LIFE = _build_life()
+
+
 def use_monotonic_clock(reactor: typing.Any) -> None:
     """Make a reactor tell a time that no clock correction moves.
 
--- /dev/null
+++ b/tests/processes/test_start.py
@@ -0,0 +1,38 @@
+"""Check what a daemon says and returns when it cannot start."""
+
+import socket
+import subprocess
+import sys
+
+LIMIT_S = 60.0
+
+
+def run_daemon(*args: str) -> subprocess.CompletedProcess[str]:
+    """Run a daemon until it ends."""
+    return subprocess.run(
+        [sys.executable, '-m', 'kcr_daemon.main', *args],
+        capture_output=True,
+        text=True,
+        timeout=LIMIT_S,
+    )
+
+
+def test_port_in_use_ends_the_process() -> None:
+    """Guard against a daemon that runs on without its port."""
+    with socket.socket() as held:
+        held.bind(('127.0.0.1', 0))
+        held.listen()
+        port = held.getsockname()[1]
+        flags = ['--process', 'e', '--region', 'r', '--zone', 'z']
+        flags += ['--listen', f'127.0.0.1:{port}']
+        flags += ['--http', '127.0.0.1:1', '--log', '127.0.0.1:1']
+        ended = run_daemon('entry', *flags)
+    assert ended.returncode == 1
+    assert 'cannot listen' in ended.stderr
+
+
+def test_unknown_role_names_the_roles() -> None:
+    """Guard against a wrong role that starts something else."""
+    ended = run_daemon('runner')
+    assert ended.returncode == 2
+    assert 'entry,sidecar' in ended.stderr
