--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -94,7 +94,9 @@
         add(self._app, 'POST', '/v1/requests', self._post_request)
         path = '/v1/requests/<caller>/<name>'
         add(self._app, 'GET', path, self._get_request)
-        task_routes.TaskRoutes(self._ask_open).add(self._app)
+        task_routes.TaskRoutes(self._ask_open, self.ctx.cfg.region).add(
+            self._app
+        )
         operator_routes.OperatorRoutes(self._ask, self.ctx).add(self._app)
 
     @task.handles(Drain)
--- a/packages/entry/src/kcr_entry/front/models.py
+++ b/packages/entry/src/kcr_entry/front/models.py
@@ -90,6 +90,7 @@
     run_s: float = pydantic.Field(0.0, ge=0.0, le=MAX_QUANTITY)
     job: str = pydantic.Field('', max_length=100)
     payload: str = pydantic.Field('', max_length=MAX_PAYLOAD)
+    region: Name | None = None
 
     def to_spec(self) -> types.TaskSpec:
         """Return the task as a data class."""
--- a/packages/entry/src/kcr_entry/front/task_routes.py
+++ b/packages/entry/src/kcr_entry/front/task_routes.py
@@ -22,9 +22,11 @@
 class TaskRoutes:
     """Turn HTTP requests about tasks into questions and back."""
 
-    def __init__(self, ask: Ask) -> None:
+    def __init__(self, ask: Ask, region: str) -> None:
         # Asks another task of the entry.
         self.ask = ask
+        # Region of the entry; the id of a task is unique in a region.
+        self.region = region
 
     def add(self, app: typing.Any) -> None:
         """Add the routes to the application."""
@@ -37,6 +39,13 @@
         model = replies.read(req, models.TaskModel)
         if isinstance(model, bytes):
             return model
+        if model.region not in (None, self.region):
+            reason = (
+                f'the task belongs to region {model.region!r}, and this '
+                f'entry to {self.region!r}; send it to its region'
+            )
+            refused = task_outcomes.NotAccepted(reason)
+            return respond_submitted(req, refused)
         body = submissions.Submit(model.to_spec())
         value = await self.ask(addresses.TASKS, body)
         return respond_submitted(req, value)
--- a/tests/entry/test_task_routes.py
+++ b/tests/entry/test_task_routes.py
@@ -41,7 +41,7 @@
         self.asked: list[typing.Any] = []
         self._answer = answer
         app = klein.Klein()
-        task_routes.TaskRoutes(self._ask).add(app)
+        task_routes.TaskRoutes(self._ask, 'r1').add(app)
         make_agent: typing.Any = testing.StubTreq
         self._treq = make_agent(app.resource())
 
@@ -99,6 +99,18 @@
     assert found[1]['reason']
 
 
+def test_task_of_another_region_is_not_accepted() -> None:
+    """Guard against one id that is accepted and runs in two regions."""
+    front = Front(task_outcomes.Accepted(STATE))
+    body = {**BODY, 'region': 'r2'}
+    status, answer = front.call('POST', '/v1/tasks', body)
+    assert (status, answer['outcome']) == (503, 'not_accepted')
+    assert "'r2'" in answer['reason']
+    assert front.asked == []
+    status, _ = front.call('POST', '/v1/tasks', {**body, 'region': 'r1'})
+    assert status == 200
+
+
 @pytest.mark.parametrize(
     ('change', 'field'),
     [
