Make both roles serve on after any of their tasks has failed

Cause: found by a new test that lets each task of both trees fail. After the membership task or the announcer restarted, the entry knew no endpoint, because a full state is sent once per connection; the restarted announcer also reported controller epoch 0 for ever, so that no task started. Connections of a restarted front end were served by the older object, whose tokens began at 1 again, so that an answer could reach another request. An exception while a child was stopped left the child out in silence.

Ruled out: keeping the state of the tasks in the process; sessions are restarted after the task that needs their first messages, and tasks that need only the open sessions ask for them.

Not run: the test without rest_for_one.

--- a/packages/entry/src/kcr_entry/addresses.py
+++ b/packages/entry/src/kcr_entry/addresses.py
@@ -9,6 +9,8 @@
 CLAIMS = 'work/claims'
 PEERS = 'fleet/peers'
 PEER_SESSIONS = 'fleet/peer_sessions'
+# Supervisors of all sessions.
+ALL_SESSIONS = {SESSIONS, PEER_SESSIONS}
 APPENDER = 'log/appender'
 IN_FORCE = 'configuration/in_force'
 PROCESSES = 'configuration/processes'
--- a/packages/entry/src/kcr_entry/configuration/in_force.py
+++ b/packages/entry/src/kcr_entry/configuration/in_force.py
@@ -81,6 +81,7 @@
         self.send(addresses.READERS['config'], events.LogReplay())
         floor = ask.Ask('floor', self.address, questions.GetVersions())
         self.send(addresses.PROCESSES, floor)
+        session.ask_opened(self.ctx, self.address, addresses.ALL_SESSIONS)
         self.after(GRACE_S, _EndGrace())
         self.after(REDELIVER_S, _Redeliver())
         self._schedule_restatement(
--- a/packages/entry/src/kcr_entry/configuration/processes.py
+++ b/packages/entry/src/kcr_entry/configuration/processes.py
@@ -55,6 +55,10 @@
         self._dumps: dict[str, ask.Ask] = {}
         self._asked = 0
 
+    def started(self) -> None:
+        """Ask for the sessions that were opened before a restart."""
+        session.ask_opened(self.ctx, self.address, addresses.ALL_SESSIONS)
+
     @property
     def revision(self) -> int:
         """Return the revision in force at this entry; 0 before the first."""
--- a/packages/entry/src/kcr_entry/fleet/peers.py
+++ b/packages/entry/src/kcr_entry/fleet/peers.py
@@ -44,6 +44,7 @@
         """Dial the peers of the settings."""
         for target in self.ctx.cfg.peers:
             self._dial(target)
+        session.ask_opened(self.ctx, self.address, addresses.ALL_SESSIONS)
         self._publish()
         self.after(self.settings.heartbeat_s, _Beat())
 
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -52,7 +52,13 @@
 
 
 class Fleet(supervisor.Supervisor):
-    """Run the listener, its sessions and the membership view."""
+    """Run the listener, its sessions and the membership view.
+
+    A sidecar sends its full state once per connection, so the sessions are
+    restarted after the membership view.
+    """
+
+    strategy = supervisor.Strategy.REST_FOR_ONE
 
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the tasks of the fleet."""
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -10,6 +10,7 @@
 
 import klein
 from twisted.internet import defer
+from twisted.protocols import policies
 from twisted.python import failure
 from twisted.web import http
 from twisted.web import iweb
@@ -33,6 +34,9 @@
 BALANCER_S = 0.5
 # How often a draining entry looks whether requests are left.
 DRAIN_POLL_S = 0.1
+# Reasons of a refusal by the front end itself.
+RESTARTED = 'front end was restarted'
+NOT_READY = 'entry is not ready'
 # Time that a question within the process may take, in seconds. The owner of
 # the state answers earlier; only a restart of it leaves a question open.
 ASK_LIMIT_S = 30.0
@@ -59,8 +63,13 @@
         super().__init__(ctx, address)
         self._app = klein.Klein()
         self._port: typing.Any = None
+        # Knows the open connections.
+        self._connections: typing.Any = None
         self._questions: dict[str, defer.Deferred[typing.Any]] = {}
         self._asked = 0
+        # A restarted front end must not use a token again, because an answer
+        # to the older one would be taken for that of another request.
+        self._life = f'{ctx.rng.getrandbits(48):012x}'
         self._open_requests = 0
         self._draining = False
         self._ready = True
@@ -70,14 +79,18 @@
         """Bind the port."""
         host, port = self.ctx.cfg.http.rsplit(':', 1)
         site = server.Site(self._app.resource(), timeout=60)
+        self._connections = policies.WrappingFactory(site)
         self._port = self.ctx.reactor.listenTCP(
-            int(port), site, interface=host
+            int(port), self._connections, interface=host
         )
         self.send(addresses.IN_FORCE, questions.AskReady())
 
     def stopped(self) -> defer.Deferred[None]:
-        """Close the port."""
-        return defer.maybeDeferred(self._port.stopListening)
+        """Close the port and the connections that callers keep open."""
+        closed = defer.maybeDeferred(self._port.stopListening)
+        for connection in list(self._connections.protocols):
+            connection.loseConnection()
+        return closed
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the requests in the front end."""
@@ -130,13 +143,16 @@
     def _ask(
         self, address: str, body: typing.Any, limit_s: float = ASK_LIMIT_S
     ) -> defer.Deferred[typing.Any]:
+        if not self._running:
+            # A connection of the older life is still served by this object.
+            return defer.succeed(outcomes.NotRun(RESTARTED))
         self._asked += 1
-        token = str(self._asked)
+        token = f'{self._life}:{self._asked}'
         fut: defer.Deferred[typing.Any] = defer.Deferred()
         self._questions[token] = fut
         if not self.send(address, ask.Ask(token, self.address, body)):
             del self._questions[token]
-            return defer.succeed(outcomes.NotRun('entry is not ready'))
+            return defer.succeed(outcomes.NotRun(NOT_READY))
         fut.addTimeout(limit_s, self.ctx.reactor)
         fut.addErrback(lambda fail: self._give_up(token, fail))
         return fut
@@ -193,8 +209,12 @@
             value = await self._ask(addresses.REQUESTS, submit, limit_s)
         finally:
             self._open_requests -= 1
-        if self._draining:
+        if self._draining or not self._running:
             req.setHeader(b'connection', b'close')
+        here = (outcomes.NotRun(RESTARTED), outcomes.NotRun(NOT_READY))
+        if submit.resubmitted and value in here:
+            reason = f'{value.reason}; an earlier submission may have run'
+            value = outcomes.Unknown(reason)
         return _respond_outcome(req, value)
 
 
--- a/packages/runtime/src/kcr_runtime/supervisor.py
+++ b/packages/runtime/src/kcr_runtime/supervisor.py
@@ -160,15 +160,21 @@
         while now - self._restarts[0] > RESTART_PERIOD_S:
             self._restarts.popleft()
         if len(self._restarts) > MAX_RESTARTS:
-            self._give_up(name)
+            self._give_up(name, TooManyRestarts(self.child_address(name)))
             return
-        defer.ensureDeferred(self._restart(name))
+        defer.ensureDeferred(self._restart_or_give_up(name))
 
-    def _give_up(self, name: str) -> None:
-        exc = TooManyRestarts(self.child_address(name))
+    def _give_up(self, name: str, exc: BaseException) -> None:
+        self._log.error('supervisor gives up', child=name, error=str(exc))
         if self.on_failure is not None:
             self.on_failure(exc)
 
+    async def _restart_or_give_up(self, name: str) -> None:
+        try:
+            await self._restart(name)
+        except Exception as exc:  # A child must not be left out in silence.
+            self._give_up(name, exc)
+
     async def _restart(self, name: str) -> None:
         names = list(self._specs)
         affected = [name]
--- a/packages/runtime/src/kcr_runtime/wire/session.py
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -37,6 +37,14 @@
     hello: messages.Hello
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskOpened:
+    """Ask a session to tell a restarted task whether it is open."""
+
+    # Address of the task.
+    sender: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Closed:
     """Tell subscribers that a session has ended."""
@@ -342,6 +350,11 @@
     def _on_set_revision(self, msg: SetRevision) -> None:
         self.revision = msg.revision
 
+    @task.handles(AskOpened)
+    def _on_ask_opened(self, msg: AskOpened) -> None:
+        if self._hello is not None:
+            self.send(msg.sender, Opened(self.address, self._hello))
+
     @task.handles(Close)
     def _on_close(self, msg: Close) -> None:
         self._close(msg.reason)
@@ -367,3 +380,13 @@
             return
         for subscriber in self.routes.subscribers:
             self.send(subscriber, Closed(self.address, hello, reason))
+
+
+def ask_opened(ctx: task.Context, sender: str, parents: set[str]) -> None:
+    """Ask the open sessions below some supervisors to tell of themselves.
+
+    A restarted task knows none of the sessions that were opened before.
+    """
+    for address in ctx.directory.addresses():
+        if address.rpartition('/')[0] in parents:
+            ctx.directory.send(address, AskOpened(sender))
--- a/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/task_control.py
@@ -88,6 +88,7 @@
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
         self._sessions.append(event.session)
+        self._repeat_state()
 
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
@@ -129,6 +130,12 @@
     def _on_settings(self, msg: events.SettingsInForce) -> None:
         self._control.settings = msg.settings
         self._control.sizes.factor = msg.settings.unknown_size_factor
+        self._repeat_state()
+
+    def _repeat_state(self) -> None:
+        """Tell the other tasks again; a restarted one knows nothing."""
+        self._load = self._told = None
+        self._announce()
         # Settings are delivered again and again; a restarted interference
         # task gets the running tasks with them.
         self._told = None
--- a/packages/sidecar/src/kcr_sidecar/links/supervisor.py
+++ b/packages/sidecar/src/kcr_sidecar/links/supervisor.py
@@ -20,7 +20,13 @@
 
 
 class Links(supervisor.Supervisor):
-    """Run the announcer and the sessions to the entries."""
+    """Run the announcer and the sessions to the entries.
+
+    The announcer knows only the sessions that were opened in its life, so the
+    sessions are restarted after it.
+    """
+
+    strategy = supervisor.Strategy.REST_FOR_ONE
 
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the tasks of the links part."""
--- /dev/null
+++ b/tests/emulator/test_task_restarts.py
@@ -0,0 +1,63 @@
+"""Check that a role serves on after any task of its tree has failed."""
+
+import typing
+
+import pytest
+
+from kcr_emulator import capacity_actors
+from kcr_emulator import capacity_world
+from kcr_runtime import task
+
+# Tasks of an entry that a supervisor restarts.
+ENTRY_TASKS = (
+    'configuration/in_force', 'configuration/processes', 'fleet/listener',
+    'fleet/membership', 'fleet/peers', 'front/http', 'log/appender',
+    'log/reader_claims', 'log/reader_config', 'log/reader_tasks',
+    'work/claims', 'work/fences', 'work/requests', 'work/tasks',
+)  # fmt: skip
+# The same of a sidecar; its task control ends the process instead.
+SIDECAR_TASKS = (
+    'capacity/admission', 'capacity/interference', 'capacity/shutdown',
+    'links/announcer', 'links/control', 'platform/runner', 'platform/worker',
+)  # fmt: skip
+
+
+def fail(ctx: task.Context, address: str) -> None:
+    """Let a task fail while it handles a message."""
+    node: typing.Any = ctx.directory._nodes[address]
+    node.on_failure(RuntimeError('asked to fail'))
+
+
+def check_service(world: capacity_world.World, number: int) -> None:
+    """Run one request of each kind and one task."""
+    got: list[typing.Any] = []
+    for kind, idempotent in enumerate((True, False)):
+        body = capacity_actors.make_request(number + kind, idempotent)
+        world.call('POST', '/v1/requests', body).addCallback(got.append)
+    body = capacity_actors.make_task(number, 0.2)
+    world.call('POST', '/v1/tasks', body).addCallback(got.append)
+    world.net.run(4.0)
+    assert [b'"done"' in reply.body for reply in got[:2]] == [True, True]
+    assert b'"accepted"' in got[2].body
+    state = world.contexts[0].directory.dump()['work/tasks']
+    assert state['live'] == 0, 'the task has not ended'
+
+
+@pytest.mark.parametrize(
+    ('process', 'address'),
+    [
+        *((0, address) for address in ENTRY_TASKS),
+        *((1, address) for address in SIDECAR_TASKS),
+    ],
+)
+def test_role_serves_on_after_a_task_failed(
+    process: int, address: str
+) -> None:
+    """Guard against a restarted task that never learns its state again."""
+    capacity_world.prepare()
+    world = capacity_world.World(1, 1)
+    check_service(world, 10)
+    ctx = (world.contexts[0], world.sidecar_contexts[0])[process]
+    fail(ctx, address)
+    world.net.run(8.0)
+    check_service(world, 20)
--- a/tests/runtime/test_supervisor.py
+++ b/tests/runtime/test_supervisor.py
@@ -137,3 +137,29 @@
     root.post(supervisor.StopChild('a'))
     clock.advance(0)
     assert ctx.directory.count_children('parent') == 1
+
+
+class Unstoppable(Counting):
+    """Fail while it is stopped."""
+
+    def stopped(self) -> None:
+        raise OSError('cannot be stopped')
+
+
+class WithUnstoppable(supervisor.Supervisor):
+    """Run one task that cannot be stopped."""
+
+    def children(self) -> tuple[supervisor.ChildSpec, ...]:
+        return (supervisor.ChildSpec('a', Unstoppable),)
+
+
+def test_child_that_cannot_be_restarted_is_not_left_out() -> None:
+    """Guard against a process that runs on without one of its tasks."""
+    ctx, clock = make_context()
+    root = WithUnstoppable(ctx, '')
+    failures: list[BaseException] = []
+    root.on_failure = failures.append
+    root.begin()
+    ctx.directory.send('a', Fail())
+    clock.advance(0)
+    assert [str(exc) for exc in failures] == ['cannot be stopped']
