Keep a deployment running for a first document

Cause: a new operator had no deployment to try the command line on; the demo ends by itself.

Ruled out: a flag of the demo that does not end.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEED ?= 1
 STEPS ?= 2000
 
-.PHONY: install demo test lint soak bench capacity format clean
+.PHONY: install demo local test lint soak bench capacity format clean
 
 install: $(STAMP)
 
@@ -22,6 +22,9 @@
 demo: install
 	$(BIN)/python -m kcr_emulator.demo --seed $(SEED)
 
+local: install
+	$(BIN)/python -m kcr_emulator.local --seed $(SEED)
+
 lint: install
 	$(BIN)/ruff format --check --quiet packages tests
 	$(BIN)/flake8 packages tests
