Reset the attempts in flight when their owner was restarted

Cause: found by reading. The membership view counts the attempts of each endpoint; a restarted owner of the requests never ended those it had lost, so that least_cost took their endpoints for loaded until they connected again.

Ruled out: counting from heartbeats only, which are up to 1 s old.

Conclusion: the owner reports its start to the membership view.

--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -81,6 +81,10 @@
     attempt: str
 
 
+class RequestsRestarted:
+    """Report that the owner of the requests has lost its attempts."""
+
+
 class _Look:
     pass
 
@@ -323,6 +327,14 @@
         self._advance()
         self._look_later()
 
+    @task.handles(RequestsRestarted)
+    def _on_requests_restarted(self, msg: RequestsRestarted) -> None:
+        for attempt in list(self._held):
+            self._dispatcher.withdraw(attempt)
+        self._held.clear()
+        for endpoint in self._view.endpoints.values():
+            endpoint.in_flight = 0
+
     @task.handles(Withdraw)
     def _on_withdraw(self, msg: Withdraw) -> None:
         if self._dispatcher.withdraw(msg.attempt):
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -78,6 +78,10 @@
         self._claims = claim_path.ClaimPath(self)
         self._recent = recent.Recent()
 
+    def started(self) -> None:
+        """Give back the attempts of an older life of this task."""
+        self.send(addresses.MEMBERSHIP, membership.RequestsRestarted())
+
     @task.handles(events.SettingsInForce)
     def _on_settings(self, event: events.SettingsInForce) -> None:
         if event.revision >= self._revision:
@@ -197,9 +201,8 @@
     def _on_dispatched(self, event: membership.Dispatched) -> None:
         active = self._find(event.attempt)
         if active is None or active.state.outcome is not None:
-            self.send(
-                addresses.MEMBERSHIP, membership.AttemptEnded(event.instance)
-            )
+            ended = membership.AttemptEnded(event.instance)
+            self.send(addresses.MEMBERSHIP, ended)
             return
         active.state.placed(event.attempt, event.instance)
         active.sessions[event.attempt] = event.session
@@ -210,10 +213,8 @@
         active = self._find(event.attempt)
         if active is not None:
             self._refund_hedge(event.attempt)
-            self._apply(
-                active.submit.key,
-                active.state.not_sent(event.attempt, event.reason),
-            )
+            step = active.state.not_sent(event.attempt, event.reason)
+            self._apply(active.submit.key, step)
 
     @task.handles(session.Received)
     def _on_received(self, event: session.Received) -> None:
--- /dev/null
+++ b/tests/entry/test_membership.py
@@ -0,0 +1,59 @@
+"""Check the bookkeeping of attempts when their owner is restarted."""
+
+import random
+import typing
+
+from twisted.internet import task as twisted_task
+
+from kcr_core import messages
+from kcr_core import types
+from kcr_entry import addresses
+from kcr_entry.fleet import membership
+from kcr_runtime import metrics
+from kcr_runtime import task
+from kcr_runtime.wire import session
+
+HELLO = messages.Hello(1, 'sidecar', 's', 'i', types.Place('r', 'z', 'k', 'a'))
+STATE = messages.EndpointState(
+    'web', types.Capacity(8, 64, types.Demand(1.0, 1.0)), 1
+)
+
+
+class Sink(task.Task):
+    """Accept every message."""
+
+    def post(self, msg: typing.Any) -> bool:
+        """Accept it."""
+        return True
+
+
+class Config:
+    """Hold the options that membership reads."""
+
+    listen = '127.0.0.1:1'
+
+
+def test_restarted_requests_leave_no_attempt_in_flight() -> None:
+    """Guard against endpoints that look loaded by attempts nobody holds."""
+    clock = twisted_task.Clock()
+    ctx = task.Context(
+        reactor=clock,
+        directory=task.Directory(),
+        rng=random.Random(1),
+        cfg=Config(),
+        metrics=metrics.Metrics('test'),
+        incarnation='e',
+    )
+    node = membership.Membership(ctx, addresses.MEMBERSHIP)
+    for address in ('links/s', addresses.REQUESTS):
+        Sink(ctx, address).begin()
+    node.begin()
+    node.post(session.Opened('links/s', HELLO))
+    node.post(session.Received('links/s', HELLO, STATE))
+    attempt = messages.Execute('a', 'c/1', 'web', 1000, True, b'')
+    node.post(membership.Dispatch(attempt, frozenset()))
+    clock.advance(0)
+    assert node.dump()['endpoints']['a']['in_flight'] == 1
+    node.post(membership.RequestsRestarted())
+    clock.advance(0)
+    assert node.dump()['endpoints']['a']['in_flight'] == 0
