Remove what stood twice, was never used, or was delivered for nothing

The resident memory was read by two copies of one loop. Every record of three streams was delivered to the membership task, which ignored it since the ledger reports its view. The admission task kept settings that nothing read. The sessions were selected by two loops over all addresses, one of them by parts of names.

Ruled out: merging the message and record classes that only share their shape, and the policies of one registry, whose signatures must be alike; publishing fewer heartbeats, which changes behaviour.

Figures: a read of the log is delivered to 1 task instead of 2.

Conclusion: kcr_runtime.memory and Directory.children serve both sides; behaviour is unchanged.

--- a/packages/core/src/kcr_core/placement.py
+++ b/packages/core/src/kcr_core/placement.py
@@ -39,9 +39,6 @@
     size_factor: float = 1.0
 
 
-NO_SPREAD = JobSpread({}, {})
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
     """Name the home that was chosen."""
--- a/packages/emulator/src/kcr_emulator/harness.py
+++ b/packages/emulator/src/kcr_emulator/harness.py
@@ -16,6 +16,8 @@
 import types
 import typing
 
+from kcr_runtime import memory
+
 # Time that a process may take to end after SIGTERM, in seconds.
 STOP_LIMIT_S = 40.0
 LOOPBACK = '127.0.0.1'
@@ -80,15 +82,7 @@
         """Return the resident memory in KiB; 0 if it does not run."""
         if self.popen is None or not self.is_running():
             return 0
-        path = f'/proc/{self.popen.pid}/smaps_rollup'
-        try:
-            with open(path, encoding='ascii') as lines:
-                for line in lines:
-                    if line.startswith('Rss:'):
-                        return int(line.split()[1])
-        except OSError:
-            return 0
-        return 0
+        return memory.resident_kb(self.popen.pid)
 
     def cpu_seconds(self) -> float:
         """Return the processor time used so far, in seconds."""
--- a/packages/entry/src/kcr_entry/addresses.py
+++ b/packages/entry/src/kcr_entry/addresses.py
@@ -8,6 +8,7 @@
 FENCES = 'work/fences'
 CLAIMS = 'work/claims'
 PEERS = 'fleet/peers'
+LISTENER = 'fleet/listener'
 PEER_SESSIONS = 'fleet/peer_sessions'
 # Supervisors of all sessions.
 ALL_SESSIONS = {SESSIONS, PEER_SESSIONS}
--- a/packages/entry/src/kcr_entry/configuration/processes.py
+++ b/packages/entry/src/kcr_entry/configuration/processes.py
@@ -88,11 +88,9 @@
     def _stamp_sessions(self) -> None:
         """Give the sessions the revision for the hello of new connections."""
         stamp = session.SetRevision(self.revision)
-        for name in self.ctx.directory.addresses():
-            if name.startswith('fleet/'):
-                node = name.rpartition('/')[2]
-                if node == 'listener' or '_sessions/' in name:
-                    self.send(name, stamp)
+        dialed = self.ctx.directory.children(addresses.PEER_SESSIONS)
+        for name in (addresses.LISTENER, *dialed):
+            self.send(name, stamp)
 
     def _control(self, name: str) -> None:
         follower, settings = self._followers[name], self._settings
--- a/packages/entry/src/kcr_entry/fleet/membership.py
+++ b/packages/entry/src/kcr_entry/fleet/membership.py
@@ -259,11 +259,6 @@
                 event = events.EndpointForgotten(instance)
                 self.send(addresses.TASKS, event)
 
-    @task.handles(events.LogRead)
-    @task.handles(events.LogGap)
-    def _on_log(self, event: events.LogRead | events.LogGap) -> None:
-        """Ignore it; `work/tasks` reports the view after it was applied."""
-
     @task.handles(events.LedgerView)
     def _on_ledger(self, view: events.LedgerView) -> None:
         self._ledger = view
--- a/packages/entry/src/kcr_entry/log/supervisor.py
+++ b/packages/entry/src/kcr_entry/log/supervisor.py
@@ -40,8 +40,6 @@
     """Return the factory of the reader of one stream."""
 
     def make(ctx: task.Context, address: str) -> reader.Reader:
-        return reader.Reader(
-            ctx, address, stream, (owner, addresses.MEMBERSHIP)
-        )
+        return reader.Reader(ctx, address, stream, (owner,))
 
     return make
--- a/packages/runtime/src/kcr_runtime/process.py
+++ b/packages/runtime/src/kcr_runtime/process.py
@@ -20,6 +20,7 @@
 from twisted.internet import defer
 from twisted.internet import error
 
+from kcr_runtime import memory
 from kcr_runtime import metrics
 from kcr_runtime import roles
 from kcr_runtime import settings
@@ -136,7 +137,7 @@
         return {
             'incarnation': self.ctx.incarnation,
             'phase': self.phase,
-            'rss_kb': resident_kb(),
+            'rss_kb': memory.resident_kb(),
             'metrics': self.ctx.metrics.read(),
         }
 
@@ -229,15 +230,3 @@
     authority of a sidecar. This clock also counts time in suspension.
     """
     reactor.seconds = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
-def resident_kb() -> int:
-    """Return the resident memory of this process in KiB; 0 if not known."""
-    try:
-        with open('/proc/self/smaps_rollup', encoding='ascii') as lines:
-            for line in lines:
-                if line.startswith('Rss:'):
-                    return int(line.split()[1])
-    except OSError:
-        return 0
-    return 0
--- a/packages/runtime/src/kcr_runtime/task.py
+++ b/packages/runtime/src/kcr_runtime/task.py
@@ -81,6 +81,14 @@
         node = self._nodes.get(address)
         return node is not None and node.post(msg)
 
+    def children(self, address: str) -> tuple[str, ...]:
+        """Return the addresses of the running nodes below a supervisor."""
+        return tuple(
+            node
+            for node in self.addresses()
+            if node.rpartition('/')[0] == address
+        )
+
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses of all running nodes."""
         return tuple(sorted(self._nodes))
--- a/packages/runtime/src/kcr_runtime/wire/session.py
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -387,6 +387,6 @@
 
     A restarted task knows none of the sessions that were opened before.
     """
-    for address in ctx.directory.addresses():
-        if address.rpartition('/')[0] in parents:
+    for parent in sorted(parents):
+        for address in ctx.directory.children(parent):
             ctx.directory.send(address, AskOpened(sender))
--- a/packages/sidecar/src/kcr_sidecar/addresses.py
+++ b/packages/sidecar/src/kcr_sidecar/addresses.py
@@ -12,7 +12,6 @@
 
 # Tasks that follow the settings of the document in force.
 FOLLOWERS = (
-    ADMISSION,
     ANNOUNCER,
     SHUTDOWN,
     TASK_CONTROL,
--- a/packages/sidecar/src/kcr_sidecar/capacity/admission.py
+++ b/packages/sidecar/src/kcr_sidecar/capacity/admission.py
@@ -11,7 +11,6 @@
 from kcr_core import messages
 from kcr_core import service_window
 from kcr_core import slots
-from kcr_core import types
 from kcr_runtime import http_client
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -76,8 +75,6 @@
     def __init__(self, ctx: task.Context, address: str) -> None:
         super().__init__(ctx, address)
         cfg = ctx.cfg
-        # Settings of the document in force.
-        self.settings = types.ControlSettings()
         self._slots = slots.Slots(cfg.slots, cfg.connections)
         self._attempts: dict[str, _Attempt] = {}
         self._grants = grants.Grants()
@@ -256,10 +253,6 @@
         if self._draining and not self._attempts:
             self.send(addresses.SHUTDOWN, events.PartDrained(self.address))
 
-    @task.handles(events.SettingsInForce)
-    def _on_settings(self, msg: events.SettingsInForce) -> None:
-        self.settings = msg.settings
-
     @task.handles(events.BeginDrain)
     def _on_begin_drain(self, msg: events.BeginDrain) -> None:
         self._draining = True
--- a/tests/sidecar/test_control.py
+++ b/tests/sidecar/test_control.py
@@ -42,7 +42,7 @@
     ctx = task.Context(
         clock, task.Directory(), random.Random(1), None, METRICS, 'life'
     )
-    follower = Box(ctx, addresses.ADMISSION)
+    follower = Box(ctx, addresses.ANNOUNCER)
     link = Box(ctx, f'{addresses.SESSIONS}/e1')
     node = control.Control(ctx, addresses.CONTROL)
     node.begin()
