--- a/packages/daemon/src/kcr_daemon/main.py
+++ b/packages/daemon/src/kcr_daemon/main.py
@@ -5,6 +5,8 @@
 """
 
 import importlib
+import os
+import signal
 import sys
 import typing
 
@@ -27,8 +29,20 @@
         sys.modules[name] = typing.cast(typing.Any, None)
 
 
+def handle_early_signals() -> None:
+    """Ignore SIGHUP and end on SIGTERM until the role handles them.
+
+    Imports take up to a second on a slow instance, and the default action of
+    both would report the process as killed.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Nothing has been taken up that would have to be finished.
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+
+
 def main() -> None:
     """Run the role named by the first argument."""
+    handle_early_signals()
     args = sys.argv[1:]
     if not args or args[0] not in MODULES:
         asked = args[0] if args else 'none'
--- a/packages/scheduler/src/kcr_scheduler/fleet/publisher.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/publisher.py
@@ -41,11 +41,11 @@
 
     async def _publish(self) -> None:
         cfg = self.ctx.cfg
-        got = await self.store.put(TOPIC, cfg.process, cfg.listen.encode())
+        got = await self.store.put(TOPIC, cfg.process, cfg.address.encode())
         if not self._running:
             return
         if isinstance(got, store.Appended):
-            self.log.info('listed in the store', listen=cfg.listen)
+            self.log.info('listed in the store', address=cfg.address)
         else:
             self.after(RETRY_S, _Publish())
 
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -11,6 +11,9 @@
     listen: settings.Address = pydantic.Field(
         description='address for agents and other schedulers'
     )
+    advertise: str = pydantic.Field(
+        '', description='address that others dial; empty for `listen`'
+    )
     http: settings.Address = pydantic.Field(description='address for callers')
     ready: settings.Address = pydantic.Field(
         description='address for readiness checks'
@@ -40,3 +43,8 @@
     max_connections: int = pydantic.Field(
         2000, description='connections accepted at the same time', ge=1
     )
+
+    @property
+    def address(self) -> str:
+        """Return the address that others dial."""
+        return self.advertise or self.listen
--- a/tests/scheduler/scheduler_world.py
+++ b/tests/scheduler/scheduler_world.py
@@ -18,7 +18,7 @@
 
     process = 'me'
     region = zone = rack = 'x'
-    listen = '127.0.0.1:1'
+    listen = address = '127.0.0.1:1'
     seeds = ('127.0.0.1:1', '127.0.0.1:2')
     store = 'model'
     config = 'model'
