Let the last owner claim the jobs at once when it comes back

If the newest claim is by an earlier life of the same process, there is no owner to wait for. The claim at an offset still decides.

--- a/packages/document/src/kcr_document/loading.py
+++ b/packages/document/src/kcr_document/loading.py
@@ -4,11 +4,11 @@
 
 import yaml
 
-from kcr_core import messages
+from kcr_core import message_base
 from kcr_document import problems
 
 # Largest file; a record and a frame must hold its canonical text.
-MAX_BYTES = messages.MAX_BODY_BYTES - 64 * 1024
+MAX_BYTES = message_base.MAX_BODY_BYTES - 64 * 1024
 # Deepest nesting of lists and mappings.
 MAX_DEPTH = 12
 # Nodes after aliases are expanded; 9,100 instances use about 110,000.
--- a/packages/scheduler/src/kcr_scheduler/events.py
+++ b/packages/scheduler/src/kcr_scheduler/events.py
@@ -69,6 +69,8 @@
     epoch: int
     # Address of its owner; empty for none.
     owner: str
+    # Whether the owner was an earlier life of this process.
+    was_mine: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -56,7 +56,7 @@
         self._versions: dict[str, int] = {}
         self._open: dict[str, str] = {}
         self._failed: dict[str, int] = {}
-        self._mine = {ctx.cfg.listen}
+        self._mine = {ctx.cfg.address}
         self._store_at: float | None = None
         # Time since which no owner was heard; none while one is.
         self._gone_at: float | None = None
@@ -169,7 +169,7 @@
         )
 
     def _known(self) -> tuple[str, ...]:
-        return tuple(sorted({self.ctx.cfg.listen, *self._open.values()}))
+        return tuple(sorted({self.ctx.cfg.address, *self._open.values()}))
 
     # Pulses.
 
@@ -295,7 +295,7 @@
     @task.handles(events.Leading)
     def _on_leading(self, event: events.Leading) -> None:
         self.leading = True
-        self.epoch, self.owner = event.epoch, self.ctx.cfg.listen
+        self.epoch, self.owner = event.epoch, self.ctx.cfg.address
         self._gone_at = None
         for name in self._open:
             self._pulse(name)
@@ -309,10 +309,17 @@
             self.epoch, self.owner = event.epoch, event.owner
         if was_leading or self._gone_at is None:
             self._gone_at = self.now()
+        if event.was_mine:
+            # The owner of the newest claim was an earlier life of this
+            # process, so nobody is displaced. After a loss of power of all
+            # this saves the election, 0.6 s.
+            self.log.info('claiming again', epoch=event.epoch)
+            self._campaign()
+            return
         # A claim that was unknown may have a living owner; give it time to
         # be heard.
         self._campaign_at = self.now() + HEAR_OWNER_S
-        if self.owner and self.owner != self.ctx.cfg.listen:
+        if self.owner and self.owner != self.ctx.cfg.address:
             self._dial(self.owner)
         self._publish_owner()
 
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -101,8 +101,10 @@
             return
         claim = self._jobs.book.claim
         if claim is not None and term == self._term and self._running:
+            was_mine = claim.process == self.ctx.cfg.process
             self.send(
-                addresses.MESH, events.NotLeading(claim.epoch, claim.address)
+                addresses.MESH,
+                events.NotLeading(claim.epoch, claim.address, was_mine),
             )
 
     @task.handles(events.Campaign)
@@ -124,7 +126,7 @@
                 raise job_log.Deposed('another process has claimed')
             rec = records.Claim(
                 jobs.book.epoch + 1, self.ctx.cfg.process,
-                self.ctx.incarnation, self.ctx.cfg.listen,
+                self.ctx.incarnation, self.ctx.cfg.address,
             )  # fmt: skip
             await jobs.append([rec])
             jobs.book.apply(rec)
--- /dev/null
+++ b/tests/scheduler/test_mesh.py
@@ -0,0 +1,45 @@
+"""Check when a scheduler claims the jobs."""
+
+import scheduler_world
+
+from kcr_jobs import election
+from kcr_jobs import records
+from kcr_scheduler import addresses
+from kcr_scheduler import events
+from kcr_scheduler.fleet import mesh
+from kcr_scheduler.work import codec
+from kcr_scheduler.work import job_log
+from kcr_scheduler.work import owner
+
+TASKS = (
+    addresses.WATCH, addresses.CALLS, addresses.FRONT, addresses.SESSIONS,
+    addresses.PEER_SESSIONS,
+)  # fmt: skip
+
+
+def play(process: str) -> tuple[scheduler_world.Bench, owner.Owner]:
+    """Start a scheduler named `me` where a process had claimed the jobs."""
+    bench = scheduler_world.Bench(*TASKS)
+    claim = records.Claim(4, process, 'older', '127.0.0.1:2')
+    bench.store.parts[job_log.TOPIC].append(codec.encode('older', [claim]))
+    made = owner.Owner(bench.ctx, addresses.OWNER)
+    mesh.Mesh(bench.ctx, addresses.MESH).begin()
+    made.begin()
+    bench.post(addresses.MESH, events.StoreHeard())
+    return bench, made
+
+
+def test_owner_that_comes_back_claims_at_once() -> None:
+    """Guard against an election that a restart of all has to wait for."""
+    bench, made = play('me')
+    bench.advance(0.1)
+    assert made.phase == 'leading'
+    assert made.controller is not None
+    assert made.controller.epoch == 5
+
+
+def test_other_scheduler_waits_for_the_owner() -> None:
+    """Guard against a newcomer that takes the jobs from a living owner."""
+    bench, made = play('other')
+    bench.advance(election.STARTUP_S)
+    assert made.phase == 'idle'
