Keep serving tasks of an image together, and raise estimates sooner

A serving task now goes where its image is already, else to the runner that loses least by another image. Latency over the base that the estimates don't explain raises them by half, divided by the images at work.

--- a/packages/jobs/src/kcr_jobs/pair_effects.py
+++ b/packages/jobs/src/kcr_jobs/pair_effects.py
@@ -4,7 +4,9 @@
 load, plus what each filler beside it adds. The excess over the lowest latency
 seen bounds what any one filler adds, so the lowest bound that is seen while
 the two run side by side tells harmless pairs from harmful ones within
-seconds, however the own load swings.
+seconds, however the own load swings. Latency that the estimates of all pairs
+together don't explain raises them, each by the part that it is believed to
+have in it.
 """
 
 import dataclasses
@@ -16,10 +18,17 @@
 # Effect of a pair that was never seen, in ms of latency per core; it lets one
 # filler of usual size start beside a serving task of usual target.
 UNKNOWN_MS = 6.0
-# Weight of a bound below the estimate, and of one above it. Low bounds are
-# evidence of harmlessness; high ones may be due to other tasks or own load.
+# Least effect of a pair, in ms of latency per core, so that it can be found
+# to be larger.
+LEAST_MS = 0.1
+# Weight of a bound below the estimate: evidence of harmlessness.
 LOWER_WEIGHT = 0.5
-RAISE_WEIGHT = 0.06
+# Weight of latency that the estimates don't explain. It is divided by the
+# number of images that work there, as it isn't known whose it is.
+RAISE_WEIGHT = 0.5
+# Latency over the base that a serving task's own load may explain, as a share
+# of the base; the users' loads swing by half.
+OWN_SWING = 0.6
 # Weight by which the lowest latency of an image follows upwards.
 BASE_WEIGHT = 0.002
 
@@ -55,14 +64,20 @@
         else:
             base += BASE_WEIGHT * (latency_ms - base)
         self.base_ms[serving] = base
-        for filler, used in cores.items():
-            if used < MIN_CORES:
-                continue
-            bound = max(0.0, latency_ms - base) / used
-            pair = (serving, filler)
-            old = self.added_ms.get(pair, UNKNOWN_MS)
-            weight = LOWER_WEIGHT if bound < old else RAISE_WEIGHT
-            self.added_ms[pair] = old + weight * (bound - old)
+        excess = latency_ms - base
+        working = {f: c for f, c in cores.items() if c >= MIN_CORES}
+        added = {f: self.predict(serving, f) * c for f, c in working.items()}
+        whole = sum(added.values())
+        missing = excess - OWN_SWING * base - whole
+        for filler, used in working.items():
+            old = self.predict(serving, filler)
+            new = old
+            if excess / used < old:
+                new += LOWER_WEIGHT * (excess / used - old)
+            elif missing > 0.0:
+                share = added[filler] / whole
+                new += RAISE_WEIGHT * missing * share / used / len(working)
+            self.added_ms[serving, filler] = max(LEAST_MS, new)
 
 
 def measure_fillers(tasks: list[book.Task]) -> dict[str, float]:
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -1,5 +1,6 @@
 """Choose the runner of a task."""
 
+import collections
 from collections import abc
 import dataclasses
 
@@ -13,6 +14,12 @@
 # Share of a serving task's reservation that it is taken to keep busy; the
 # users' site files give 0.45 on average, with swings of half of it.
 SERVING_SHARE = 0.5
+# Share of the filler images that go along with one serving image; a little
+# under half of the pairs of the users' sites do.
+COMPATIBLE_SHARE = 0.45
+# Weight of the processors that a serving task would leave unreserved; it
+# decides between runners with the same images.
+PACKING_WEIGHT = 0.05
 # Pressure up to which fillers are put beside serving tasks; pacing begins a
 # little above it.
 MAX_PRESSURE = 0.75
@@ -30,8 +37,8 @@
     gpu: int
     # Processors that fillers can expect to get.
     spare_cpu: float
-    # Number of serving tasks there.
-    serving: int
+    # Serving tasks there, by image.
+    images: collections.Counter[str]
     # Tasks by job, occurrence and step.
     same_step: dict[tuple[str, int, int], int]
     # Starts that a suspect node may still get.
@@ -50,7 +57,8 @@
         if not task.spec.fills:
             self.cpu -= demand.cpu
         self.spare_cpu -= expected_cpu(task)
-        self.serving += task.spec.lasts
+        if task.spec.lasts:
+            self.images[task.spec.image] += 1
         step = (task.job.spec.job_id, task.occurrence, task.step)
         self.same_step[step] = self.same_step.get(step, 0) + 1
         self.probes -= 1
@@ -96,7 +104,9 @@
         have.mem_mb - used.mem_mb,
         have.gpu - used.gpu,
         have.cpu - sum(expected_cpu(t) for t in node.tasks.values()),
-        sum(t.spec.lasts for t in node.tasks.values()),
+        collections.Counter(
+            t.spec.image for t in node.tasks.values() if t.spec.lasts
+        ),
         {},
         1_000_000,
         effects,
@@ -186,10 +196,19 @@
 
 @SCORES.register('serving')
 def score_serving(task: book.Task, room: Room, now: float) -> float | None:
-    """Pack serving tasks, so that fillers find runners without any."""
+    """Keep serving tasks of an image together, and pack them.
+
+    A filler needs a runner on which it goes along with every serving image.
+    Each image that is added to a runner shuts most of the fillers out that
+    could use it so far, the fewer the more images are there already.
+    """
     assert room.node.info is not None
     left = (room.cpu - task.spec.demand.cpu) / room.node.info.capacity.cpu
-    return left + room.node.failure_rate
+    score = PACKING_WEIGHT * left + room.node.failure_rate
+    if task.spec.image not in room.images:
+        usable = COMPATIBLE_SHARE ** len(room.images)
+        score += usable * (1.0 - COMPATIBLE_SHARE)
+    return score
 
 
 @SCORES.register('filler')
--- a/tests/jobs/test_fillers.py
+++ b/tests/jobs/test_fillers.py
@@ -143,3 +143,42 @@
     for _ in range(4):
         shared.step()
     assert shared.world.places('f')
+
+
+def test_serving_tasks_of_an_image_stay_together() -> None:
+    """Guard against a mix of images on every runner.
+
+    Found on mouldhub-fj, trouble-2: with four images on each runner no filler
+    went along with all of them, and large jobs waited for 40 s.
+    """
+    fast = job_world.Runner('b')
+    fast.info = dataclasses.replace(fast.info, labels=('fast',))
+    world = job_world.World(job_world.Runner('a'), fast)
+    world.submit(job_world.make_job('s0', SERVING))
+    other = dataclasses.replace(SERVING, count=2, image='db', label='fast')
+    world.submit(job_world.make_job('s1', other))
+    world.step()
+    world.submit(job_world.make_job('s2', SERVING))
+    world.step()
+    assert world.places('s0') == {'s0.0.0.0': 'a'}
+    assert world.places('s2') == {'s2.0.0.0': 'a'}
+
+
+def test_effect_that_swings_is_not_taken_for_its_lowest() -> None:
+    """Guard against a harmful pair that one quiet report makes harmless."""
+    effects = pair_effects.PairEffects()
+    world = job_world.World(job_world.Runner('a'))
+    world.submit(job_world.make_job('s', SERVING))
+    world.submit(job_world.make_job('h', FILLER))
+    tasks = {n: j.tasks[f'{n}.0.0.0'] for n, j in world.ctl.book.jobs.items()}
+    tasks['s'].percent, tasks['s'].usage = 100, BASE_MS
+    effects.observe(list(tasks.values()))
+    tasks['h'].usage = 2000
+    found = []
+    for number in range(40):
+        added = (40, 40, 40, 4)[number % 4]
+        tasks['s'].usage = BASE_MS + 2 * added
+        effects.observe(list(tasks.values()))
+        found.append(effects.predict('web', 'heavy'))
+    # Three reports of four show 40 ms a core.
+    assert sum(found[20:]) / 20 >= 20.0
