Start fillers at the share that their runner has room for

The order to start now carries a share: 30% for a pair that was never seen, what the estimate allows for a known one, 10% at least. Fillers that were paced lately count with what they will use.

--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -304,6 +304,11 @@
                 took_ms = (self.now() - sent_at) * 1000.0
                 self.ctx.metrics.record_ms('start', took_ms)
                 self.log.info('run started', task=msg.task, run=msg.attempt)
+                if msg.percent < 100:
+                    pace = messages.PaceRun(
+                        msg.token, msg.task, msg.attempt, msg.percent
+                    )
+                    await self._pace(pace, term)
                 return
             if isinstance(got, port.Refused):
                 self._settle_start(msg, order, got.reason)
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -563,11 +563,12 @@
             node.token, node.orders, task.life, task.name, task.attempt,
             task.job.spec.payload, task.saved,
             ticket,
+            task.pace,
         )  # fmt: skip
         self.gated.append(effects.ToAgent(node.name, node.token, order))
         self._note(
             'run ordered', task=task.name, run=task.attempt, node=node.name,
-            resumed=bool(task.saved),
+            resumed=bool(task.saved), percent=task.pace,
         )  # fmt: skip
 
 
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -195,6 +195,8 @@
     saved: Text = ''
     # Ticket of the runner for the step; empty where none is needed.
     ticket: Text = ''
+    # Share at which it works from the start, in percent.
+    percent: Count = 100
 
 
 @message_base.message('stop_run')
--- a/packages/jobs/src/kcr_jobs/pacing.py
+++ b/packages/jobs/src/kcr_jobs/pacing.py
@@ -34,7 +34,7 @@
 # Share below which a filler stands still.
 LOWEST_PERCENT = 10
 # Time below a fifth of its speed after which a filler is moved, in seconds.
-STANDSTILL_S = 2.0
+STANDSTILL_S = 3.0
 # Share that counts as standing still.
 STILL_PERCENT = 20
 
--- a/packages/jobs/src/kcr_jobs/pair_effects.py
+++ b/packages/jobs/src/kcr_jobs/pair_effects.py
@@ -48,6 +48,10 @@
         """Return the added latency of a pair, in ms per core."""
         return self.added_ms.get((serving, filler), UNKNOWN_MS)
 
+    def is_known(self, serving: str, filler: str) -> bool:
+        """Tell whether a pair was ever seen."""
+        return (serving, filler) in self.added_ms
+
     def observe(self, tasks: list[book.Task]) -> None:
         """Learn from the figures of the tasks on one runner."""
         cores = measure_fillers(tasks)
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -20,6 +20,12 @@
 # Weight of the processors that a serving task would leave unreserved; it
 # decides between runners with the same images.
 PACKING_WEIGHT = 0.05
+# Share at which a filler starts beside a serving task if the effect of the
+# pair isn't known, in percent; enough to measure it within a second.
+PROBE_PERCENT = 30.0
+# Time after an order in which its effect may not show in reports yet, in
+# seconds: the order, half a second of measurement, and the next report.
+UNSEEN_S = 1.2
 # Pressure up to which fillers are put beside serving tasks; pacing begins a
 # little above it.
 MAX_PRESSURE = 0.75
@@ -64,7 +70,10 @@
         self.probes -= 1
         if task.spec.fills:
             self.pressures = [
-                (serving, pressure + self._added(serving, task))
+                (
+                    serving,
+                    pressure + self._added(serving, task) * task.pace / 100,
+                )
                 for serving, pressure in self.pressures
             ]
 
@@ -81,6 +90,21 @@
             default=0.0,
         )
 
+    def infer_share(self, filler: book.Task) -> int:
+        """Return the share at which a filler starts here, in percent."""
+        share = 100.0
+        for serving, pressure in self.pressures:
+            if not self.effects.is_known(
+                serving.spec.image, filler.spec.image
+            ):
+                share = min(share, PROBE_PERCENT)
+            added = self._added(serving, filler)
+            if pressure + added > MAX_PRESSURE:
+                room = max(0.0, MAX_PRESSURE - pressure)
+                share = min(share, 100.0 * room / added)
+        percent = int(share // pacing.STEP) * pacing.STEP
+        return max(pacing.LOWEST_PERCENT, percent)
+
 
 def expected_cpu(task: book.Task) -> float:
     """Return the processors that a task is expected to keep busy."""
@@ -110,7 +134,7 @@
         {},
         1_000_000,
         effects,
-        _infer_pressures(node, effects),
+        _infer_pressures(node, effects, now),
     )
     for task in node.tasks.values():
         step = (task.job.spec.job_id, task.occurrence, task.step)
@@ -174,21 +198,32 @@
 
 
 def _infer_pressures(
-    node: nodes.Node, effects: pair_effects.PairEffects
+    node: nodes.Node, effects: pair_effects.PairEffects, now: float
 ) -> list[tuple[book.Task, float]]:
-    """Return the pressures, with fillers counted that don't work yet."""
+    """Return the pressures, with what fillers add that doesn't show yet."""
     tasks = list(node.tasks.values())
+    unseen = {
+        task: cores
+        for task in tasks
+        if task.spec.fills
+        and not task.stopping
+        and now - task.paced_at < UNSEEN_S
+        and (cores := _infer_unseen_cores(task)) > 0.0
+    }
     out = []
     for serving, pressure in pacing.infer_pressures(tasks):
-        for task in tasks:
-            if task.spec.fills and not task.usage and not task.stopping:
-                added = effects.predict(serving.spec.image, task.spec.image)
-                cores = task.spec.demand.cpu / 1000.0
-                pressure += added * cores / serving.spec.target_ms
+        for task, cores in unseen.items():
+            added = effects.predict(serving.spec.image, task.spec.image)
+            pressure += added * cores / serving.spec.target_ms
         out.append((serving, pressure))
     return out
 
 
+def _infer_unseen_cores(task: book.Task) -> float:
+    """Return the cores that a filler will use beyond what it reported."""
+    return task.spec.demand.cpu * task.pace / 100_000.0 - task.usage / 1000.0
+
+
 # Scores a node that fits; the lowest score wins, none refuses the node.
 Score = abc.Callable[[book.Task, Room, float], float | None]
 SCORES: registry.Registry[Score] = registry.Registry('placement score')
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -213,6 +213,7 @@
 
 def _place(task: book.Task, room: placement.Room, plan: Plan) -> None:
     assert room.node.info is not None
+    task.pace = room.infer_share(task) if task.spec.fills else 100
     room.take(task)
     task.node, task.life = room.node.name, room.node.info.life
     plan.starts.append(task)
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+import recorder
 from twisted.internet import defer
 from twisted.internet import task as twisted_task
 
@@ -107,33 +108,12 @@
     return MODELS[-1]
 
 
-class Peer:
-    """Keep what is sent to the owner."""
-
-    def __init__(self) -> None:
-        self.got: list[typing.Any] = []
-
-    def begin(self) -> None:
-        """Do nothing."""
-
-    def end(self) -> defer.Deferred[None]:
-        """Do nothing."""
-        return defer.succeed(None)
+class Peer(recorder.Recorder):
+    """Keep the messages that are sent over a session."""
 
     def post(self, msg: typing.Any) -> bool:
-        """Record a message."""
-        self.got.append(getattr(msg, 'msg', msg))
-        return True
-
-    def dump(self) -> dict[str, typing.Any]:
-        """Return nothing."""
-        return {}
-
-    def take(self, cls: type[typing.Any]) -> list[typing.Any]:
-        """Return and drop the messages of one class."""
-        found = [msg for msg in self.got if isinstance(msg, cls)]
-        self.got = [msg for msg in self.got if not isinstance(msg, cls)]
-        return found
+        """Record what a message carries."""
+        return super().post(getattr(msg, 'msg', msg))
 
 
 class Bench:
@@ -279,3 +259,15 @@
     bench.post(events.RunnerSeen(leaving, 2))
     bench.order()
     assert bench.runner.count('start') == 0
+
+
+def test_start_at_a_share_is_paced_once_it_runs() -> None:
+    """Guard against a harmful filler that works at full speed at first."""
+    bench = Bench()
+    bench.lease()
+    bench.tell(
+        messages.StartRun(7, 1, INFO.life, 't', 1, 'p', '', '', percent=30)
+    )
+    kinds = [call[0] for call in bench.runner.calls if call[0] != 'hold']
+    assert kinds == ['start', 'pace']
+    assert ('pace', 7, 't', 1, 30) in bench.runner.calls
--- a/tests/jobs/job_world.py
+++ b/tests/jobs/job_world.py
@@ -62,6 +62,7 @@
             self.orders = msg.number
             assert msg.task not in self.runs, 'two runs of one task'
             self.runs[msg.task] = Run(msg.attempt, saved=msg.saved)
+            self.paces[msg.task] = msg.percent
         elif isinstance(msg, messages.StopRun):
             self.stops.append((msg.task, msg.attempt))
             run = self.runs.get(msg.task)
--- a/tests/jobs/test_fillers.py
+++ b/tests/jobs/test_fillers.py
@@ -4,6 +4,7 @@
 
 import job_world
 
+from kcr_jobs import pacing
 from kcr_jobs import pair_effects
 from kcr_jobs import types
 
@@ -182,3 +183,34 @@
         found.append(effects.predict('web', 'heavy'))
     # Three reports of four show 40 ms a core.
     assert sum(found[20:]) / 20 >= 20.0
+
+
+def test_filler_of_a_known_harmful_pair_starts_slowly() -> None:
+    """Guard against a start at full speed that a starved job is given.
+
+    Found on mouldhub-fj, trouble-2: a starved job put a harmful filler beside
+    five serving tasks at full speed every three seconds, up to 16 times.
+    """
+    shared = Shared({'heavy': 20.0}, BASE_MS)
+    fill(shared, 'heavy')
+    for _ in range(6):
+        shared.step()
+    shared.own_ms = 44.0
+    shared.step()
+    shared.step()
+    shared.world.submit(job_world.make_job('g', FILLER))
+    for _ in range(4):
+        shared.step()
+        if shared.world.places('g'):
+            break
+    assert shared.runner.paces['g.0.0.0'] == pacing.LOWEST_PERCENT
+
+
+def test_filler_of_an_unknown_pair_starts_slowly() -> None:
+    """Guard against a full second of harm to find out what a pair does."""
+    shared = Shared({'heavy': 20.0}, BASE_MS)
+    shared.world.submit(job_world.make_job('s', SERVING))
+    shared.step()
+    shared.step()
+    shared.world.submit(job_world.make_job('f', FILLER))
+    assert max(shared.step() for _ in range(4)) < 50.0
