--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -14,8 +14,8 @@
 # Share of a serving task's reservation that it is taken to keep busy; the
 # users' site files give 0.45 on average, with swings of half of it.
 SERVING_SHARE = 0.5
-# Share of the filler images that go along with one serving image; a little
-# under half of the pairs of the users' sites do.
+# Share of the filler images that are taken to go along with one serving image;
+# the users' site files call 55% of the effects heavy.
 COMPATIBLE_SHARE = 0.45
 # Weight of the processors that a serving task would leave unreserved; it
 # decides between runners with the same images.
--- a/packages/runtime/src/kcr_runtime/metrics.py
+++ b/packages/runtime/src/kcr_runtime/metrics.py
@@ -1,9 +1,9 @@
 """Count and time what a process does.
 
-The OpenTelemetry SDK takes 0.07 s of processor time and 5 MB to import, and a
-process that comes back from a loss of power has better use for both. What is
-counted before the first reader asks is kept here and handed over then. Label
-values come from fixed sets only.
+The OpenTelemetry SDK takes 0.07 s of processor time to import, and a process
+that comes back from a loss of power has better use for it. What is counted
+before the first reader asks is kept here and handed over then. Label values
+come from fixed sets only.
 """
 
 import collections
