Ignore signals once the reactor has stopped

Cause: the interpreter restores default actions while it ends, so a second SIGTERM in the last milliseconds reported a graceful stop as a kill. Ruled out: a stop during the imports, which has its own test; the agent had run for three seconds.

--- a/packages/runtime/src/kcr_runtime/process.py
+++ b/packages/runtime/src/kcr_runtime/process.py
@@ -33,6 +33,9 @@
 LOG_DESCRIPTOR = 1
 # Address at which the drain task reports that it is done.
 PROCESS_ADDRESS = 'process'
+# Signals that begin a graceful shutdown, and all that a process handles.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS = (*STOP_SIGNALS, signal.SIGUSR1, signal.SIGHUP)
 
 
 class Drained:
@@ -116,6 +119,10 @@
         self.ctx.directory.add(PROCESS_ADDRESS, self)
         reactor.callWhenRunning(self._start)
         reactor.run(installSignalHandlers=False)
+        # The interpreter restores the default actions while it ends, and a
+        # second SIGTERM would then report the process as killed.
+        for signum in SIGNALS:
+            signal.signal(signum, signal.SIG_IGN)
         return self.status
 
     def post(self, msg: typing.Any) -> bool:
@@ -148,7 +155,7 @@
 
     def _start(self) -> None:
         call = self.ctx.reactor.callFromThread
-        for signum in (signal.SIGTERM, signal.SIGINT):
+        for signum in STOP_SIGNALS:
             signal.signal(signum, lambda *_: call(self._life.drain))
         signal.signal(signal.SIGUSR1, lambda *_: call(self._print_dump))
         signal.signal(signal.SIGHUP, lambda *_: call(self._reload))
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -277,7 +277,8 @@
 
     def pass_time(self) -> None:
         """End what is done; let everything lapse once the lease has."""
-        if self.running and self.until < self.clock_ms():
+        if self.until < self.clock_ms():
+            # The lease lapses whether anything runs or not.
             for end in self.ended:
                 end.lapsed = True
             for task in list(self.running):
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -109,6 +109,20 @@
         assert item.wait(timeout=deployments.LIMIT_S) == 0
 
 
+def test_repeated_stop_is_graceful(deployment: deployments.Deployment) -> None:
+    """Guard against a second SIGTERM that kills a process as it ends.
+
+    Found by the fault soak (seed 203): the interpreter restores the default
+    action while it ends.
+    """
+    deployment.submit('1' * 16)
+    for item in deployment.processes.values():
+        while item.poll() is None:
+            item.send_signal(signal.SIGTERM)
+            time.sleep(0.002)
+        assert item.returncode == 0
+
+
 def read_mask(pid: int, *kinds: str) -> int:
     """Return the signals that a process ignores or catches."""
     mask = 0
