Take the answer of a silent runner that is listed late

Cause: an agent was killed, the lease of its runner lapsed, and the owner gave the task up. The new agent listed the task as done 0.2 s later, the owner took it for the end of an older attempt, and the work was done again 1.4 s after that. If no later attempt has begun, the end is taken now. Ruled out: two runs at the same time; the second began only after the lease had lapsed.

--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -250,7 +250,7 @@
             if end.number <= node.ends_taken:
                 continue
             node.ends_taken = end.number
-            task = node.tasks.get(end.task)
+            task = node.tasks.get(end.task) or self._find_waiting(end)
             if task is None or end.attempt != task.attempt:
                 self._note(
                     'end of older attempt', task=end.task, run=end.attempt
@@ -274,6 +274,19 @@
             confirm = effects.Confirm(node.name, node.token, number)
             self.gated.append(confirm)
 
+    def _find_waiting(self, end: types.EndRow) -> book.Task | None:
+        """Return the task whose run was done before it was given up.
+
+        The runner was silent until its lease had lapsed, and lists the end
+        now. As no later attempt has begun, the work need not be repeated.
+        """
+        task = self.book.find(end.task)
+        if task is None or task.node or task.done or end.how != 'done':
+            return None
+        if task.spec.lasts or task.spec.gang or not task.job.is_open():
+            return None
+        return task
+
     def _end(self, rows: list[records.EndedRow]) -> None:
         """Write ends and free what the runs held."""
         if not rows:
@@ -281,7 +294,8 @@
         for row in rows:
             task = self.book.find(row.task)
             assert task is not None, row.task
-            self.nodes[task.node].tasks.pop(row.task, None)
+            if task.node:
+                self.nodes[task.node].tasks.pop(row.task, None)
             task.seen = task.stopping = False
             task.percent = task.usage = 0
             task.pace = 100
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -338,3 +338,25 @@
     assert found['j.0.0']['processors'] == 2
     assert found['j.0.1']['label'] == 2
     assert len([n for n in world.noted if n.event == 'step waits']) == 2
+
+
+def test_answer_of_a_silent_runner_is_taken_late() -> None:
+    """Guard against work that is done and then repeated.
+
+    Found by the fault soak (seed 201): an agent was killed, the lease of its
+    runner lapsed, and the new agent listed the end before any other start.
+    """
+    world = job_world.World(job_world.Runner('a'))
+    world.submit(job_world.make_job('j', SMALL))
+    world.step()
+    runner = world.runners['a']
+    runner.connected = False
+    runner.end('j.0.0.0', 'done')
+    for _ in range(20):
+        world.step()
+    assert world.places('j') == {}
+    runner.connected = True
+    world.attach(runner)
+    world.step()
+    assert world.state('j') == 'completed'
+    assert world.places('j') == {}
