--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -9,6 +9,7 @@
 import json
 import random
 import struct
+import sys
 import threading
 import time
 import typing
@@ -57,13 +58,23 @@
         """Write nothing."""
 
 
+class Server(server.ThreadingHTTPServer):
+    """Serve each connection in a thread, and survive its reset."""
+
+    daemon_threads = True
+
+    def handle_error(self, request: typing.Any, address: typing.Any) -> None:
+        """Show errors of the stand-in, but no connections that were reset."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, address)
+
+
 class StandIn:
     """Serve one stand-in on a free port."""
 
     def __init__(self) -> None:
         self.lock = threading.Condition()
-        self.http = server.ThreadingHTTPServer(('127.0.0.1', 0), Handler)
-        self.http.daemon_threads = True
+        self.http = Server(('127.0.0.1', 0), Handler)
         vars(self.http)['stand_in'] = self
         self.address = f'127.0.0.1:{self.http.server_port}'
         threading.Thread(target=self.http.serve_forever, daemon=True).start()
