Use one dialer and one hello for all roles

The mesh of schedulers and the peers of entries dialed, counted and dropped addresses by the same code, and four roles built the hello and the spec of a dialing session alike. kcr_runtime.wire.dialer and two functions of wire.session serve all now. Behaviour is as before; in the mesh a call that dialed back could never have an effect, as the line before it marked the address as dialed, and is gone.

--- a/packages/agent/src/kcr_agent/links/link.py
+++ b/packages/agent/src/kcr_agent/links/link.py
@@ -84,7 +84,7 @@
         if target in self._dialed:
             return
         self._dialed.add(target)
-        spec = routes.make_spec(self.ctx, target)
+        spec = routes.make_spec(target)
         self.send(addresses.SESSIONS, supervisor.StartChild(spec))
 
     def _hang_up(self, target: str) -> None:
--- a/packages/agent/src/kcr_agent/links/routes.py
+++ b/packages/agent/src/kcr_agent/links/routes.py
@@ -1,8 +1,6 @@
 """Say where the messages of the schedulers go and how one is dialed."""
 
 from kcr_agent import addresses
-from kcr_core import message_base
-from kcr_core import types
 from kcr_jobs import messages
 from kcr_runtime import supervisor
 from kcr_runtime import task
@@ -21,23 +19,15 @@
 SUBSCRIBERS = (addresses.LINK,)
 
 
-def make_spec(ctx: task.Context, target: str) -> supervisor.ChildSpec:
-    """Return the spec of a session that dials a scheduler."""
-    cfg = ctx.cfg
-    place = types.Place(cfg.region, cfg.zone, cfg.rack, cfg.process)
-
-    def hello() -> message_base.Hello:
-        return message_base.Hello(
-            version=message_base.PROTOCOL_VERSION,
-            role='agent',
-            process=cfg.process,
-            incarnation=ctx.incarnation,
-            place=place,
-        )
+def make_routes(ctx: task.Context) -> session.Routes:
+    """Return the routes of an agent's sessions."""
+    return session.Routes(
+        tasks=ROUTES,
+        subscribers=SUBSCRIBERS,
+        hello=session.make_hello(ctx, 'agent', ctx.cfg.process),
+    )
 
-    made = session.Routes(tasks=ROUTES, subscribers=SUBSCRIBERS, hello=hello)
 
-    def factory(ctx: task.Context, address: str) -> session.Session:
-        return session.Session(ctx, address, made, target)
-
-    return supervisor.ChildSpec(target, factory)
+def make_spec(target: str) -> supervisor.ChildSpec:
+    """Return the spec of a session that dials a scheduler."""
+    return session.make_spec(target, make_routes)
--- a/packages/entry/src/kcr_entry/fleet/peers.py
+++ b/packages/entry/src/kcr_entry/fleet/peers.py
@@ -13,6 +13,7 @@
 from kcr_entry import events
 from kcr_runtime import supervisor
 from kcr_runtime import task
+from kcr_runtime.wire import dialer
 from kcr_runtime.wire import session
 
 # Entries that are dialed at the same time.
@@ -35,16 +36,17 @@
         # Revision of the document in force.
         self.revision = 0
         self._open: dict[str, message_base.Hello] = {}
-        # Failed dials in a row of each dialed address.
-        self._failed: dict[str, int] = {}
         self._asked_at: float | None = None
         self._seq = 0
-        self._mine = {ctx.cfg.listen}
+        self._dialer = dialer.Dialer(
+            ctx, addresses.PEER_SESSIONS, ctx.cfg.listen, ctx.cfg.peers,
+            PEERS_LIMIT, DIAL_TRIES, make_spec,
+        )  # fmt: skip
 
     def started(self) -> None:
         """Dial the peers of the settings."""
         for target in self.ctx.cfg.peers:
-            self._dial(target)
+            self._dialer.dial(target)
         session.ask_opened(self.ctx, self.address, addresses.ALL_SESSIONS)
         self._publish()
         self.after(self.settings.heartbeat_s, _Beat())
@@ -53,7 +55,7 @@
         """Return the dialed addresses and the connected entries."""
         return {
             **super().dump(),
-            'dialed': sorted(self._failed),
+            'dialed': sorted(self._dialer.failed),
             'peers': sorted({h.process for h in self._open.values()}),
         }
 
@@ -71,25 +73,18 @@
         if hello.role != 'entry':
             return
         if hello.incarnation == self.ctx.incarnation:
-            self._drop_self(event.session)
+            self._dialer.drop_own(event.session)
             return
         if hello.place.region != self.ctx.cfg.region:
             return
         self._open[event.session] = hello
         if hello.address:
-            self._dial(hello.address)
-            if hello.address in self._failed:
-                self._failed[hello.address] = 0
+            self._dialer.dial(hello.address)
+            if hello.address in self._dialer.failed:
+                self._dialer.failed[hello.address] = 0
         self._publish()
         self._beat(event.session)
 
-    def _drop_self(self, name: str) -> None:
-        parent, _, target = name.rpartition('/')
-        if parent == addresses.PEER_SESSIONS:
-            self._mine.add(target)
-            self._failed.pop(target, None)
-            self.send(parent, supervisor.StopChild(target))
-
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
         if self._open.pop(event.session, None) is not None:
@@ -97,14 +92,7 @@
 
     @task.handles(session.DialFailed)
     def _on_dial_failed(self, event: session.DialFailed) -> None:
-        target = event.target
-        if target not in self._failed:
-            return
-        self._failed[target] += 1
-        learnt = target not in self.ctx.cfg.peers
-        if learnt and self._failed[target] >= DIAL_TRIES:
-            del self._failed[target]
-            self.send(addresses.PEER_SESSIONS, supervisor.StopChild(target))
+        if self._dialer.note_failed(event.target):
             self._publish()
 
     @task.handles(session.SendRefused)
@@ -115,7 +103,7 @@
     def _on_received(self, event: session.Received) -> None:
         if isinstance(event.msg, messages.PeerHeartbeat):
             for target in event.msg.entries:
-                self._dial(target)
+                self._dialer.dial(target)
             seen = events.RevisionSeen(event.session, event.msg.revision)
             self.send(addresses.PROCESSES, seen)
 
@@ -142,22 +130,6 @@
         age_s = self.now() - self._asked_at
         return int(age_s * 1000) if age_s <= self.settings.isolation_s else -1
 
-    def _dial(self, target: str) -> None:
-        if target in self._mine or target in self._failed:
-            return
-        if len(self._failed) >= PEERS_LIMIT:
-            self.ctx.metrics.count('peer_refused')
-            return
-        self._failed[target] = 0
-        child = f'{addresses.PEER_SESSIONS}/{target}'
-        if child in self.ctx.directory.addresses():
-            # The session was started before this task was restarted.
-            return
-        self.send(
-            addresses.PEER_SESSIONS,
-            supervisor.StartChild(make_spec(target)),
-        )
-
     def _known(self) -> tuple[str, ...]:
         held = {h.address for h in self._open.values() if h.address}
         return (self.ctx.cfg.listen, *sorted(held))[:PEERS_LIMIT]
@@ -178,7 +150,7 @@
 def make_spec(target: str) -> supervisor.ChildSpec:
     """Return the spec of a session that dials another entry."""
 
-    def factory(ctx: task.Context, address: str) -> session.Session:
+    def make_routes(ctx: task.Context) -> session.Routes:
         from kcr_entry.fleet import supervisor as fleet
 
         subscribers = (
@@ -187,7 +159,6 @@
             addresses.PROCESSES,
             addresses.CLAIMS,
         )
-        routes = fleet.make_routes(ctx, subscribers)
-        return session.Session(ctx, address, routes, target)
+        return fleet.make_routes(ctx, subscribers)
 
-    return supervisor.ChildSpec(target, factory)
+    return session.make_spec(target, make_routes)
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -2,9 +2,7 @@
 
 from collections import abc
 
-from kcr_core import message_base
 from kcr_core import messages
-from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry.fleet import membership
 from kcr_entry.fleet import peers
@@ -91,20 +89,8 @@
 ) -> session.Routes:
     """Return the routes of an entry's sessions."""
     cfg = ctx.cfg
-    place = types.Place(cfg.region, cfg.zone, cfg.rack, cfg.process)
-
-    def hello() -> message_base.Hello:
-        return message_base.Hello(
-            version=message_base.PROTOCOL_VERSION,
-            role='entry',
-            process=cfg.process,
-            incarnation=ctx.incarnation,
-            place=place,
-            address=cfg.listen,
-        )
-
     return session.Routes(
         tasks=ROUTES,
         subscribers=subscribers,
-        hello=hello,
+        hello=session.make_hello(ctx, 'entry', cfg.process, cfg.listen),
     )
--- a/packages/runtime/src/kcr_runtime/wire/session.py
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -14,6 +14,7 @@
 from twisted.internet import error
 
 from kcr_core import message_base
+from kcr_core import types
 from kcr_runtime import supervisor
 from kcr_runtime import task
 from kcr_runtime.wire import connection
@@ -390,3 +391,30 @@
     for parent in sorted(parents):
         for address in ctx.directory.children(parent):
             ctx.directory.send(address, AskOpened(sender))
+
+
+def make_hello(
+    ctx: task.Context, role: str, instance: str, address: str = ''
+) -> abc.Callable[[], message_base.Hello]:
+    """Return what makes the hello of this process."""
+    cfg = ctx.cfg
+    hello = message_base.Hello(
+        version=message_base.PROTOCOL_VERSION,
+        role=role,
+        process=cfg.process,
+        incarnation=ctx.incarnation,
+        place=types.Place(cfg.region, cfg.zone, cfg.rack, instance),
+        address=address,
+    )
+    return lambda: hello
+
+
+def make_spec(
+    target: str, make_routes: abc.Callable[[task.Context], Routes]
+) -> supervisor.ChildSpec:
+    """Return the spec of a session that dials an address."""
+
+    def factory(ctx: task.Context, address: str) -> Session:
+        return Session(ctx, address, make_routes(ctx), target)
+
+    return supervisor.ChildSpec(target, factory)
--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -10,8 +10,8 @@
 from kcr_jobs import election
 from kcr_jobs import messages
 from kcr_runtime import seeds
-from kcr_runtime import supervisor
 from kcr_runtime import task
+from kcr_runtime.wire import dialer
 from kcr_runtime.wire import session
 from kcr_scheduler import addresses
 from kcr_scheduler import events
@@ -55,8 +55,10 @@
         self._config: events.ConfigInForce | None = None
         self._versions: dict[str, int] = {}
         self._open: dict[str, str] = {}
-        self._failed: dict[str, int] = {}
-        self._mine = {ctx.cfg.address}
+        self._dialer = dialer.Dialer(
+            ctx, addresses.PEER_SESSIONS, ctx.cfg.address, ctx.cfg.seeds,
+            PEERS_LIMIT, DIAL_TRIES, routes.make_peer_spec,
+        )  # fmt: skip
         self._store_at: float | None = None
         # Time since which no owner was heard; none while one is.
         self._gone_at: float | None = None
@@ -69,7 +71,7 @@
         """Dial the seeds and start the pulses."""
         self._gone_at = self.now() + election.STARTUP_S
         for target in self.ctx.cfg.seeds:
-            self._dial(target)
+            self._dialer.dial(target)
         session.ask_opened(
             self.ctx,
             self.address,
@@ -97,22 +99,15 @@
         if hello.role != 'scheduler':
             return
         if hello.incarnation == self.ctx.incarnation:
-            self._drop_self(event.session)
+            self._dialer.drop_own(event.session)
             return
         self._open[event.session] = hello.address
-        self._failed[hello.address] = 0
-        self._dial(hello.address)
+        # One session is enough: who has dialed isn't dialed back.
+        self._dialer.failed[hello.address] = 0
         self._pulse(event.session)
         if hello.address == self.owner:
             self._publish_owner()
 
-    def _drop_self(self, name: str) -> None:
-        parent, _, target = name.rpartition('/')
-        if parent == addresses.PEER_SESSIONS:
-            self._mine.add(target)
-            self._failed.pop(target, None)
-            self.send(parent, supervisor.StopChild(target))
-
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
         address = self._open.pop(event.session, None)
@@ -130,14 +125,7 @@
 
     @task.handles(session.DialFailed)
     def _on_dial_failed(self, event: session.DialFailed) -> None:
-        target = event.target
-        if target not in self._failed:
-            return
-        self._failed[target] += 1
-        learnt = target not in self.ctx.cfg.seeds
-        if learnt and self._failed[target] >= DIAL_TRIES:
-            del self._failed[target]
-            self.send(addresses.PEER_SESSIONS, supervisor.StopChild(target))
+        self._dialer.note_failed(event.target)
 
     @task.handles(session.SendRefused)
     def _on_send_refused(self, event: session.SendRefused) -> None:
@@ -146,27 +134,12 @@
     @task.handles(events.EntriesHeard)
     def _on_entries(self, event: events.EntriesHeard) -> None:
         for target in event.addresses:
-            self._dial(target)
+            self._dialer.dial(target)
 
     @task.handles(seeds.SeedsChanged)
     def _on_seeds(self, event: seeds.SeedsChanged) -> None:
         for target in event.addresses:
-            self._dial(target)
-
-    def _dial(self, target: str) -> None:
-        if not target or target in self._mine or target in self._failed:
-            return
-        if len(self._failed) >= PEERS_LIMIT:
-            self.ctx.metrics.count('peer_refused')
-            return
-        self._failed[target] = 0
-        child = f'{addresses.PEER_SESSIONS}/{target}'
-        if child in self.ctx.directory.addresses():
-            return
-        self.send(
-            addresses.PEER_SESSIONS,
-            supervisor.StartChild(routes.make_peer_spec(target)),
-        )
+            self._dialer.dial(target)
 
     def _known(self) -> tuple[str, ...]:
         return tuple(sorted({self.ctx.cfg.address, *self._open.values()}))
@@ -232,7 +205,7 @@
             event.hello.address, now, age, msg.rank, msg.leading
         )
         for target in msg.entries:
-            self._dial(target)
+            self._dialer.dial(target)
         if msg.leading and msg.epoch >= self.epoch:
             self._heard_at = now
             if self._gone_at is not None or msg.epoch > self.epoch:
@@ -320,7 +293,7 @@
         # be heard.
         self._campaign_at = self.now() + HEAR_OWNER_S
         if self.owner and self.owner != self.ctx.cfg.address:
-            self._dial(self.owner)
+            self._dialer.dial(self.owner)
         self._publish_owner()
 
     @task.handles(events.Stalled)
--- a/packages/scheduler/src/kcr_scheduler/fleet/routes.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/routes.py
@@ -1,7 +1,5 @@
 """Say where the messages of other processes go."""
 
-from kcr_core import message_base
-from kcr_core import types
 from kcr_jobs import messages
 from kcr_runtime import supervisor
 from kcr_runtime import task
@@ -27,25 +25,13 @@
 def make_routes(ctx: task.Context) -> session.Routes:
     """Return the routes of a scheduler's sessions."""
     cfg = ctx.cfg
-    place = types.Place(cfg.region, cfg.zone, cfg.rack, cfg.process)
-
-    def hello() -> message_base.Hello:
-        return message_base.Hello(
-            version=message_base.PROTOCOL_VERSION,
-            role='scheduler',
-            process=cfg.process,
-            incarnation=ctx.incarnation,
-            place=place,
-            address=cfg.address,
-        )
-
-    return session.Routes(tasks=ROUTES, subscribers=SUBSCRIBERS, hello=hello)
+    return session.Routes(
+        tasks=ROUTES,
+        subscribers=SUBSCRIBERS,
+        hello=session.make_hello(ctx, 'scheduler', cfg.process, cfg.address),
+    )
 
 
 def make_peer_spec(target: str) -> supervisor.ChildSpec:
     """Return the spec of a session that dials another scheduler."""
-
-    def factory(ctx: task.Context, address: str) -> session.Session:
-        return session.Session(ctx, address, make_routes(ctx), target)
-
-    return supervisor.ChildSpec(target, factory)
+    return session.make_spec(target, make_routes)
--- a/packages/sidecar/src/kcr_sidecar/links/announcer.py
+++ b/packages/sidecar/src/kcr_sidecar/links/announcer.py
@@ -144,7 +144,7 @@
             self.ctx.metrics.count('entry_not_dialed')
             return
         self._learnt.add(target)
-        spec = routes.make_spec(self.ctx, target)
+        spec = routes.make_spec(target)
         self.send(addresses.SESSIONS, supervisor.StartChild(spec))
 
     def _tell_authority(self) -> None:
--- a/packages/sidecar/src/kcr_sidecar/links/supervisor.py
+++ b/packages/sidecar/src/kcr_sidecar/links/supervisor.py
@@ -14,7 +14,7 @@
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return a session for each entry of the settings."""
         return [
-            routes.make_spec(self.ctx, target)
+            routes.make_spec(target)
             for target in dict.fromkeys(self.ctx.cfg.entries)
         ]
 
