Compute a filler's pressure and a pair's estimate once

score_filler worked out the pressure twice for each runner, and the learner looked each pair up twice. Room keeps the set of images that it asks for instead of counts.

--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -32,6 +32,8 @@
 ATTACH_S = 0.4
 # Age of an unconfirmed report at which the owner counts as silent.
 OWNER_SILENT_S = 1.2
+# Time between looks at the lease, in seconds.
+LOOK_S = 0.1
 # Tries of an order to pace; it is sent once by the owner.
 PACE_TRIES = 4
 
@@ -132,7 +134,7 @@
     @task.handles(_Look)
     def _on_look(self, msg: _Look) -> None:
         now = self.now()
-        self.after(0.1, _Look())
+        self.after(LOOK_S, _Look())
         if not self._owner:
             return
         asked = self._asked_at
--- a/packages/jobs/src/kcr_jobs/pair_effects.py
+++ b/packages/jobs/src/kcr_jobs/pair_effects.py
@@ -70,18 +70,18 @@
         self.base_ms[serving] = base
         excess = latency_ms - base
         working = {f: c for f, c in cores.items() if c >= MIN_CORES}
-        added = {f: self.predict(serving, f) * c for f, c in working.items()}
-        whole = sum(added.values())
+        before = {f: self.predict(serving, f) for f in working}
+        whole = sum(before[f] * used for f, used in working.items())
         missing = excess - OWN_SWING * base - whole
         for filler, used in working.items():
-            old = self.predict(serving, filler)
-            new = old
-            if excess / used < old:
-                new += LOWER_WEIGHT * (excess / used - old)
+            effect = before[filler]
+            if excess / used < effect:
+                effect += LOWER_WEIGHT * (excess / used - effect)
             elif missing > 0.0:
-                share = added[filler] / whole
-                new += RAISE_WEIGHT * missing * share / used / len(working)
-            self.added_ms[serving, filler] = max(LEAST_MS, new)
+                # Its part of the whole, for each of its cores.
+                share = effect / whole
+                effect += RAISE_WEIGHT * missing * share / len(working)
+            self.added_ms[serving, filler] = max(LEAST_MS, effect)
 
 
 def measure_fillers(tasks: list[book.Task]) -> dict[str, float]:
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -1,6 +1,5 @@
 """Choose the runner of a task."""
 
-import collections
 from collections import abc
 import dataclasses
 
@@ -43,8 +42,8 @@
     gpu: int
     # Processors that fillers can expect to get.
     spare_cpu: float
-    # Serving tasks there, by image.
-    images: collections.Counter[str]
+    # Images of the serving tasks there.
+    images: set[str]
     # Tasks by job, occurrence and step.
     same_step: dict[tuple[str, int, int], int]
     # Starts that a suspect node may still get.
@@ -64,7 +63,7 @@
             self.cpu -= demand.cpu
         self.spare_cpu -= expected_cpu(task)
         if task.spec.lasts:
-            self.images[task.spec.image] += 1
+            self.images.add(task.spec.image)
         step = (task.job.spec.job_id, task.occurrence, task.step)
         self.same_step[step] = self.same_step.get(step, 0) + 1
         self.probes -= 1
@@ -128,9 +127,7 @@
         have.mem_mb - used.mem_mb,
         have.gpu - used.gpu,
         have.cpu - sum(expected_cpu(t) for t in node.tasks.values()),
-        collections.Counter(
-            t.spec.image for t in node.tasks.values() if t.spec.lasts
-        ),
+        {t.spec.image for t in node.tasks.values() if t.spec.lasts},
         {},
         1_000_000,
         effects,
@@ -169,13 +166,13 @@
     return ''
 
 
-def find_filler_obstacle(task: book.Task, room: Room) -> str:
+def find_filler_obstacle(task: book.Task, room: Room, pressure: float) -> str:
     """Return what keeps a filler off a node that it fits; else empty."""
     if room.node.name == task.avoided:
         return 'moved away'
     if room.spare_cpu < task.spec.demand.cpu:
         return 'unused processors'
-    if room.infer_pressure(task) > MAX_PRESSURE:
+    if pressure > MAX_PRESSURE:
         return 'pressure'
     return ''
 
@@ -191,7 +188,8 @@
     for room in rooms:
         reason = find_obstacle(task, room)
         if not reason and task.spec.fills:
-            reason = find_filler_obstacle(task, room)
+            pressure = room.infer_pressure(task)
+            reason = find_filler_obstacle(task, room, pressure)
         if reason:
             found[reason] = found.get(reason, 0) + 1
     return found
@@ -250,10 +248,10 @@
 def score_filler(task: book.Task, room: Room, now: float) -> float | None:
     """Put fillers where they disturb least and find unused processors."""
     assert room.node.info is not None
-    if find_filler_obstacle(task, room):
+    pressure = room.infer_pressure(task)
+    if find_filler_obstacle(task, room, pressure):
         return None
     have = max(1, room.node.info.capacity.cpu)
-    pressure = room.infer_pressure(task)
     return _base(task, room) + pressure - room.spare_cpu / have
 
 
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -16,8 +16,6 @@
 # Time after which a job with nothing running takes any runner that it fits,
 # in seconds; the users allow 3 s where there is room.
 STARVED_S = 1.0
-
-
 # Time between notes of why a step waits, in seconds.
 EXPLAIN_EVERY_S = 5.0
 
