--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -10,9 +10,8 @@
 import typing
 
 import deployment as deployments
+import http_calls
 
-# Time that a call may take, in seconds.
-CALL_S = 4.0
 # Time after its acceptance at which a job must be known, in seconds; the
 # users' `visible_ms`.
 VISIBLE_S = 3.0
@@ -21,7 +20,6 @@
 CANCELLED_S = 3.0 + 5.0
 # Tries of one submission.
 TRIES = 10
-HOST = 'jobs.example'
 
 
 @dataclasses.dataclass(eq=False)
@@ -49,35 +47,6 @@
         ]
 
 
-def ask_once(
-    front: str, method: str, path: str, body: bytes | None = None
-) -> tuple[int, typing.Any]:
-    """Send one request over an own connection; status 0 for no answer."""
-    conn = http.client.HTTPConnection(front, timeout=CALL_S)
-    try:
-        return ask(conn, method, path, body)
-    finally:
-        conn.close()
-
-
-def ask(
-    conn: http.client.HTTPConnection,
-    method: str,
-    path: str,
-    body: bytes | None = None,
-) -> tuple[int, typing.Any]:
-    """Send one request over a connection that is kept open."""
-    try:
-        conn.request(method, path, body, {'Host': HOST})
-        got = conn.getresponse()
-        data = got.read()
-        return got.status, json.loads(data) if data else {}
-    except (OSError, http.client.HTTPException, ValueError):
-        # The caller can't tell what became of the request.
-        conn.close()
-        return 0, {}
-
-
 class Callers:
     """Run the callers' threads."""
 
@@ -107,7 +76,7 @@
         """Let the submissions under way end."""
         self._open.set()
         for item in self._threads:
-            item.join(CALL_S * TRIES)
+            item.join(http_calls.CALL_S * TRIES)
 
     def close(self) -> None:
         """End all threads."""
@@ -115,12 +84,12 @@
         self._ended.set()
         for item in [*self._threads, *self._watchers]:
             if item.is_alive():
-                item.join(CALL_S * 2)
+                item.join(http_calls.CALL_S * 2)
 
     def _connect(self) -> dict[str, http.client.HTTPConnection]:
         """Return a connection to each scheduler; it stays open."""
         return {
-            name: http.client.HTTPConnection(front, timeout=CALL_S)
+            name: http.client.HTTPConnection(front, timeout=http_calls.CALL_S)
             for name, front in self.deployment.fronts.items()
         }
 
@@ -153,11 +122,11 @@
         body = json.dumps({'Spec': 'x', 'Phases': steps}).encode()
         for _ in range(TRIES):
             conn = conns[rng.choice(sorted(conns))]
-            status, _ = ask(conn, 'POST', f'/q/{job.job_id}', body)
+            status, _ = http_calls.ask(conn, 'POST', f'/q/{job.job_id}', body)
             if status == 200:
                 job.accepted_at = time.monotonic()
                 if rng.random() < 0.2:
-                    ask(conn, 'POST', f'/q/{job.job_id}', body)
+                    http_calls.ask(conn, 'POST', f'/q/{job.job_id}', body)
                 return
             if status in (429, 503):
                 if rng.random() < 0.2:
@@ -177,7 +146,7 @@
         job.cancel_sent = True
         for _ in range(TRIES):
             conn = conns[rng.choice(sorted(conns))]
-            status, _ = ask(conn, 'DELETE', f'/q/{job.job_id}')
+            status, _ = http_calls.ask(conn, 'DELETE', f'/q/{job.job_id}')
             if status == 410:
                 self.wrong.append(f'{job.job_id} is not known to a cancel')
             if status in (200, 410):
@@ -199,7 +168,7 @@
     def _check_state(self, job: Job, conn: http.client.HTTPConnection) -> None:
         assert job.accepted_at is not None
         asked_at = time.monotonic()
-        status, body = ask(conn, 'GET', f'/q/{job.job_id}')
+        status, body = http_calls.ask(conn, 'GET', f'/q/{job.job_id}')
         if status == 410 and asked_at - job.accepted_at > VISIBLE_S:
             self.wrong.append(f'{job.job_id} was accepted and is not known')
         if status != 200:
@@ -221,7 +190,7 @@
             for name, front in self.deployment.fronts.items():
                 life = self.deployment.processes[name]
                 version = self.deployment.version
-                status, _ = ask_once(front, 'GET', f'/v{version}/')
+                status, _ = http_calls.ask_once(front, 'GET', f'/v{version}/')
                 if life is not self.deployment.processes[name]:
                     continue
                 if version != self.deployment.version:
@@ -244,7 +213,9 @@
     def ask_state(self, job: Job) -> str:
         """Return the state that any scheduler shows; empty for none."""
         for front in self.deployment.fronts.values():
-            status, body = ask_once(front, 'GET', f'/q/{job.job_id}')
+            status, body = http_calls.ask_once(
+                front, 'GET', f'/q/{job.job_id}'
+            )
             if status == 200:
                 return str(body.get('State'))
         return ''
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -12,9 +12,8 @@
 import threading
 import time
 import typing
-import urllib.error
-import urllib.request
 
+import http_calls
 import proxy
 import stand_ins
 
@@ -32,7 +31,7 @@
     'Routes': [
         {
             'Name': 'r',
-            'Host': 'jobs.example',
+            'Host': http_calls.HOST,
             'PathPrefix': '/q/',
             'Service': 'svc',
             'MaxAttempts': 3,
@@ -228,17 +227,9 @@
         """Call the first scheduler that answers."""
         data = None if body is None else json.dumps(body).encode()
         for front in self.fronts.values():
-            req = urllib.request.Request(
-                f'http://{front}{path}', data, {'Host': 'jobs.example'},
-                method=method,
-            )  # fmt: skip
-            try:
-                with urllib.request.urlopen(req, timeout=5.0) as got:
-                    return got.status, json.loads(got.read() or b'{}')
-            except urllib.error.HTTPError as exc:
-                status = exc.code
-            except OSError:
-                status = 0
+            status, answer = http_calls.ask_once(front, method, path, data)
+            if 200 <= status < 300:
+                return status, answer
         return status, {}
 
     def wait(self, condition: typing.Callable[[], bool]) -> None:
--- a/tests/platform/fault_soak.py
+++ b/tests/platform/fault_soak.py
@@ -19,6 +19,7 @@
 import defopt
 import deployment as deployments
 import faults
+import http_calls
 
 # Pauses between faults, and how long one lasts, in seconds.
 GAPS_S = (0.2, 1.8)
@@ -143,8 +144,8 @@
         found = []
         newest = self.deployment.version
         for name, front in self.deployment.fronts.items():
-            has = callers.ask_once(front, 'GET', f'/v{newest}/')[0]
-            had = callers.ask_once(front, 'GET', f'/v{newest - 1}/')[0]
+            has = http_calls.ask_once(front, 'GET', f'/v{newest}/')[0]
+            had = http_calls.ask_once(front, 'GET', f'/v{newest - 1}/')[0]
             if has != 200 or had != 404:
                 found.append(f'{name} answers {has} and {had} to its routes')
         return found
