--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -1,8 +1,8 @@
 """Own the connections to the other schedulers and the view of the owner.
 
-Every scheduler dials every other one it hears of. Pulses carry who owns the
-jobs, how fresh the sender's answer of the store is, and the version of its
-configuration.
+A scheduler dials every other one that it hears of, unless that one has dialed
+it. Pulses carry who owns the jobs, how fresh the sender's answer of the store
+is, and the version of its configuration.
 """
 
 import typing
