End reads of the store by lack of progress and size them by the link

A read of the store asked for 1,024 KiB and ended after 1.2 s, whatever had arrived. At 2 Mbit/s such a page takes 4 s, so on a narrow link the job log could not be read at all.

Ruled out: a longer timeout, which would also hold up every call to a store that does not answer.

--- a/packages/agent/src/kcr_agent/settings.py
+++ b/packages/agent/src/kcr_agent/settings.py
@@ -19,6 +19,12 @@
     store_address: settings.Address = pydantic.Field(
         description='address of the store'
     )
+    link_mbps: float = pydantic.Field(
+        1000.0,
+        description='link of the instance in Mbit/s; sizes transfers',
+        gt=0,
+        allow_inf_nan=False,
+    )
     seeds: list[settings.Address] = pydantic.Field(
         [], description='addresses of schedulers; may be stale'
     )
--- a/packages/runtime/src/kcr_runtime/http_client.py
+++ b/packages/runtime/src/kcr_runtime/http_client.py
@@ -12,13 +12,19 @@
 
 from twisted.internet import defer
 from twisted.internet import error
+from twisted.internet import protocol
+from twisted.python import failure
 from twisted.web import client
+from twisted.web import http
 from twisted.web import http_headers
 from twisted.web import iweb
 import zope.interface
 
 # Timeout for establishing a connection, in seconds.
 CONNECT_TIMEOUT_S = 2.0
+# Longest transfer of a body that ends by lack of progress, in seconds; bounds
+# a peer that sends a few bytes at a time.
+MAX_TRANSFER_S = 20.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +33,8 @@
 
     status: int
     body: bytes
+    # Time from the headers to the end of the body, in seconds.
+    transfer_s: float = 0.0
 
     def json(self) -> typing.Any:
         """Return the decoded JSON body; raise ValueError if it is invalid."""
@@ -49,9 +57,83 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Truncated(NoAnswer):
+    """Represent a response whose body ended early."""
+
+    status: int
+    # The part of the body that was received.
+    body: bytes
+    # Time from the headers to the last received byte, in seconds.
+    transfer_s: float
+
+
 HttpOutcome = Reply | NotSent | NoAnswer
 
 
+class _BodyReader(protocol.Protocol):
+    """Collect a response body; stop it when no bytes arrive for a while."""
+
+    def __init__(
+        self, reactor: typing.Any, idle_s: float, max_transfer_s: float
+    ) -> None:
+        self._reactor = reactor
+        self._idle_s = idle_s
+        self._parts: list[bytes] = []
+        self._started_at = self._received_at = float(reactor.seconds())
+        # Fires with the reason why the body is incomplete; None if it is
+        # complete.
+        self.done: defer.Deferred[str | None] = defer.Deferred()
+        self._timers = {
+            'no progress': reactor.callLater(
+                idle_s, self._stop, 'no progress'
+            ),
+            'transfer took too long': reactor.callLater(
+                max_transfer_s, self._stop, 'transfer took too long'
+            ),
+        }
+
+    @property
+    def body(self) -> bytes:
+        """Return the bytes that were received."""
+        return b''.join(self._parts)
+
+    @property
+    def transfer_s(self) -> float:
+        """Return the time from the headers to the last received byte."""
+        return self._received_at - self._started_at
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        self._parts.append(data)
+        self._received_at = float(self._reactor.seconds())
+        if not self.done.called:
+            self._timers['no progress'].reset(self._idle_s)
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        if reason.check(client.ResponseDone, http.PotentialDataLoss):
+            self._finish(None)
+        else:
+            self._finish(
+                f'{type(reason.value).__name__}: {reason.value}'[:300]
+            )
+
+    def _stop(self, reason: str) -> None:
+        self._finish(reason)
+        abort = getattr(self.transport, 'abortConnection', None)
+        if abort is not None:
+            abort()
+
+    def _finish(self, reason: str | None) -> None:
+        if self.done.called:
+            return
+        for timer in self._timers.values():
+            if timer.active():
+                timer.cancel()
+        self.done.callback(reason)
+
+
 @zope.interface.implementer(iweb.IBodyProducer)
 class _Body:
     """Send a request body that is held in memory."""
@@ -101,14 +183,16 @@
         body: bytes = b'',
         timeout_s: float = 5.0,
         headers: abc.Mapping[str, str] | None = None,
+        idle_s: float | None = None,
     ) -> defer.Deferred[HttpOutcome]:
         """Send a request; the Deferred fires with an outcome, never a failure.
 
         The timeout applies to the response headers and to the body, each
-        on its own.
+        on its own. With `idle_s`, a body may take longer while it makes
+        progress; one that stops is returned as Truncated.
         """
         return defer.ensureDeferred(
-            self._request(method, path, body, timeout_s, headers or {})
+            self._request(method, path, body, timeout_s, headers or {}, idle_s)
         )
 
     def request_json(
@@ -130,6 +214,7 @@
         body: bytes,
         timeout_s: float,
         headers: abc.Mapping[str, str],
+        idle_s: float | None,
     ) -> HttpOutcome:
         url = f'http://{self.address}{path}'.encode()
         fields = http_headers.Headers({k: [v] for k, v in headers.items()})
@@ -138,9 +223,18 @@
         fut.addTimeout(timeout_s, self.reactor)
         try:
             response = await fut
-            body_fut = client.readBody(response)
-            body_fut.addTimeout(timeout_s, self.reactor)
-            return Reply(response.code, await body_fut)
+            reader = _BodyReader(
+                self.reactor,
+                timeout_s if idle_s is None else idle_s,
+                timeout_s if idle_s is None else MAX_TRANSFER_S,
+            )
+            response.deliverBody(reader)
+            reason = await reader.done
+            if reason is None:
+                return Reply(response.code, reader.body, reader.transfer_s)
+            return Truncated(
+                reason, response.code, reader.body, reader.transfer_s
+            )
         except (error.ConnectError, error.ConnectingCancelledError) as exc:
             return NotSent(f'{type(exc).__name__}: {exc}')
         except Exception as exc:  # Twisted's HTTP client raises many types.
--- a/packages/runtime/src/kcr_runtime/store.py
+++ b/packages/runtime/src/kcr_runtime/store.py
@@ -90,6 +90,7 @@
 
 
 AppendResult = Appended | Conflict | Rejected | NoAnswer
+TrimResult = Trimmed | Rejected | NoAnswer
 ReadResult = Page | Trimmed | Rejected | NoAnswer
 ItemsResult = Items | Rejected | NoAnswer
 
@@ -111,6 +112,9 @@
     ) -> defer.Deferred[ReadResult]:
         """Read from an offset; wait up to `wait_s` if there is no record."""
 
+    def trim(self, topic: str, before: int) -> defer.Deferred[TrimResult]:
+        """Delete the records before an offset."""
+
     def put(
         self, topic: str, key: str, value: bytes
     ) -> defer.Deferred[AppendResult]:
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -37,6 +37,18 @@
     cores: float = pydantic.Field(
         1.0, description='cores of the instance; more make a better owner'
     )
+    link_mbps: float = pydantic.Field(
+        1000.0,
+        description='link of the instance in Mbit/s; sizes transfers',
+        gt=0,
+        allow_inf_nan=False,
+    )
+    memory_mb: float = pydantic.Field(
+        1024.0,
+        description='memory of the instance in MiB; more makes a better owner',
+        gt=0,
+        allow_inf_nan=False,
+    )
     grace_s: float = pydantic.Field(
         6.0, description='time between SIGTERM and SIGKILL, in seconds', gt=0
     )
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -115,6 +115,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.topics: dict[str, list[bytes]] = collections.defaultdict(list)
+        # Offset of the first stored record of each topic.
+        self.first: dict[str, int] = collections.defaultdict(int)
         # Whether every call is refused.
         self.down = False
         # Delay of each call, in seconds.
@@ -149,14 +151,23 @@
         if lost:
             time.sleep(self.append_delay_s)
         with self.lock:
+            if path == '/-/log-trim':
+                return self._trim(json.loads(body))
             partition = self.topics[fields['Topic']]
             if is_append:
                 got = self._append(partition, fields, body)
                 return NO_ANSWER if lost else got
             if path == '/-/log-newest':
                 return 200, self._newest(partition)
+            if int(fields['From']) < self.first[fields['Topic']]:
+                return 410, {'FirstOffset': self.first[fields['Topic']]}
             return 200, self._read(partition, fields)
 
+    def _trim(self, fields: dict[str, typing.Any]) -> tuple[int, typing.Any]:
+        topic, before = fields['Topic'], fields['Before']
+        self.first[topic] = max(self.first[topic], before)
+        return 200, {}
+
     def _append(
         self, partition: list[bytes], fields: dict[str, str], body: bytes
     ) -> tuple[int, typing.Any]:
@@ -183,10 +194,15 @@
         start = int(fields['From'])
         if len(partition) <= start:
             self.lock.wait(int(fields.get('WaitMs', 0)) / 1000.0)
-        out = struct.pack('>QQ', len(partition), 0)
+        limit = int(fields.get('MaxKb', 1024)) * 1024
+        parts = [struct.pack('>QQ', len(partition), 0)]
+        size = 0
         for data in partition[start:]:
-            out += struct.pack('>I', len(data)) + data
-        return out
+            parts += [struct.pack('>I', len(data)), data]
+            size += len(data)
+            if size >= limit:
+                break
+        return b''.join(parts)
 
 
 @dataclasses.dataclass
--- a/tests/platform/proxy.py
+++ b/tests/platform/proxy.py
@@ -10,6 +10,8 @@
 
 # Largest chunk that is forwarded at once.
 MAX_CHUNK_BYTES = 65536
+# The same on a link with a limited rate.
+MAX_LIMITED_BYTES = 4096
 
 
 class Link:
@@ -31,12 +33,18 @@
         self.cut: frozenset[str] = frozenset()
         # Whether new connections are reset.
         self.refusing = False
+        # Bytes a second that each direction carries, over all connections; 0
+        # for any number.
+        self.rate = 0
+        self._turns = {'up': asyncio.Lock(), 'down': asyncio.Lock()}
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> None:
         """Listen on a free port."""
-        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        server = await asyncio.start_server(
+            self._accept, '127.0.0.1', 0, limit=MAX_CHUNK_BYTES
+        )
         host, port = server.sockets[0].getsockname()
         self.address = f'{host}:{port}'
 
@@ -98,7 +106,12 @@
         writer: asyncio.StreamWriter,
         direction: str,
     ) -> None:
-        while data := await reader.read(MAX_CHUNK_BYTES):
+        while data := await reader.read(
+            MAX_LIMITED_BYTES if self.rate else MAX_CHUNK_BYTES
+        ):
+            if self.rate:
+                async with self._turns[direction]:
+                    await asyncio.sleep(len(data) / self.rate)
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             await self._wait_for(direction)
