--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -8,6 +8,7 @@
 durable, and an owner that loses the log drops its controller.
 """
 
+import collections
 import dataclasses
 import typing
 
@@ -18,14 +19,12 @@
 from kcr_jobs import planning
 from kcr_jobs import records
 from kcr_jobs import runners
+from kcr_jobs import snapshots
 from kcr_jobs import throttling
 from kcr_jobs import types
 
 # Number of tokens per epoch; tokens of a later epoch are higher.
 TOKENS_PER_EPOCH = 1_000_000
-# Time between Restated records of a job, in seconds; the platform keeps
-# records for 300 s.
-RESTATE_INTERVAL_S = 100.0
 # Maximum number of open jobs; one of 21 tasks with a payload of 2 KB takes
 # 14 KB.
 MAX_OPEN_JOBS = 4000
@@ -54,7 +53,12 @@
     """Take the decisions of one ownership of the jobs."""
 
     def __init__(
-        self, table: job_table.JobTable, epoch: int, lease_s: float, now: float
+        self,
+        table: job_table.JobTable,
+        epoch: int,
+        lease_s: float,
+        now: float,
+        log_bytes: int = 0,
     ) -> None:
         # State of all jobs; ahead of the log by `pending_records`.
         self.table = table
@@ -74,6 +78,14 @@
         self.log_events: list[LogEvent] = []
         # Jobs that may have tasks to start, by id.
         self.open_jobs: dict[str, job_table.Job] = {}
+        # Ended jobs in the order of their end, and those of them whose tasks
+        # are still kept, by id.
+        self._ended_jobs: collections.deque[job_table.Job] = (
+            collections.deque()
+        )
+        self._uncompacted: dict[str, job_table.Job] = {}
+        # Restates the jobs; `log_bytes` is what this owner had to read.
+        self.snapshots = snapshots.Snapshots(log_bytes, now)
         # Number of leases granted in this epoch.
         self._tokens = 0
         # Estimates of what fillers add to the latency of serving tasks.
@@ -89,7 +101,6 @@
         """
         for job in self.table.jobs.values():
             job.accepted_at = now
-            job.restated_at = now
             for task in job.tasks.values():
                 if task.instance:
                     self._get_runner(task.instance, now).tasks[task.name] = (
@@ -98,7 +109,7 @@
             if job.is_open():
                 self.open_jobs[job.spec.job_id] = job
             else:
-                job.finalized, job.ended_at = True, now
+                self._mark_ended(job, now)
                 self._stop_runs(job, now)
 
     def _get_runner(self, name: str, now: float) -> runners.RunnerState:
@@ -130,7 +141,7 @@
             return
         self._append(records.Accepted(spec, int(wall_ms)))
         job = self.table.jobs[spec.job_id]
-        job.accepted_at = job.restated_at = now
+        job.accepted_at = now
         self._update_open_jobs(job, now)
         self.deferred.append(effects.Reply(ref, 'accepted'))
         self._log_event(
@@ -358,7 +369,12 @@
         """Make the end of a job, whose records are durable, visible."""
         job = self.table.jobs.get(job_id)
         if job is not None and not job.finalized:
-            job.finalized, job.ended_at = True, now
+            self._mark_ended(job, now)
+
+    def _mark_ended(self, job: job_table.Job, now: float) -> None:
+        job.finalized, job.ended_at = True, now
+        self._ended_jobs.append(job)
+        self._uncompacted[job.spec.job_id] = job
 
     def confirm_ends(
         self, name: str, token: int, number: int, lease_ms: int
@@ -508,6 +524,7 @@
                 self._drain(runner, now)
                 self._repeat_stops(runner, now)
         self._make_due_occurrences(wall_ms)
+        self._forget_ended_jobs(now)
         self._restate_jobs(now)
         self.schedule(now)
 
@@ -555,16 +572,32 @@
             ):
                 job.make_occurrence()
 
+    def _forget_ended_jobs(self, now: float) -> None:
+        """Drop the tasks of ended jobs, and later the jobs themselves."""
+        for job_id, job in list(self._uncompacted.items()):
+            if job.compact():
+                del self._uncompacted[job_id]
+                self._planner.forget(job)
+        while self._ended_jobs:
+            job = self._ended_jobs[0]
+            assert job.ended_at is not None
+            expired = now - job.ended_at > job_table.ENDED_RETENTION_S
+            if not expired or job.spec.job_id in self._uncompacted:
+                return
+            self._ended_jobs.popleft()
+            del self.table.jobs[job.spec.job_id]
+
     def _restate_jobs(self, now: float) -> None:
-        for job in list(self.table.jobs.values()):
-            ended = job.ended_at
-            if ended is not None and now - ended > job_table.ENDED_RETENTION_S:
-                if not any(task.instance for task in job.tasks.values()):
-                    del self.table.jobs[job.spec.job_id]
-                    self._planner.forget(job)
-            elif now - job.restated_at >= RESTATE_INTERVAL_S:
-                job.restated_at = now
-                self.pending_records.append(job_table.restate(job))
+        number = self.snapshots.number
+        chosen = self.snapshots.choose_records(self.table, now)
+        self.pending_records += chosen
+        if self.snapshots.number != number:
+            self._log_event(
+                'snapshot begun', snapshot=self.snapshots.number,
+                jobs=len(self.table.jobs), log=self.snapshots.growth_bytes,
+            )  # fmt: skip
+        if chosen and isinstance(chosen[-1], records.SnapshotEnded):
+            self.deferred.append(effects.TrimLog(chosen[-1].number))
 
     # Starts.
 
--- a/packages/jobs/src/kcr_jobs/effects.py
+++ b/packages/jobs/src/kcr_jobs/effects.py
@@ -66,4 +66,14 @@
     runners: tuple[tuple[str, str], ...]
 
 
-Effect = SendToAgent | ConfirmEnds | FinalizeJob | Reply | RequestAdvice
+@dataclasses.dataclass(frozen=True, slots=True)
+class TrimLog:
+    """Delete the records before a snapshot that is complete and durable."""
+
+    # Number of the snapshot in this ownership.
+    number: int
+
+
+Effect = (
+    SendToAgent | ConfirmEnds | FinalizeJob | Reply | RequestAdvice | TrimLog
+)
--- a/packages/jobs/src/kcr_jobs/election.py
+++ b/packages/jobs/src/kcr_jobs/election.py
@@ -24,6 +24,16 @@
 # Time without a durable write after which the owner looks for a successor, in
 # seconds.
 STALL_TIMEOUT_S = 0.9
+# Time without progress after which a claimant counts as stuck, in seconds; it
+# reads for a quarter of a second at a time.
+CLAIM_TIMEOUT_S = 1.5
+# Number of schedulers that follow the log to be ready to own the jobs.
+SUCCESSORS = 1
+# Cores, link and memory up to which an instance is a better owner than others;
+# the owner of 160 runners sends and receives 10 Mbit/s.
+FULL_CORES = 2.0
+FULL_LINK_MBPS = 20.0
+FULL_MEMORY_MB = 200.0
 # Time after the start that is left for discovering the peers, in seconds.
 PEER_DISCOVERY_S = 0.45
 
@@ -42,6 +52,20 @@
     rank: tuple[int, str]
     # Whether it owns the jobs.
     is_owner: bool
+    # Number of records that it has read for its claim; none without a claim.
+    claim_progress: int | None = None
+    # Time at which that number last changed.
+    claim_progressed_at: float = 0.0
+
+
+def infer_rank(cores: float, link_mbps: float, memory_mb: float) -> int:
+    """Return the rank of an instance as an owner; the lowest is the best."""
+    share = (
+        min(1.0, cores / FULL_CORES)
+        * min(1.0, link_mbps / FULL_LINK_MBPS)
+        * min(1.0, memory_mb / FULL_MEMORY_MB)
+    )
+    return -int(1000 * share)
 
 
 def is_candidate(peer: Peer, now: float) -> bool:
@@ -58,6 +82,23 @@
     return sum(is_candidate(p, now) and p.rank < rank for p in peers)
 
 
+def is_claiming(peer: Peer, now: float) -> bool:
+    """Return whether a peer claims the jobs and makes progress."""
+    return (
+        is_candidate(peer, now)
+        and peer.claim_progress is not None
+        and now - peer.claim_progressed_at <= CLAIM_TIMEOUT_S
+    )
+
+
+def should_follow(
+    peers: list[Peer], rank: tuple[int, str], now: float
+) -> bool:
+    """Return whether a scheduler reads the log while a peer owns the jobs."""
+    others = [p for p in peers if not p.is_owner]
+    return count_higher_ranked(others, rank, now) < SUCCESSORS
+
+
 def should_claim(
     now: float,
     owner_lost_at: float,
@@ -65,7 +106,13 @@
     peers: list[Peer],
     rank: tuple[int, str],
 ) -> bool:
-    """Return whether a scheduler should claim, by when it lost the owner."""
+    """Return whether a scheduler should claim, by when it lost the owner.
+
+    While a peer reads the log for its own claim, a second reader would only
+    take a part of the store's rate.
+    """
+    if any(is_claiming(p, now) for p in peers):
+        return False
     if store_age_s is None or store_age_s > MAX_STORE_AGE_S:
         return False
     wait = RECONNECT_GRACE_S + RANK_DELAY_S * count_higher_ranked(
--- /dev/null
+++ b/packages/jobs/src/kcr_jobs/job_checks.py
@@ -0,0 +1,64 @@
+"""Check jobs and job records beyond the types of their fields.
+
+The border calls this for each job that a caller submits, a peer forwards or
+the log contains. What passes can be planned and folded without an error: steps
+depend on earlier steps only, and the numbers of steps and tasks are bounded.
+"""
+
+import re
+
+from kcr_jobs import records
+from kcr_jobs import types
+
+# Maximum number of steps of a job; each takes about 350 bytes in the log,
+# whose records hold up to 256 KiB, and a job that does not fit would block
+# every later append.
+MAX_STEPS = 256
+# Maximum number of tasks of a job over all its steps; each takes about 510
+# bytes in memory.
+MAX_TASKS = 20_000
+# Shortest interval of a job that repeats, in milliseconds; a shorter one would
+# make all its occurrences due at once.
+MIN_INTERVAL_MS = 1.0
+# Job id, occurrence, step and index, joined by dots.
+TASK_NAME = re.compile(r'^[^.]{1,128}\.\d{1,9}\.\d{1,4}\.\d{1,6}$', re.ASCII)
+
+
+class BadJob(ValueError):
+    """Report a job or a record that can't be handled."""
+
+
+def check_spec(spec: types.JobSpec) -> None:
+    """Raise BadJob, with the step, if a job can't be planned."""
+    if '.' in spec.job_id:
+        raise BadJob('job id must not contain a dot')
+    if len(spec.steps) > MAX_STEPS:
+        raise BadJob(f'more than {MAX_STEPS} steps')
+    if sum(step.count for step in spec.steps) > MAX_TASKS:
+        raise BadJob(f'more than {MAX_TASKS} tasks')
+    if spec.repeat > 1 and spec.interval_ms < MIN_INTERVAL_MS:
+        raise BadJob(f'interval must be at least {MIN_INTERVAL_MS} ms')
+    for number, step in enumerate(spec.steps):
+        if any(before >= number for before in step.after):
+            raise BadJob(
+                f'step {number} depends on a step that is not earlier'
+            )
+
+
+def check_record(rec: records.Record) -> None:
+    """Raise BadJob if a record can't be folded."""
+    if isinstance(rec, (records.Accepted, records.Restated)):
+        check_spec(rec.spec)
+    if isinstance(rec, (records.Started, records.Ended)):
+        for row in rec.rows:
+            _check_name(row.task)
+    if isinstance(rec, records.Restated):
+        for task in rec.tasks:
+            _check_name(task.task)
+            if not task.task.startswith(f'{rec.spec.job_id}.'):
+                raise BadJob(f'task {task.task[:80]!r} is of another job')
+
+
+def _check_name(name: str) -> None:
+    if not TASK_NAME.match(name):
+        raise BadJob(f'invalid name of a task: {name[:80]!r}')
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -121,8 +121,6 @@
     # Monotonic time since which no runner has capacity for its tasks while
     # none of them runs. Not durable.
     starved_since: float | None = None
-    # Monotonic time of the last Restated record of it. Not durable.
-    restated_at: float = 0.0
 
     @property
     def state(self) -> str:
@@ -165,6 +163,21 @@
             for number in self.spec.steps[step].after
         )
 
+    def compact(self) -> bool:
+        """Drop the tasks of an ended job; return whether it was possible.
+
+        Only its state is asked for any more. Its tasks are kept while one of
+        them may be running.
+        """
+        if not self.finalized or any(t.instance for t in self.tasks.values()):
+            return False
+        self.spec = dataclasses.replace(
+            self.spec, payload='', steps=(), repeat=0
+        )
+        self.tasks.clear()
+        self.unfinished.clear()
+        return True
+
     def due_ms(self, occurrence: int) -> float:
         """Return the wall-clock time at which an occurrence is due."""
         if not self.spec.repeat:
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -38,8 +38,11 @@
     version: Count
     # Rank of the sender as an owner; the lowest value claims first.
     rank: tuple[int, str]
-    # Addresses of the schedulers that it has discovered.
+    # Addresses of the schedulers that it has discovered; empty if they are the
+    # same as in the last pulse with addresses.
     entries: tuple[Text, ...] = ()
+    # Number of records that the sender has read for a claim; -1 for none.
+    claiming: int = -1
 
 
 @message_base.message('job_resign')
--- a/packages/jobs/src/kcr_jobs/records.py
+++ b/packages/jobs/src/kcr_jobs/records.py
@@ -35,7 +35,7 @@
     """Record that a process owns the jobs from here on."""
 
     # Epoch of the ownership; each claim has a higher one.
-    epoch: int
+    epoch: types.Count
     # Name of the owner's process.
     process: str
     # Incarnation of the owner's process.
@@ -58,7 +58,7 @@
     # The job as submitted.
     spec: types.JobSpec
     # Wall-clock time of the acceptance.
-    at_ms: int
+    at_ms: types.Count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,7 +68,7 @@
     # Name of the task.
     task: str
     # Number of the attempt.
-    attempt: int
+    attempt: types.Count
     # Instance of the runner.
     node: str
     # Incarnation of the runner.
@@ -90,7 +90,7 @@
     # Name of the task.
     task: str
     # Number of the attempt.
-    attempt: int
+    attempt: types.Count
     # Outcome as in types.ReportedEnd, or `lost` where the runner doesn't list
     # it or its lease has expired.
     how: str
@@ -121,9 +121,9 @@
     # Name of the task.
     task: str
     # Highest attempt so far.
-    attempt: int
+    attempt: types.Count
     # Number of failed attempts.
-    failures: int
+    failures: types.Count
     done: bool
     # Instance on which the attempt may be running; empty for none.
     node: str
@@ -133,6 +133,27 @@
     saved: str
 
 
+@record('snapshot_begun')
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotBegun:
+    """Record that all jobs are restated from here on.
+
+    The claim of the owner follows in the same batch.
+    """
+
+    # Number of the snapshot in this ownership.
+    number: types.Count
+
+
+@record('snapshot_ended')
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotEnded:
+    """Record that all jobs have been restated since the begin."""
+
+    # Number of the snapshot in this ownership.
+    number: types.Count
+
+
 @record('restated')
 @dataclasses.dataclass(frozen=True, slots=True)
 class Restated:
@@ -141,11 +162,21 @@
     # The job as submitted.
     spec: types.JobSpec
     # Wall-clock time of the acceptance.
-    at_ms: int
+    at_ms: types.Count
     cancelled: bool
     failed: bool
     # Tasks that have been started.
     tasks: tuple[TaskRow, ...]
 
 
-Record = Claim | Renewed | Accepted | Started | Ended | Cancelled | Restated
+Record = (
+    Claim
+    | Renewed
+    | Accepted
+    | Started
+    | Ended
+    | Cancelled
+    | SnapshotBegun
+    | SnapshotEnded
+    | Restated
+)
--- /dev/null
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -0,0 +1,100 @@
+"""Decide when the owner restates the jobs, so that the log stays short.
+
+A snapshot is a stretch of the log that restates every job which was known at
+its start, among the other records. A process that reads from the start of a
+complete snapshot has the state of all jobs, so the records before it can be
+deleted. What a new owner must read is thus bounded by the size of the state,
+not by the age of the log.
+"""
+
+import collections
+from collections import abc
+
+from kcr_jobs import job_table
+from kcr_jobs import records
+
+# Growth of the log since the start of the last snapshot from which the next
+# one is due, in bytes: at least the first, or a multiple of what the last
+# snapshot took. 128 KiB take half a second at 2 Mbit/s.
+MIN_GROWTH_BYTES = 128 * 1024
+GROWTH_FACTOR = 3
+# Longest time between the starts of two snapshots, in seconds; the platform
+# keeps records for 300 s.
+SNAPSHOT_INTERVAL_S = 100.0
+# Rows of tasks that one step of a snapshot restates at least, and steps in
+# which a snapshot of any size ends.
+MIN_ROWS_PER_STEP = 200
+MAX_STEPS = 500
+
+
+class Snapshots:
+    """Choose the records that restate the jobs, a few at each tick."""
+
+    def __init__(self, growth_bytes: int, now: float) -> None:
+        # Bytes of the log since the start of the last complete snapshot.
+        self.growth_bytes = growth_bytes
+        # Number of the last snapshot of this ownership.
+        self.number = 0
+        # Bytes of the log since the start of the snapshot under way.
+        self._own_bytes = 0
+        # Bytes from the start to the end of the last snapshot.
+        self._last_bytes = 0
+        self._begun_at = now
+        # Ids of the jobs that the snapshot under way has still to restate;
+        # none between snapshots.
+        self._remaining: collections.deque[str] | None = None
+        self._rows_per_step = MIN_ROWS_PER_STEP
+
+    def record_growth(self, size: int) -> None:
+        """Count the bytes of an append."""
+        self.growth_bytes += size
+        self._own_bytes += size
+
+    def is_due(self, now: float) -> bool:
+        """Return whether the next snapshot starts."""
+        if self._remaining is not None:
+            return False
+        limit = max(MIN_GROWTH_BYTES, GROWTH_FACTOR * self._last_bytes)
+        return (
+            self.growth_bytes >= limit
+            or now - self._begun_at >= SNAPSHOT_INTERVAL_S
+        )
+
+    def choose_records(
+        self, table: job_table.JobTable, now: float
+    ) -> abc.Sequence[records.Record]:
+        """Return the records of the next step of a snapshot, if any."""
+        if self.is_due(now):
+            return self._begin(table, now)
+        if self._remaining is None:
+            return ()
+        return self._continue(table, self._remaining)
+
+    def _begin(
+        self, table: job_table.JobTable, now: float
+    ) -> abc.Sequence[records.Record]:
+        self.number += 1
+        self._begun_at, self._own_bytes = now, 0
+        self._remaining = collections.deque(table.jobs)
+        rows = sum(1 + len(job.tasks) for job in table.jobs.values())
+        self._rows_per_step = max(MIN_ROWS_PER_STEP, rows // MAX_STEPS)
+        begun: list[records.Record] = [records.SnapshotBegun(self.number)]
+        if table.claim is not None:
+            begun.append(table.claim)
+        return begun
+
+    def _continue(
+        self, table: job_table.JobTable, remaining: collections.deque[str]
+    ) -> abc.Sequence[records.Record]:
+        chosen: list[records.Record] = []
+        rows = 0
+        while remaining and rows < self._rows_per_step:
+            job = table.jobs.get(remaining.popleft())
+            if job is not None:
+                chosen.append(job_table.restate(job))
+                rows += 1 + len(job.tasks)
+        if not remaining:
+            self._remaining = None
+            self._last_bytes = self.growth_bytes = self._own_bytes
+            chosen.append(records.SnapshotEnded(self.number))
+        return chosen
--- a/packages/scheduler/src/kcr_scheduler/events.py
+++ b/packages/scheduler/src/kcr_scheduler/events.py
@@ -52,6 +52,22 @@
     epoch: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimProgress:
+    """Report that the owner task reads the log for a claim."""
+
+    # Number of records that it has read.
+    records_read: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Follow:
+    """Request the owner task to read the log while a peer owns the jobs."""
+
+    # Whether to read it.
+    follows: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnershipGained:
     """Report that this process owns the jobs."""
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -34,6 +34,9 @@
 RENEW_AFTER_S = 0.5
 # Age of an unanswered append at which new jobs are refused, in seconds.
 REFUSE_JOBS_AFTER_S = 0.6
+# Time between reads of the log by a successor, in seconds. Reading each batch
+# as it comes would double the calls to the store.
+FOLLOW_INTERVAL_S = 1.0
 # Time between reports that the owner has stalled, in seconds.
 STALL_REPORT_INTERVAL_S = 0.5
 
@@ -46,6 +49,10 @@
     pass
 
 
+class _Follow:
+    pass
+
+
 class Owner(task.Task):
     """Own the controller and the writes to the job log."""
 
@@ -55,7 +62,15 @@
         self.phase = 'idle'
         # Scheduling decisions; none while this process does not own the jobs.
         self.controller: controller.Controller | None = None
-        self._jobs = job_log.JobLog(ctx, store.STORES.get(ctx.cfg.store)(ctx))
+        self._store: store.Store = store.STORES.get(ctx.cfg.store)(ctx)
+        self._jobs = self._make_job_log()
+        # Whether this process reads the log while a peer owns the jobs, and
+        # whether a read is under way.
+        self._follows = False
+        self._following = False
+        # Offset of the records in which each snapshot begins, by its number;
+        # only of the one under way.
+        self._snapshot_offsets: dict[int, int] = {}
         self._adviser: advice.Adviser = advice.ADVISERS.get(ctx.cfg.advice)(
             ctx
         )
@@ -76,8 +91,16 @@
     def started(self) -> None:
         """Start the ticks and read which process has claimed the jobs."""
         self.after(TICK_INTERVAL_S, _Tick())
+        self.after(FOLLOW_INTERVAL_S, _Follow())
         self.spawn(self._look_up_owner(self._term))
 
+    def _make_job_log(self) -> job_log.JobLog:
+        return job_log.JobLog(self.ctx, self._store, self._on_read_progress)
+
+    def _on_read_progress(self, records_read: int) -> None:
+        if self.phase == 'claiming':
+            self.send(addresses.MESH, events.ClaimProgress(records_read))
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the phase, the jobs and, as `nodes`, the runners."""
         out = {**super().dump(), 'phase': self.phase, 'end': self._jobs.end}
@@ -100,11 +123,10 @@
 
     async def _look_up_owner(self, term: int) -> None:
         try:
-            await self._jobs.catch_up()
+            claim = await self._jobs.read_published_claim()
         except job_log.Unreachable as exc:
-            self.log.info('owner unknown, job log not read', reason=str(exc))
+            self.log.info('owner unknown, claim not read', reason=str(exc))
             return
-        claim = self._jobs.table.claim
         if claim is not None and term == self._term and self._running:
             was_own = claim.process == self.ctx.cfg.process
             self.send(
@@ -112,6 +134,28 @@
                 events.NotOwner(claim.epoch, claim.address, was_own),
             )
 
+    @task.handles(events.Follow)
+    def _on_follow_changed(self, event: events.Follow) -> None:
+        self._follows = event.follows
+        self.log.info('successor changed', follows=event.follows)
+
+    @task.handles(_Follow)
+    def _on_follow(self, msg: _Follow) -> None:
+        self.after(FOLLOW_INTERVAL_S, _Follow())
+        if self._follows and not self._following and self.phase == 'idle':
+            self._following = True
+            self.spawn(self._follow())
+
+    async def _follow(self) -> None:
+        """Read what the owner has written, to be ready to replace it."""
+        try:
+            await self._jobs.catch_up()
+        except job_log.Unreachable as exc:
+            self.log.debug('job log not followed', reason=str(exc))
+            self.ctx.metrics.count('follow_failed')
+        finally:
+            self._following = False
+
     @task.handles(events.Campaign)
     def _on_campaign(self, event: events.Campaign) -> None:
         self._known_epoch = event.epoch
@@ -120,7 +164,10 @@
     def begin_claim(self) -> None:
         """Read the log to its end and claim it there."""
         self._term += 1
-        self.log.info('claiming', known_epoch=self._known_epoch)
+        self.log.info(
+            'claiming', known_epoch=self._known_epoch, read=self._jobs.end
+        )
+        self.send(addresses.MESH, events.ClaimProgress(0))
         self.spawn(self._claim(self._term))
 
     async def _claim(self, term: int) -> None:
@@ -137,32 +184,41 @@
             jobs.table.apply(rec)
         except (job_log.Deposed, job_log.Unreachable) as exc:
             if term == self._term and self._running:
-                await self._read_newest_claim(str(exc))
+                await self._read_newest_claim(jobs, str(exc))
                 self._ownership.ended()
             return
         if term == self._term and self._running:
             self._ownership.claimed()
+            await jobs.publish_claim(rec)
 
-    async def _read_newest_claim(self, reason: str) -> None:
+    async def _read_newest_claim(
+        self, jobs: job_log.JobLog, reason: str
+    ) -> None:
         """Read the log to its end, to find the claim of another process."""
         try:
-            await self._jobs.catch_up()
+            await jobs.catch_up()
         except job_log.Unreachable as exc:
             reason = str(exc)
-        self.log.info('claim failed', reason=reason)
+        # What was read is kept for the next claim.
+        self.log.info(
+            'claim failed', reason=reason, read=jobs.end,
+            epoch=jobs.table.epoch,
+        )  # fmt: skip
 
     def begin_ownership(self) -> None:
         """Take over the jobs and the runners."""
         epoch = self._jobs.table.epoch
         self.controller = controller.Controller(
-            self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now()
-        )
+            self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
+            self._jobs.size,
+        )  # fmt: skip
         self.log.info(
             'leading',
             epoch=epoch,
             jobs=len(self._jobs.table.jobs),
             open_jobs=len(self.controller.open_jobs),
             end=self._jobs.end,
+            log=self._jobs.size,
         )
         self.ctx.metrics.count('ownership_gained')
         self.send(addresses.MESH, events.OwnershipGained(epoch))
@@ -177,7 +233,10 @@
         if ctl is not None:
             self.log.warning('ownership lost', epoch=ctl.epoch)
             self.ctx.metrics.count('ownership_lost')
-            self._jobs.reset()
+            # An append in flight belongs to the log of this ownership; its
+            # late answer must not move the end of the next one.
+            self._jobs.close()
+            self._jobs = self._make_job_log()
             for runner in ctl.runners.values():
                 if runner.session:
                     not_owner = messages.OwnerReply(0, '')
@@ -185,6 +244,7 @@
             owner = ''
         self._pending_records, self._append_since = [], None
         self._deferred.clear()
+        self._snapshot_offsets.clear()
         self.send(addresses.MESH, events.NotOwner(epoch, owner))
 
     @task.handles(events.StepDown)
@@ -353,8 +413,10 @@
         deferred: collections.deque[effects.Effect],
         term: int,
     ) -> None:
+        jobs = self._jobs
+        size = jobs.size
         try:
-            await self._jobs.append(batch)
+            start = await jobs.append(batch)
         except job_log.Deposed as exc:
             if term == self._term and self._running:
                 self.log.warning('deposed', reason=str(exc))
@@ -363,6 +425,11 @@
         if term != self._term or not self._running:
             return
         self._append_since = None
+        if self.controller is not None:
+            self.controller.snapshots.record_growth(jobs.size - size)
+        for rec in batch:
+            if isinstance(rec, records.SnapshotBegun):
+                self._snapshot_offsets = {rec.number: start}
         for effect in deferred:
             self._carry_out(effect)
         self._schedule_soon()
@@ -378,6 +445,9 @@
             self.spawn(self._request_advice(effect, self._term))
         elif isinstance(effect, effects.FinalizeJob):
             ctl.finalize(effect.job_id, self.now())
+        elif isinstance(effect, effects.TrimLog):
+            before = self._snapshot_offsets.pop(effect.number)
+            self.spawn(self._jobs.trim(before))
         elif isinstance(effect, effects.ConfirmEnds):
             ctl.confirm_ends(
                 effect.instance, effect.token, effect.number, self._lease_ms()
--- a/tests/jobs/test_election.py
+++ b/tests/jobs/test_election.py
@@ -41,3 +41,43 @@
     best = election.choose_successor(peers, 10.0)
     assert best is not None and best.address == 'b'
     assert election.choose_successor([make_peer('a', None)], 10.0) is None
+
+
+def make_claimant(name: str, progressed_at: float) -> election.Peer:
+    """Return a peer that reads the log for a claim."""
+    peer = make_peer(name)
+    peer.claim_progress, peer.claim_progressed_at = 40, progressed_at
+    return peer
+
+
+def test_claimant_that_makes_progress_is_waited_for() -> None:
+    """Guard against five claimants that share the rate of the store.
+
+    On links of 2 Mbit/s none of them ended its claim.
+    """
+    peers = [make_claimant('z', 9.5), make_peer('y')]
+    assert not election.should_claim(10.0, 0.0, 0.1, peers, (0, 'a'))
+
+
+def test_claimant_that_is_stuck_is_not_waited_for() -> None:
+    """Guard against jobs without an owner because one claimant hangs."""
+    stuck_at = 10.0 - election.CLAIM_TIMEOUT_S - 0.1
+    peers = [make_claimant('z', stuck_at)]
+    assert election.should_claim(10.0, 0.0, 0.1, peers, (0, 'a'))
+
+
+def test_best_ranked_peer_of_the_owner_follows_the_log() -> None:
+    """Guard against a takeover that begins with reading the whole log."""
+    owner = make_peer('a')
+    owner.is_owner = True
+    peers = [owner, make_peer('c'), make_peer('d')]
+    assert election.should_follow(peers, (0, 'b'), 10.0)
+    assert not election.should_follow(peers, (0, 'd'), 10.0)
+
+
+def test_narrow_link_makes_a_worse_owner() -> None:
+    """Guard against an owner whose link can't carry the reports."""
+    wide = election.infer_rank(1.0, 100.0, 300.0)
+    narrow = election.infer_rank(2.0, 5.0, 300.0)
+    assert wide < narrow
+    assert election.infer_rank(2.0, 1000.0, 300.0) < wide
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -88,9 +88,18 @@
         schedulers: int = 2,
         agents: int = 2,
         linked: bool = False,
+        log_filler: abc.Callable[[platform_fakes.LogStore], None] = (
+            lambda store: None
+        ),
+        store_rate: int = 0,
     ) -> None:
         self.folder = folder
+        # Bytes a second between each scheduler and the store; 0 for any
+        # number.
+        self._store_rate = store_rate
         self.store = platform_fakes.LogStore()
+        # Writes what the store holds before the first process starts.
+        log_filler(self.store)
         # Version of the newest published configuration.
         self.version = CONFIG['Version']
         self.publish(CONFIG)
@@ -136,6 +145,8 @@
         if self.network is None:
             return target
         self.links[name] = self.network.connect(target)
+        if name.startswith('store of s'):
+            self.links[name].rate = self._store_rate
         return self.links[name].address
 
     def _write(
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from kcr_jobs import job_checks
 from kcr_jobs import records
 from kcr_jobs import types
 from kcr_platform import decode
@@ -108,7 +109,7 @@
         'Constraints': 'x' * 16, 'Affinity': 'r1-3', 'Image': 'x' * 16,
         'LongRunning': True, 'TargetMs': 99.5,
     }  # fmt: skip
-    body = {'Spec': 'x' * 65536, 'Phases': [step] * decode_jobs.MAX_STEPS}
+    body = {'Spec': 'x' * 65536, 'Phases': [step] * job_checks.MAX_STEPS}
     spec = decode.read(decode_jobs.JobBody, json.dumps(body).encode()).to_spec(
         'f' * 16, queue
     )
@@ -118,7 +119,7 @@
 
 def test_job_with_too_many_tasks_is_malformed() -> None:
     """Guard against a job that uses up the memory of the owner."""
-    step = {'Count': decode_jobs.MAX_TASKS // 2 + 1}
+    step = {'Count': job_checks.MAX_TASKS // 2 + 1}
     data = json.dumps({'Spec': 'x', 'Phases': [step, step]}).encode()
     with pytest.raises(decode.BadBody):
         decode.read(decode_jobs.JobBody, data).to_spec(
--- a/tests/scheduler/scheduler_harness.py
+++ b/tests/scheduler/scheduler_harness.py
@@ -25,6 +25,8 @@
     config = 'model'
     advice = 'none'
     cores = 1.0
+    link_mbps = 1000.0
+    memory_mb = 300.0
     lease_s = 6.0
 
 
@@ -35,6 +37,8 @@
         self.partitions: dict[str, list[bytes]] = collections.defaultdict(list)
         self.keyed: dict[str, dict[str, bytes]] = collections.defaultdict(dict)
         self.appends = 0
+        # Offset of the first stored record of each partition.
+        self.first: dict[str, int] = collections.defaultdict(int)
         # Faults of the next appends: `lost` takes effect without an answer,
         # `refused` is rejected without an effect, `late` has no answer and
         # takes effect in apply_late_appends().
@@ -77,9 +81,18 @@
     ) -> defer.Deferred[store.ReadResult]:
         """Read from an offset on."""
         partition = self.partitions[topic]
+        if start < self.first[topic]:
+            return defer.succeed(store.Trimmed(self.first[topic]))
         found = tuple(partition[start:])
         return defer.succeed(store.Page(len(partition), start, found))
 
+    def trim(
+        self, topic: str, before: int
+    ) -> defer.Deferred[store.TrimResult]:
+        """Delete the records before an offset."""
+        self.first[topic] = max(self.first[topic], before)
+        return defer.succeed(store.Trimmed(before))
+
     def put(
         self, topic: str, key: str, value: bytes
     ) -> defer.Deferred[store.AppendResult]:
--- a/tests/scheduler/test_mesh.py
+++ b/tests/scheduler/test_mesh.py
@@ -23,9 +23,9 @@
     """Start a scheduler named `me` after a claim of the given process."""
     harness = scheduler_harness.Harness(*TASKS)
     claim = records.Claim(4, process, 'older', '127.0.0.1:2')
-    harness.store.partitions[job_log.TOPIC].append(
-        codec.encode('older', [claim])
-    )
+    batch = codec.encode('older', [claim])
+    harness.store.partitions[job_log.TOPIC].append(batch)
+    harness.store.keyed[job_log.CLAIM_TOPIC][job_log.CLAIM_KEY] = batch
     made = owner.Owner(harness.ctx, addresses.OWNER)
     mesh.Mesh(harness.ctx, addresses.MESH).begin()
     made.begin()
