Send a configuration to one peer at a time, and addresses only when they change

A configuration storm on the large deployment (27 versions of about 35 KB in 7 s) filled links of 2 Mbit/s: every scheduler requested each version from every peer that announced it, besides its own read of the store. The owner's reports and appends timed out, and it lost the ownership. A peer is now asked only if the own read has not brought the version within a second, and one peer at a time (kcr_jobs.config_relay). Pulses repeat the list of schedulers only when it changes or every five seconds; at 35 schedulers it was most of 130 messages a second.

The mesh also shows a claim's progress in its pulses and tells the owner task whether to follow the log.

--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -10,6 +10,7 @@
 
 import typing
 
+from kcr_jobs import config_relay
 from kcr_jobs import election
 from kcr_jobs import messages
 from kcr_runtime import seeds
@@ -28,6 +29,8 @@
 # Time that the owner of a claim that was just read has to send a pulse, in
 # seconds; a connection and a pulse between regions take 0.2 s.
 OWNER_DISCOVERY_S = 0.35
+# Pulses on a session between those that repeat unchanged addresses.
+PULSES_PER_LIST = 20
 # Maximum number of schedulers that are dialed at the same time.
 MAX_PEERS = 256
 # Failed dials after which an address that is not a seed is dropped.
@@ -47,8 +50,12 @@
 
     def __init__(self, ctx: task.Context, address: str) -> None:
         super().__init__(ctx, address)
-        # Rank as an owner, the lowest first: more cores give a lower one.
-        self.rank = (-int(100 * min(2.0, ctx.cfg.cores)), ctx.cfg.process)
+        # Rank as an owner, the lowest first.
+        cfg = ctx.cfg
+        self.rank = (
+            election.infer_rank(cfg.cores, cfg.link_mbps, cfg.memory_mb),
+            cfg.process,
+        )
         # Peers by the address of the session task.
         self.peers: dict[str, election.Peer] = {}
         # Highest epoch and its owner.
@@ -56,9 +63,16 @@
         self.owner = ''
         # Whether this process owns the jobs.
         self.is_owner = False
+        # Number of records read for the own claim; none without a claim.
+        self._claim_progress: int | None = None
+        # Whether this process reads the log while a peer owns the jobs.
+        self._follows = False
+        # Addresses in the last pulse with addresses, and the number of pulses
+        # since then, by session.
+        self._lists_sent: dict[str, tuple[tuple[str, ...], int]] = {}
         self._config: events.ConfigInForce | None = None
-        # Version of the last configuration that was requested, by session.
-        self._requested_versions: dict[str, int] = {}
+        # Versions of the configuration that the peers have.
+        self._relay = config_relay.ConfigRelay()
         # Address of each connected scheduler, by session.
         self._open_sessions: dict[str, str] = {}
         self._dialer = dialer.Dialer(
@@ -121,7 +135,8 @@
     def _on_closed(self, event: session.Closed) -> None:
         address = self._open_sessions.pop(event.session, None)
         self.peers.pop(event.session, None)
-        self._requested_versions.pop(event.session, None)
+        self._relay.record_closed(event.session)
+        self._lists_sent.pop(event.session, None)
         if address is None or address != self.owner:
             return
         if self._find_route() == '' and self._owner_lost_at is None:
@@ -173,10 +188,25 @@
             -1 if age is None else int(age * 1000),
             config.version if config else 0,
             self.rank,
-            self._list_schedulers(),
+            self._choose_addresses(name),
+            -1 if self._claim_progress is None else self._claim_progress,
         )
         self.send(name, session.Send(pulse))
 
+    def _choose_addresses(self, name: str) -> tuple[str, ...]:
+        """Return the addresses for a pulse; none if the peer has them.
+
+        They would be most of a pulse, and every scheduler sends one to every
+        other four times a second.
+        """
+        current = self._list_schedulers()
+        last, pulses = self._lists_sent.get(name, ((), 0))
+        if current == last and pulses < PULSES_PER_LIST:
+            self._lists_sent[name] = (last, pulses + 1)
+            return ()
+        self._lists_sent[name] = (current, 0)
+        return current
+
     def _store_age(self) -> float | None:
         return (
             None
@@ -216,28 +246,39 @@
     ) -> None:
         now = self.now()
         age = None if msg.store_age_ms < 0 else msg.store_age_ms / 1000.0
+        progress = None if msg.claiming < 0 else msg.claiming
+        last = self.peers.get(event.session)
+        progressed_at = now
+        if last is not None and last.claim_progress == progress:
+            progressed_at = last.claim_progressed_at
         self.peers[event.session] = election.Peer(
-            event.hello.address, now, age, msg.rank, msg.leading
-        )
+            event.hello.address, now, age, msg.rank, msg.leading,
+            progress, progressed_at,
+        )  # fmt: skip
         for target in msg.entries:
             self._dialer.dial(target)
         if msg.leading and msg.epoch >= self.epoch:
             self._owner_pulse_at = now
             if self._owner_lost_at is not None or msg.epoch > self.epoch:
                 self._set_owner(msg.epoch, event.hello.address)
-        version = self._config.config.version if self._config else 0
-        if (
-            msg.version > version
-            and msg.version != self._requested_versions.get(event.session)
-        ):
-            self._requested_versions[event.session] = msg.version
-            self.send(event.session, session.Send(messages.ConfigRequest()))
+        self._relay.record_pulse(event.session, msg.version, now)
+        self._request_config(now)
+
+    def _request_config(self, now: float) -> None:
+        name = self._relay.choose_peer(now, self._store_age())
+        if name:
+            self.log.info(
+                'configuration requested', peer=name,
+                version=self._relay.version,
+            )  # fmt: skip
+            self.send(name, session.Send(messages.ConfigRequest()))
 
     # Configuration and store.
 
     @task.handles(events.ConfigInForce)
     def _on_config(self, event: events.ConfigInForce) -> None:
         self._config = event
+        self._relay.record_own(event.config.version, self.now())
         for name in self._open_sessions:
             self._send_pulse(name)
 
@@ -251,8 +292,10 @@
     def _on_scan(self, msg: _Scan) -> None:
         now = self.now()
         self.after(SCAN_INTERVAL_S, _Scan())
+        self._request_config(now)
         if self.is_owner:
             return
+        self._update_follows(now)
         silent = now - self._owner_pulse_at > election.OWNER_TIMEOUT_S
         if self._owner_lost_at is None and silent:
             self._owner_lost_at = now
@@ -266,6 +309,14 @@
         ):  # fmt: skip
             self._campaign()
 
+    def _update_follows(self, now: float) -> None:
+        follows = self._owner_lost_at is None and election.should_follow(
+            self._peer_list(), self.rank, now
+        )
+        if follows != self._follows:
+            self._follows = follows
+            self.send(addresses.OWNER, events.Follow(follows))
+
     def _peer_list(self) -> list[election.Peer]:
         return list({p.address: p for p in self.peers.values()}.values())
 
@@ -281,9 +332,18 @@
         self._owner_lost_at = None
         self._publish_owner()
 
+    @task.handles(events.ClaimProgress)
+    def _on_claim_progress(self, event: events.ClaimProgress) -> None:
+        begun = self._claim_progress is None
+        self._claim_progress = event.records_read
+        if begun:
+            for name in self._open_sessions:
+                self._send_pulse(name)
+
     @task.handles(events.OwnershipGained)
     def _on_ownership_gained(self, event: events.OwnershipGained) -> None:
         self.is_owner = True
+        self._claim_progress = None
         self.epoch, self.owner = event.epoch, self.ctx.cfg.address
         self._owner_lost_at = None
         for name in self._open_sessions:
@@ -294,6 +354,7 @@
     def _on_not_owner(self, event: events.NotOwner) -> None:
         """Store the newest claim as the owner task has read it."""
         was_owner, self.is_owner = self.is_owner, False
+        self._claim_progress = None
         if event.epoch >= self.epoch:
             self.epoch, self.owner = event.epoch, event.owner
         if was_owner or self._owner_lost_at is None:
