Bound every value from outside, skip odd entries, isolate sessions

An odd entry of another writer could end every process that read it. An address without a valid port in the list of schedulers raised in the session that dialed it, and eleven such failures in a minute ended the process.

- A malformed entry of a list is skipped, counted and logged once with its key, and the others are followed.

--- a/packages/agent/src/kcr_agent/links/link.py
+++ b/packages/agent/src/kcr_agent/links/link.py
@@ -6,12 +6,13 @@
 The control task reports back an owner that does not respond.
 """
 
+from collections import abc
 import typing
 
-
 from kcr_agent import addresses
 from kcr_agent import events
 from kcr_agent.links import routes
+from kcr_core import net_address
 from kcr_jobs import messages
 from kcr_runtime import seeds
 from kcr_runtime import store
@@ -21,6 +22,8 @@
 
 # Time between scans while the owner is unknown, in seconds.
 SCAN_INTERVAL_S = 0.15
+# Maximum number of schedulers that are remembered.
+MAX_SCHEDULERS = 1024
 # Maximum number of schedulers that are queried at the same time.
 MAX_QUERIED = 3
 # Time without an owner before the store is queried for schedulers, and time
@@ -58,6 +61,7 @@
         # Time until which an owner that did not respond is not used, by its
         # address.
         self._avoided_until: dict[str, float] = {}
+        self._filter = seeds.AddressFilter(self.log, ctx.metrics)
 
     def started(self) -> None:
         """Start the search for the owner."""
@@ -113,18 +117,31 @@
         got = await client.newest(TOPIC)
         if self._running and isinstance(got, store.Items):
             self._add_schedulers(
-                tuple(i.value.decode(errors='replace') for i in got.items)
+                (i.key, i.value.decode(errors='replace'))
+                for i in got.items
+                if i.value
             )
 
     @task.handles(seeds.SeedsChanged)
     def _on_seeds(self, event: seeds.SeedsChanged) -> None:
-        self._add_schedulers(event.addresses)
-
-    def _add_schedulers(self, found: tuple[str, ...]) -> None:
-        for target in found:
-            if target and target not in self.schedulers:
-                # A newly discovered scheduler is queried first.
-                self.schedulers.insert(0, target)
+        self._add_schedulers(('settings', a) for a in event.addresses)
+
+    def _add_schedulers(self, found: abc.Iterable[tuple[str, str]]) -> None:
+        """Add the addresses of pairs of their source and text."""
+        for target in self._filter.filter(found):
+            if target in self.schedulers:
+                continue
+            if len(self.schedulers) >= MAX_SCHEDULERS:
+                self._drop_one()
+            # A newly discovered scheduler is queried first.
+            self.schedulers.insert(0, target)
+
+    def _drop_one(self) -> None:
+        """Forget the scheduler that was queried longest ago, but no seed."""
+        for target in self.schedulers:
+            if target not in self.ctx.cfg.seeds and target not in self._dialed:
+                self.schedulers.remove(target)
+                return
 
     @task.handles(session.Opened)
     def _on_opened(self, event: session.Opened) -> None:
@@ -160,7 +177,10 @@
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
         assert isinstance(msg, messages.OwnerReply)
-        self._add_schedulers(msg.entries)
+        self._add_schedulers(('peer', a) for a in msg.entries)
+        if msg.owner and not net_address.is_valid(msg.owner):
+            self.ctx.metrics.count('address_malformed')
+            return
         if not msg.owner:
             if event.session.rpartition('/')[2] == self.owner:
                 self._lose_owner('owner has stepped down')
--- a/packages/agent/src/kcr_agent/links/supervisor.py
+++ b/packages/agent/src/kcr_agent/links/supervisor.py
@@ -9,6 +9,8 @@
 class Sessions(supervisor.Supervisor):
     """Supervise one session per scheduler."""
 
+    isolated = True
+
 
 class Links(supervisor.Supervisor):
     """Supervise the search for the owner and the connections."""
--- a/packages/core/src/kcr_core/messages.py
+++ b/packages/core/src/kcr_core/messages.py
@@ -64,7 +64,7 @@
     # Document revision that the entry follows.
     revision: types.Count
     # Age of the entry's view of the log in ms; -1 if it is not fresh.
-    log_age_ms: int
+    log_age_ms: types.Int
     # Whether the log contains a fence for this incarnation.
     fenced: bool = False
     # Addresses of the entries in the region, as far as the sender has them.
@@ -260,7 +260,7 @@
     # Incarnation of the sidecar.
     incarnation: types.Id
     # Age of the last message in ms; -1 if none was received.
-    age_ms: int
+    age_ms: types.Int
 
 
 @message_base.message('peer_heartbeat')
@@ -273,7 +273,7 @@
     # Document revision of the sender.
     revision: types.Count
     # Age of the sender's view of the log in ms; -1 if it is not fresh.
-    log_age_ms: int
+    log_age_ms: types.Int
     # Addresses of entries, as far as the sender has them.
     entries: tuple[str, ...] = ()
 
--- a/packages/core/src/kcr_core/types.py
+++ b/packages/core/src/kcr_core/types.py
@@ -14,9 +14,25 @@
 Id = typing.Annotated[
     str, annotated_types.MinLen(1), annotated_types.MaxLen(128)
 ]
-Count = typing.Annotated[int, annotated_types.Ge(0)]
-Seconds = typing.Annotated[float, annotated_types.Ge(0.0)]
-Quantity = typing.Annotated[float, annotated_types.Ge(0.0)]
+# Numbers from outside are finite and fit into 64 bits, so that arithmetic and
+# encoding can't fail. A comparison with a bound also rejects NaN.
+MAX_INT = 2**63 - 1
+MAX_FLOAT = 1e15
+Int = typing.Annotated[
+    int, annotated_types.Ge(-MAX_INT), annotated_types.Le(MAX_INT)
+]
+Count = typing.Annotated[
+    int, annotated_types.Ge(0), annotated_types.Le(MAX_INT)
+]
+Number = typing.Annotated[
+    float, annotated_types.Ge(-MAX_FLOAT), annotated_types.Le(MAX_FLOAT)
+]
+Seconds = typing.Annotated[
+    float, annotated_types.Ge(0.0), annotated_types.Le(MAX_FLOAT)
+]
+Quantity = typing.Annotated[
+    float, annotated_types.Ge(0.0), annotated_types.Le(MAX_FLOAT)
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -52,6 +52,8 @@
 class Sessions(supervisor.Supervisor):
     """Run one session per connection."""
 
+    isolated = True
+
 
 class Fleet(supervisor.Supervisor):
     """Run the listener, its sessions, the membership and the peers.
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -16,6 +16,7 @@
 
 Id = core_types.Id
 Count = core_types.Count
+Int = core_types.Int
 Text = typing.Annotated[str, annotated_types.MaxLen(4096)]
 # Largest configuration passed between schedulers, in bytes.
 MAX_CONFIG_BYTES = 1024 * 1024
@@ -33,16 +34,16 @@
     # Whether the sender is that owner.
     leading: bool
     # Age of the store's last good answer to the sender; -1 for none.
-    store_age_ms: int
+    store_age_ms: Int
     # Version of the sender's configuration; 0 for none.
     version: Count
     # Rank of the sender as an owner; the lowest value claims first.
-    rank: tuple[int, str]
+    rank: tuple[Int, Text]
     # Addresses of the schedulers that it has discovered; empty if they are the
     # same as in the last pulse with addresses.
     entries: tuple[Text, ...] = ()
     # Number of records that the sender has read for a claim; -1 for none.
-    claiming: int = -1
+    claiming: Int = -1
 
 
 @message_base.message('job_resign')
@@ -100,7 +101,7 @@
     # State of the job, or the reason of a refusal.
     detail: Text = ''
     # Number of pending jobs, or milliseconds until a retry.
-    number: int = 0
+    number: Int = 0
 
 
 @message_base.message('owner_query')
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -16,6 +16,8 @@
 
 Id = types.Id
 Count = types.Count
+Int = types.Int
+Number = types.Number
 # Text with which the tasks of a job are started.
 Payload = typing.Annotated[str, annotated_types.MaxLen(64 * 1024)]
 
@@ -32,11 +34,11 @@
     # Number of failed attempts of a task after which its job has failed.
     max_attempts: Count = 1
     # Target time of a job, as a multiple of its longest chain of steps.
-    slack_factor: float = 2.0
+    slack_factor: Number = 2.0
     # Constant part that is added to the target time.
-    target_ms: float = 1000.0
+    target_ms: Number = 1000.0
     # Validity of a ticket for a step; 0 where none is required.
-    ticket_ms: float = 0.0
+    ticket_ms: Number = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +62,7 @@
     # Reservation of each task.
     demand: Demand = Demand()
     # Caller's estimate of the run time of a task.
-    estimate_ms: float = 0.0
+    estimate_ms: Number = 0.0
     # Indexes of the steps that must be done first.
     after: tuple[Count, ...] = ()
     # Whether a task can resume from a checkpoint.
@@ -82,13 +84,13 @@
     # Image that the tasks run; its tasks have the same effects on others.
     image: str = ''
     # Tail latency that a serving task must stay below; 0 for none.
-    target_ms: float = 0.0
+    target_ms: Number = 0.0
     # Whether the tasks are fillers: they use only processors that other
     # tasks leave unused.
     fills: bool = False
     # Maximum number of tasks that the system may make unavailable at the
     # same time; -1 for no bound.
-    max_unavailable: int = -1
+    max_unavailable: Int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,11 +104,11 @@
     payload: Payload
     steps: tuple[Step, ...]
     # Wall-clock time of the first occurrence.
-    start_at_ms: float = 0.0
+    start_at_ms: Number = 0.0
     # Number of occurrences; 0 for a job that runs once, immediately.
     repeat: Count = 0
     # Time between occurrences.
-    interval_ms: float = 0.0
+    interval_ms: Number = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,7 +117,7 @@
 
     runner_id: str = ''
     # Start of this incarnation of the runner, Unix time in milliseconds.
-    born_ms: int = 0
+    born_ms: Int = 0
     # Service that it belongs to.
     service: str = ''
     # Availability zone.
@@ -127,7 +129,7 @@
     # Whether it is shutting down and takes no new tasks.
     draining: bool = False
     # Least time that is left until it stops, while it is draining.
-    remaining_ms: int = 0
+    remaining_ms: Int = 0
 
     @property
     def incarnation(self) -> str:
@@ -142,14 +144,14 @@
     # Name of the task.
     task: str
     # Number of the attempt.
-    attempt: int
+    attempt: Count
     # Newest checkpoint; empty for none.
     saved: str = ''
     # Share of its work that is done, in percent; a serving task reports 100
     # while it is at work.
-    percent: int = 0
+    percent: Int = 0
     # Tail latency in ms of a serving task; else the processors in use.
-    usage: int = 0
+    usage: Int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,11 +159,11 @@
     """Report one run that has ended."""
 
     # Number of the end in this incarnation of the runner.
-    number: int
+    number: Count
     # Name of the task.
     task: str
     # Number of the attempt.
-    attempt: int
+    attempt: Count
     # Outcome: done, failed, stopped, lapsed (the lease expired), broken or
     # alone (members of its gang ended or did not start).
     how: str
--- a/packages/runtime/src/kcr_runtime/settings.py
+++ b/packages/runtime/src/kcr_runtime/settings.py
@@ -8,13 +8,13 @@
 
 import argparse
 import os
-import re
 import sys
 import typing
 
 import pydantic
 
-ADDRESS_PATTERN = re.compile(r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
+from kcr_core import net_address
+
 # Exit status for invalid settings, the same as that of argparse.
 USAGE_EXIT = 2
 # Prefix of the names of environment variables.
@@ -25,8 +25,7 @@
 
 def check_address(value: str) -> str:
     """Return `value`; raise ValueError if it is not an IP address and port."""
-    if not ADDRESS_PATTERN.match(value):
-        raise ValueError('must be IP:PORT, for example 127.0.0.1:7000')
+    net_address.parse(value, lowest_port=0)
     return value
 
 
--- a/packages/runtime/src/kcr_runtime/supervisor.py
+++ b/packages/runtime/src/kcr_runtime/supervisor.py
@@ -20,6 +20,10 @@
 MAX_RESTARTS = 10
 # Length of the period in which restarts are counted, in seconds.
 RESTART_PERIOD_S = 60.0
+# Delay before an isolated child is restarted, in seconds, and the largest one
+# after repeated failures.
+ISOLATED_RESTART_S = 0.2
+MAX_ISOLATED_RESTART_S = 10.0
 # Timeout for stopping one child, in seconds.
 STOP_TIMEOUT_S = 35.0
 
@@ -71,6 +75,10 @@
 
     # Subclasses override this.
     strategy: typing.ClassVar[Strategy] = Strategy.ONE_FOR_ONE
+    # Whether the children serve one peer each, so that the failures of a child
+    # concern only its peer: they delay its own restart and never make the
+    # supervisor fail.
+    isolated: typing.ClassVar[bool] = False
 
     def __init__(self, ctx: task.Context, address: str) -> None:
         self.ctx = ctx
@@ -83,6 +91,8 @@
         self._specs: dict[str, ChildSpec] = {}
         self._children: dict[str, typing.Any] = {}
         self._restarts: collections.deque[float] = collections.deque()
+        # Recent failures of each isolated child.
+        self._failures: collections.Counter[str] = collections.Counter()
         self._running = False
 
     def children(self) -> abc.Sequence[ChildSpec]:
@@ -112,6 +122,7 @@
             return False
         if isinstance(msg, StartChild):
             assert msg.spec.name not in self._specs, msg.spec.name
+            self._failures.pop(msg.spec.name, None)
             self._start(msg.spec)
             return True
         if isinstance(msg, StopChild):
@@ -155,6 +166,9 @@
         if self._children.get(name) is not child or not self._running:
             return
         self._log.error('task failed', child=name, exc_info=exc)
+        if self.isolated:
+            self._replace_isolated(name)
+            return
         now = float(self.ctx.reactor.seconds())
         self._restarts.append(now)
         while now - self._restarts[0] > RESTART_PERIOD_S:
@@ -164,6 +178,24 @@
             return
         defer.ensureDeferred(self._restart_or_give_up(name))
 
+    def _replace_isolated(self, name: str) -> None:
+        spec = self._specs[name]
+        self.ctx.metrics.count('session_failed')
+        defer.ensureDeferred(self._stop(name))
+        if spec.temporary:
+            return
+        self._failures[name] += 1
+        delay_s = ISOLATED_RESTART_S * 2 ** min(10, self._failures[name])
+        self._specs[name] = spec
+
+        def restart() -> None:
+            if self._running and self._specs.get(name) is spec:
+                self._start(spec)
+
+        self.ctx.reactor.callLater(
+            min(MAX_ISOLATED_RESTART_S, delay_s), restart
+        )
+
     def _give_up(self, name: str, exc: BaseException) -> None:
         self._log.error('supervisor gives up', child=name, error=str(exc))
         if self.on_failure is not None:
--- a/packages/runtime/src/kcr_runtime/wire/codec.py
+++ b/packages/runtime/src/kcr_runtime/wire/codec.py
@@ -17,6 +17,19 @@
 
 # Number of validation errors that an exception text lists.
 MAX_ERRORS = 5
+# Length of the text of an error of a library.
+MAX_ERROR_CHARS = 200
+# What the CBOR library raises for bytes that other writers may send: besides
+# its own errors, those of unusual keys, numbers, lengths and nesting.
+DECODE_ERRORS = (
+    cbor2.CBORDecodeError, ValueError, TypeError, OverflowError, KeyError,
+    AttributeError, RecursionError, MemoryError,
+)  # fmt: skip
+# What it raises for values without an encoding, such as lone surrogates.
+ENCODE_ERRORS = (
+    cbor2.CBOREncodeError, ValueError, TypeError, OverflowError,
+    RecursionError,
+)  # fmt: skip
 
 
 class BadFrame(Exception):
@@ -65,11 +78,14 @@
     if isinstance(value, dict):
         unknown = set(value) - set(_field_names(cls))
         if unknown:
-            raise BadFrame(f'unknown fields: {sorted(map(str, unknown))}')
+            names = sorted(map(_shorten, unknown))[:MAX_ERRORS]
+            raise BadFrame(f'unknown fields: {names}')
     try:
         return _adapter(cls).validate_python(value)
     except pydantic.ValidationError as exc:
         raise BadFrame(describe(exc)) from exc
+    except RecursionError as exc:
+        raise BadFrame('value is nested too deeply') from exc
 
 
 def describe(exc: pydantic.ValidationError) -> str:
@@ -77,14 +93,27 @@
     parts = []
     for error in exc.errors(include_url=False)[:MAX_ERRORS]:
         path = '.'.join(str(item) for item in error['loc'])
-        value = repr(error.get('input'))[:80]
+        value = _shorten(error.get('input'))
         parts.append(f'{path}: {error["msg"]} (value {value})')
     return '; '.join(parts)
 
 
+def _shorten(value: typing.Any) -> str:
+    try:
+        return repr(value)[:80]
+    except (ValueError, RecursionError):
+        # An integer of thousands of digits, or very deep nesting.
+        return f'of type {type(value).__name__}'
+
+
 def encode(msg: message_base.Message) -> bytes:
     """Return a message as one frame; raise BadFrame if it is too large."""
-    frame = cbor2.dumps([message_base.TAGS[type(msg)], _plain(msg)])
+    try:
+        frame = cbor2.dumps([message_base.TAGS[type(msg)], _plain(msg)])
+    except ENCODE_ERRORS as exc:
+        raise BadFrame(
+            f'message has no encoding: {type(exc).__name__}'
+        ) from exc
     if len(frame) > message_base.MAX_FRAME_BYTES:
         raise BadFrame(
             f'frame of {len(frame)} bytes exceeds '
@@ -97,13 +126,16 @@
     """Return the validated message of a frame; raise BadFrame if invalid."""
     try:
         parts = cbor2.loads(frame)
-    except (cbor2.CBORDecodeError, ValueError, RecursionError) as exc:
-        raise BadFrame(f'frame is not valid CBOR: {exc}') from exc
+    except DECODE_ERRORS as exc:
+        text = f'{type(exc).__name__}: {exc}'[:MAX_ERROR_CHARS]
+        raise BadFrame(f'frame is not valid CBOR: {text}') from exc
     if not isinstance(parts, list) or len(parts) != 2:
         raise BadFrame('frame must be a pair of tag and fields')
     tag, fields = parts
+    if not isinstance(tag, str):
+        raise BadFrame('tag must be a text')
     try:
-        cls = message_base.MESSAGES.get(str(tag))
+        cls = message_base.MESSAGES.get(tag)
     except registry.UnknownName as exc:
-        raise BadFrame(f'unknown message tag {str(tag)[:40]!r}') from exc
+        raise BadFrame(f'unknown message tag {tag[:40]!r}') from exc
     return from_plain(cls, fields)
--- a/packages/runtime/src/kcr_runtime/wire/dialer.py
+++ b/packages/runtime/src/kcr_runtime/wire/dialer.py
@@ -7,6 +7,7 @@
 
 from collections import abc
 
+from kcr_core import net_address
 from kcr_runtime import supervisor
 from kcr_runtime import task
 
@@ -44,6 +45,9 @@
         """Dial an address unless it is already dialed or this process's."""
         if not target or target in self._own or target in self.failed:
             return
+        if not net_address.is_valid(target):
+            self._ctx.metrics.count('address_malformed')
+            return
         if len(self.failed) >= self._max_dialed:
             self._ctx.metrics.count('peer_refused')
             return
--- a/packages/runtime/src/kcr_runtime/wire/session.py
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -16,9 +16,11 @@
 from twisted.internet import error
 
 from kcr_core import message_base
+from kcr_core import net_address
 from kcr_core import types
 from kcr_runtime import supervisor
 from kcr_runtime import task
+from kcr_runtime.wire import codec
 from kcr_runtime.wire import connection
 
 # Timeout for the hello of the peer, in seconds.
@@ -261,11 +263,16 @@
 
     @task.handles(_Dial)
     def _on_dial(self, msg: _Dial) -> None:
-        assert self.target is not None
-        host, port = self.target.rsplit(':', 1)
+        try:
+            target = net_address.parse(self.target)
+        except net_address.BadAddress as exc:
+            self.log.error('address is malformed', error=str(exc))
+            self._inject(_DialError(False))
+            return
         point = endpoints.TCP4ClientEndpoint(
-            self.ctx.reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
-        )
+            self.ctx.reactor, target.host, target.port,
+            timeout=CONNECT_TIMEOUT_S,
+        )  # fmt: skip
         fut = point.connect(
             connection.ConnectionFactory(self.build_connection)
         )
@@ -340,8 +347,14 @@
     def _on_send(self, msg: Send) -> None:
         conn = self._conn
         if conn is not None and self._hello is not None:
-            if conn.send(msg.msg):
-                return
+            try:
+                if conn.send(msg.msg):
+                    return
+            except codec.BadFrame as exc:
+                self.log.error(
+                    'message not sent', kind=message_base.TAGS[type(msg.msg)],
+                    error=str(exc),
+                )  # fmt: skip
         self.ctx.metrics.count('send_refused')
         for subscriber in self.routes.subscribers:
             self.send(subscriber, SendRefused(self.address, msg.msg))
--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -10,6 +10,7 @@
 
 import typing
 
+from kcr_core import net_address
 from kcr_jobs import config_relay
 from kcr_jobs import election
 from kcr_jobs import messages
@@ -123,6 +124,10 @@
         if hello.incarnation == self.ctx.incarnation:
             self._dialer.drop_own(event.session)
             return
+        if not net_address.is_valid(hello.address):
+            self.ctx.metrics.count('address_malformed')
+            self.send(event.session, session.Close('address is malformed'))
+            return
         self._open_sessions[event.session] = hello.address
         # One session per peer is enough, so a peer that has dialed is not
         # dialed.
--- a/packages/scheduler/src/kcr_scheduler/fleet/publisher.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/publisher.py
@@ -4,6 +4,7 @@
 the same topic to find the owner.
 """
 
+from kcr_runtime import seeds
 from kcr_runtime import store
 from kcr_runtime import task
 from kcr_scheduler import addresses
@@ -32,6 +33,7 @@
     def __init__(self, ctx: task.Context, address: str) -> None:
         super().__init__(ctx, address)
         self.store: store.Store = store.STORES.get(ctx.cfg.store)(ctx)
+        self._filter = seeds.AddressFilter(self.log, ctx.metrics)
 
     def started(self) -> None:
         """Publish the own address and read the list."""
@@ -63,8 +65,8 @@
         if not isinstance(got, store.Items):
             self.after(RETRY_S, _Read())
             return
-        found = tuple(
-            item.value.decode(errors='replace')
+        found = self._filter.filter(
+            (item.key, item.value.decode(errors='replace'))
             for item in got.items
             if item.value
         )
--- a/packages/scheduler/src/kcr_scheduler/fleet/supervisor.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/supervisor.py
@@ -14,6 +14,8 @@
 class Sessions(supervisor.Supervisor):
     """Supervise one session per connection."""
 
+    isolated = True
+
 
 class Fleet(supervisor.Supervisor):
     """Supervise the tasks that connect to agents and other schedulers."""
--- a/packages/scheduler/src/kcr_scheduler/work/codec.py
+++ b/packages/scheduler/src/kcr_scheduler/work/codec.py
@@ -129,10 +129,7 @@
             raise BadBatch(f'batch has unknown version {version}')
         if len(loaded) != 2:
             raise BadBatch('batch must have an id and a list of records')
-    except (
-        cbor2.CBORDecodeError, zlib.error, ValueError, TypeError,
-        OverflowError, RecursionError, MemoryError,
-    ) as exc:  # fmt: skip
+    except (zlib.error, *codec.DECODE_ERRORS) as exc:
         text = f'{type(exc).__name__}: {exc}'[:200]
         raise BadBatch(f'batch is malformed: {text}') from exc
     return typing.cast('typing.Sequence[typing.Any]', loaded)
--- a/packages/sidecar/src/kcr_sidecar/links/announcer.py
+++ b/packages/sidecar/src/kcr_sidecar/links/announcer.py
@@ -12,8 +12,8 @@
 
 from kcr_core import authority
 from kcr_core import messages
+from kcr_core import net_address
 from kcr_core import types
-from kcr_runtime import settings
 from kcr_runtime import supervisor
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -146,7 +146,7 @@
 
     def _add_discovered(self, target: str) -> None:
         known = self._discovered.union(self.ctx.cfg.entries)
-        if target in known or not settings.ADDRESS_PATTERN.match(target):
+        if target in known or not net_address.is_valid(target):
             return
         if len(known) >= authority.MAX_ENTRIES:
             self.ctx.metrics.count('entry_not_dialed')
--- a/packages/sidecar/src/kcr_sidecar/links/supervisor.py
+++ b/packages/sidecar/src/kcr_sidecar/links/supervisor.py
@@ -11,6 +11,8 @@
 class Sessions(supervisor.Supervisor):
     """Run one session per entry."""
 
+    isolated = True
+
     def children(self) -> abc.Sequence[supervisor.ChildSpec]:
         """Return the spec of a session for each entry of the options."""
         return [
--- a/tests/runtime/test_supervisor.py
+++ b/tests/runtime/test_supervisor.py
@@ -165,3 +165,56 @@
     ctx.directory.send('a', Fail())
     clock.advance(0)
     assert [str(exc) for exc in failures] == ['cannot be stopped']
+
+
+class Isolated(OneForOne):
+    """Serve one peer with each child."""
+
+    isolated = True
+
+
+def test_failures_of_one_session_do_not_end_the_tree() -> None:
+    """Guard against one peer, caller or entry that uses up the restarts.
+
+    An address without a port in the list of schedulers made the session that
+    dialed it fail more than ten times in a minute, and the process ended.
+    """
+    ctx, clock = make_context()
+    root = Isolated(ctx, '')
+    given_up: list[BaseException] = []
+    root.on_failure = given_up.append
+    root.begin()
+    for _ in range(5 * supervisor.MAX_RESTARTS):
+        ctx.directory.send('a', Fail())
+        ctx.directory.send('b', Increment())
+        clock.advance(0)
+        clock.advance(1.0)
+    assert given_up == []
+    assert ctx.directory.dump()['b']['count'] == 5 * supervisor.MAX_RESTARTS
+    clock.advance(supervisor.MAX_ISOLATED_RESTART_S)
+    assert 'a' in ctx.directory.addresses()
+
+
+def test_isolated_child_is_restarted_ever_more_slowly() -> None:
+    """Guard against a loop of restarts that uses up the processor."""
+    ctx, clock = make_context()
+    root = Isolated(ctx, '')
+    root.begin()
+    restarts = 0
+    for _ in range(600):
+        if ctx.directory.send('a', Fail()):
+            restarts += 1
+        clock.advance(0.1)
+    assert 5 <= restarts <= 15
+
+
+def test_stopped_child_is_not_restarted() -> None:
+    """Guard against a session that comes back after it was stopped."""
+    ctx, clock = make_context()
+    root = Isolated(ctx, '')
+    root.begin()
+    ctx.directory.send('a', Fail())
+    clock.advance(0)
+    root.post(supervisor.StopChild('a'))
+    clock.advance(60.0)
+    assert 'a' not in ctx.directory.addresses()
