--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -244,22 +244,12 @@
     def _handle_run_list(
         self, run_list: client.RunList, queried_at: float
     ) -> None:
-        assert self.info is not None
-        if run_list.born_ms and run_list.born_ms != self.info.born_ms:
-            # Its next heartbeat starts the new incarnation.
-            self.log.info(
-                'runner restarted, lease dropped', born_ms=run_list.born_ms
-            )
-            self._drop_lease()
+        if not self._is_of_incarnation(run_list):
             return
         now = self.now()
         self.lease.set_clock(run_list.clock_ms, now)
         self.lease.drop_confirmed_starts(queried_at)
-        for run in run_list.running:
-            order = self.lease.start_orders.get(run.task)
-            if order is not None and order.attempt == run.attempt:
-                if order.answered_at is None:
-                    order.answered_at = queried_at
+        self._record_listed_starts(run_list, queried_at)
         new_ends = tuple(
             e for e in run_list.ended if e.number > self._last_end_sent
         )
@@ -267,7 +257,11 @@
         complete = last is None or now - last >= REPORT_INTERVAL_S
         if new_ends or complete:
             unanswered = self.lease.list_unconfirmed_starts(queried_at)
-            self._report(run_list.running, new_ends, complete, now, unanswered)
+            # A complete report repeats the ends that are not confirmed: if a
+            # report with ends was lost, their tasks would look as if they had
+            # vanished, and would be started again.
+            ends = run_list.ended if complete else new_ends
+            self._report(run_list.running, ends, complete, now, unanswered)
 
     def _report(
         self,
@@ -286,8 +280,9 @@
         info = self.info
         if self._runner_left:
             info = dataclasses.replace(info, draining=True, remaining_ms=0)
-        if ended:
-            self._last_end_sent = max(e.number for e in ended)
+        self._last_end_sent = max(
+            self._last_end_sent, *(e.number for e in ended), 0
+        )
         if complete:
             self._reported_at = now
         report = messages.RunnerReport(
@@ -360,7 +355,64 @@
                 'start unanswered', task=msg.task, run=msg.attempt,
                 reason=got.reason,
             )  # fmt: skip
-            await _pause(self.ctx, START_RETRY_S)
+            if not await self._may_repeat(order, term):
+                return
+
+    async def _may_repeat(
+        self, order: runner_lease.StartOrder, term: int
+    ) -> bool:
+        """Wait until a new list shows whether a start may be repeated.
+
+        The start may have been carried out, and the run may even have ended.
+        A runner that was restarted under the same id meanwhile has forgotten
+        that, and would run the task once more.
+        """
+        await _pause(self.ctx, START_RETRY_S)
+        while term == self._term and self._running and not order.withdrawn:
+            assert self.info is not None
+            queried_at = self.now()
+            got = await self.runner.extend_lease(
+                self.info.runner_id,
+                self.lease.token,
+                self.lease.cursor,
+                self.lease.deadline_ms(queried_at),
+                0,
+            )
+            if term != self._term or not self._running:
+                return False
+            if isinstance(got, client.RunList):
+                if not self._is_of_incarnation(got):
+                    return False
+                self._record_listed_starts(got, queried_at)
+                return order.answered_at is None
+            await _pause(self.ctx, LIST_RETRY_S)
+        return False
+
+    def _is_of_incarnation(self, run_list: client.RunList) -> bool:
+        """Return whether a list is of the known incarnation of the runner.
+
+        If not, drop the lease; the next heartbeat starts the new incarnation.
+        """
+        assert self.info is not None
+        if not run_list.born_ms or run_list.born_ms == self.info.born_ms:
+            return True
+        self.log.info(
+            'runner restarted, lease dropped', born_ms=run_list.born_ms
+        )
+        self._drop_lease()
+        return False
+
+    def _record_listed_starts(
+        self, run_list: client.RunList, queried_at: float
+    ) -> None:
+        """Record the starts that a list shows, as running or as ended."""
+        listed = [(run.task, run.attempt) for run in run_list.running]
+        listed += [(end.task, end.attempt) for end in run_list.ended]
+        for name, attempt in listed:
+            order = self.lease.start_orders.get(name)
+            if order is not None and order.attempt == attempt:
+                if order.answered_at is None:
+                    order.answered_at = queried_at
 
     def _record_refused_start(
         self,
--- a/packages/entry/src/kcr_entry/configuration/in_force.py
+++ b/packages/entry/src/kcr_entry/configuration/in_force.py
@@ -73,6 +73,9 @@
         self._settings: events.SettingsInForce | None = None
         self._peers: dict[str, message_base.Hello] = {}
         self._target_revision = 0
+        # Newest document of a peer that is not followed yet, because another
+        # peer may have a newer one.
+        self._held: configuration.DocumentInForce | None = None
         self._publications = publishing.Publications(self._reply)
         self._last_token = 0
         self._unreadable = ''
@@ -196,6 +199,7 @@
         if self._floor is None:
             # The reply to the query for the floor was lost.
             self._floor = 0
+        self._release_held()
         self._check_ready()
 
     def _check_ready(self) -> None:
@@ -224,6 +228,7 @@
     def _on_dial_failed(self, event: session.DialFailed) -> None:
         if event.refused:
             self._bootstrap.peer_unreachable(event.target)
+            self._release_held()
             self._check_ready()
 
     @task.handles(session.SendRefused)
@@ -267,11 +272,12 @@
             self._offer(event.session, self._followed.revision > msg.revision)
             return
         assert isinstance(msg, messages.DocumentOffer)
+        self._bootstrap.peer_answered(event.hello.address, msg.revision)
         if msg.text:
             self._apply_offer(msg)
         else:
             self._schedule_fetch(msg.revision)
-        self._bootstrap.peer_answered(event.hello.address, msg.revision)
+        self._release_held()
         self._check_ready()
 
     def _schedule_fetch(self, revision: int) -> None:
@@ -297,6 +303,24 @@
         if doc is None:
             self.ctx.metrics.count('document_offer_bad')
             return
+        if self._held is None or doc.revision > self._held.revision:
+            self._held = doc
+
+    def _release_held(self) -> None:
+        """Follow the newest document of the peers, once all have answered.
+
+        A process that has just started follows none yet. The peer that it
+        sees first may be stale, and its own last incarnation may have
+        followed a newer document.
+        """
+        doc = self._held
+        starting = not self._bootstrap.log_read and not self._followed.revision
+        if doc is None:
+            return
+        if starting and self._grace:
+            if not self._bootstrap.is_ready(doc.revision):
+                return
+        self._held = None
         self._adopt(doc, 'peer')
 
     @task.handles(events.RevisionReported)
--- a/packages/jobs/src/kcr_jobs/config_relay.py
+++ b/packages/jobs/src/kcr_jobs/config_relay.py
@@ -54,7 +54,9 @@
         """Return the session of the peer to ask now; empty for none."""
         if self._newer_since is None:
             return ''
-        reads_store = store_age_s is not None and store_age_s < MAX_STORE_AGE_S
+        # A process that has just started reads the store first as well: the
+        # peer that it sees first may have an older version.
+        reads_store = store_age_s is None or store_age_s < MAX_STORE_AGE_S
         if reads_store and now - self._newer_since < STORE_READ_S:
             return ''
         if (
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -164,7 +164,7 @@
         job = self.table.jobs.get(job_id)
         if job is None:
             self._log_event('cancel of unknown job', job=job_id)
-            self.deferred.append(effects.Reply(ref, 'unknown_job'))
+            self._reply_unknown(ref)
             return
         if job.is_open():
             self._append(records.Cancelled(job_id))
@@ -172,6 +172,15 @@
             self._update_open_jobs(job, now)
         self.deferred.append(effects.Reply(ref, 'cancelled'))
 
+    def _reply_unknown(self, ref: typing.Any) -> None:
+        """Reply that a job does not exist, once an append has proved it.
+
+        An owner that was replaced without noticing, such as one that was
+        suspended, does not know the jobs of its successor.
+        """
+        self.pending_records.append(records.Renewed())
+        self.deferred.append(effects.Reply(ref, 'unknown_job'))
+
     def report_state(self, ref: typing.Any, job_id: str) -> None:
         """Reply with the state of a job.
 
@@ -180,7 +189,7 @@
         job = self.table.jobs.get(job_id)
         if job is None:
             self._log_event('state of unknown job', job=job_id)
-            self.deferred.append(effects.Reply(ref, 'unknown_job'))
+            self._reply_unknown(ref)
             return
         state = job.state
         if not job.is_open() and not job.finalized:
@@ -205,7 +214,8 @@
         runner = self._get_runner(name, now)
         self._tokens += 1
         runner.token = self.epoch * TOKENS_PER_EPOCH + self._tokens
-        runner.session, runner.info = session, info
+        runner.session = session
+        self._update_info(runner, info, now)
         runner.reconciled = False
         runner.last_order = runner.recorded_end = runner.durable_end = (
             runner.acked_seq
@@ -272,6 +282,13 @@
     def _update_info(
         self, runner: runners.RunnerState, info: types.RunnerInfo, now: float
     ) -> None:
+        old = runner.info
+        if old is not None and old.draining and not info.draining:
+            if old.incarnation == info.incarnation:
+                # A heartbeat from before the drain was delayed, and the agent
+                # that knew of the drain has been restarted. An incarnation
+                # that leaves does not come back.
+                info = dataclasses.replace(info, draining=True)
         if info.draining and runner.draining_since is None:
             runner.draining_since = now
             self._log_event(
--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -5,6 +5,7 @@
 failed is sent again to the next owner.
 """
 
+import collections
 import dataclasses
 import typing
 
@@ -26,6 +27,11 @@
 SCAN_INTERVAL_S = 0.05
 # Time without a reply before a call is sent again, in seconds.
 RESEND_AFTER_S = 1.0
+# Time for which a submission without a reply is remembered, in seconds;
+# callers retry within some seconds.
+UNRESOLVED_S = 60.0
+# Maximum number of submissions that are remembered.
+MAX_UNRESOLVED = 20_000
 # Maximum number of calls that may wait for a reply.
 MAX_CALLS = 5000
 
@@ -71,6 +77,11 @@
         self._route = ''
         # Calls without a reply, by token.
         self._pending: dict[str, _Pending] = {}
+        # Time of the last submission of each job whose outcome is not known,
+        # by the id of the job; the oldest first.
+        self._unresolved: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
         self._count = 0
         self._token_prefix = f'{ctx.rng.getrandbits(32):08x}'
 
@@ -104,11 +115,41 @@
         if not self._route:
             return
         pending.route, pending.sent_at = self._route, self.now()
+        if pending.msg.verb == 'submit':
+            self._record_unresolved(pending.msg.job_id)
         if self._route == addresses.OWNER:
             self.send(self._route, events.LocalCall(pending.msg))
         else:
             self.send(self._route, session.Send(pending.msg))
 
+    def _record_unresolved(self, job_id: str) -> None:
+        self._unresolved[job_id] = self.now()
+        self._unresolved.move_to_end(job_id)
+        while len(self._unresolved) > MAX_UNRESOLVED:
+            self._unresolved.popitem(last=False)
+
+    def _is_unresolved(self, job_id: str) -> bool:
+        """Return whether an earlier submission may have been accepted."""
+        sent_at = self._unresolved.get(job_id)
+        return sent_at is not None and self.now() - sent_at < UNRESOLVED_S
+
+    def _refuse(
+        self, pending: _Pending, detail: str, number: int, resolved: bool
+    ) -> None:
+        """Refuse a call, unless its job may have been accepted before.
+
+        A refusal tells that the job never runs. `resolved` is whether the
+        owner has refused it, which has looked for the job.
+        """
+        msg = pending.msg
+        if resolved:
+            self._unresolved.pop(msg.job_id, None)
+        elif msg.verb == 'submit' and self._is_unresolved(msg.job_id):
+            self.log.warning('earlier submission unanswered', job=msg.job_id)
+            self._reply(pending.caller_query, 'unknown', detail)
+            return
+        self._reply(pending.caller_query, 'refused', detail, number)
+
     def _reply(
         self,
         caller_query: query.Query,
@@ -136,6 +177,11 @@
             return
         took_ms = (self.now() - pending.received_at) * 1000.0
         self.ctx.metrics.record_ms('call', took_ms, verb=pending.msg.verb)
+        if msg.outcome == 'refused':
+            self._refuse(pending, msg.detail, msg.number, True)
+            return
+        if msg.outcome == 'accepted':
+            self._unresolved.pop(pending.msg.job_id, None)
         self._reply(pending.caller_query, msg.outcome, msg.detail, msg.number)
 
     @task.handles(events.OwnerRouteChanged)
@@ -178,11 +224,8 @@
                     'call refused', verb=pending.msg.verb,
                     job=pending.msg.job_id, reason='no owner',
                 )  # fmt: skip
-                self._reply(
-                    pending.caller_query,
-                    'refused',
-                    'no owner',
-                    NO_OWNER_RETRY_AFTER_MS,
+                self._refuse(
+                    pending, 'no owner', NO_OWNER_RETRY_AFTER_MS, False
                 )
             return
         if now >= pending.deadline:
--- a/tests/entry/test_in_force.py
+++ b/tests/entry/test_in_force.py
@@ -147,6 +147,38 @@
     assert entry.dump()['revision'] == 9
 
 
+def test_restarted_process_does_not_follow_a_stale_peer_first(
+    harness: log_harness.Harness,
+) -> None:
+    """Guard against a process that goes back while it starts.
+
+    Its last incarnation followed revision 9; the stale peer answers first
+    (the entries `entry-1, 29, 24` of tests/processes/test_document_race.py).
+    """
+    harness.log.outage = 'refuse'
+    entry = config_harness.Entry(harness, 'c', peers=('listen-a', 'listen-b'))
+    entry.open('a', 'entry')
+    entry.deliver('a', 'entry', make_offer(4, 0.2))
+    harness.run(0.5)
+    assert entry.dump()['revision'] == 0
+    entry.open('b', 'entry')
+    entry.deliver('b', 'entry', make_offer(9, 0.3))
+    harness.run(0.1)
+    assert [s.revision for s in entry.settings()] == [9]
+
+
+def test_peer_that_is_away_does_not_keep_the_others_from_starting(
+    harness: log_harness.Harness,
+) -> None:
+    """Guard against a process that waits for ever for a frozen peer."""
+    harness.log.outage = 'refuse'
+    entry = config_harness.Entry(harness, 'c', peers=('listen-a', 'listen-b'))
+    entry.open('a', 'entry')
+    entry.deliver('a', 'entry', make_offer(4, 0.2))
+    harness.run(4.0)
+    assert [s.revision for s in entry.settings()] == [4]
+
+
 def test_log_does_not_replace_a_newer_document_of_a_peer(
     harness: log_harness.Harness,
 ) -> None:
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -376,3 +376,45 @@
     harness.step()
     assert harness.find_state('j') == 'completed'
     assert harness.find_placements('j') == {}
+
+
+def test_draining_runner_stays_so_after_its_agent_restarts() -> None:
+    """Guard against a runner that left and is in use again.
+
+    The restarted agent knows nothing of the drain, and a heartbeat from before
+    it arrives late.
+    """
+    runner = job_harness.FakeRunner('a')
+    harness = job_harness.Harness(runner)
+    ready = runner.info
+    runner.info = dataclasses.replace(ready, draining=True, remaining_ms=9000)
+    harness.step()
+    runner.info = ready
+    harness.attach(runner)
+    harness.submit(job_harness.make_job('j', types.Step(1)))
+    harness.step()
+    assert harness.find_placements('j') == {}
+    runner.restart(2)
+    harness.attach(runner)
+    harness.step()
+    assert set(harness.find_placements('j').values()) == {'a'}
+
+
+@pytest.mark.parametrize('silent_s', [1.0, 3.0, 5.9])
+def test_silent_runner_keeps_its_work(silent_s: float) -> None:
+    """Guard against work that is started elsewhere while its lease runs."""
+    runners = [job_harness.FakeRunner(name) for name in 'ab']
+    harness = job_harness.Harness(*runners)
+    harness.submit(job_harness.make_job('j', types.Step(2)))
+    harness.step()
+    before = harness.find_placements('j')
+    runners[0].connected = False
+    for _ in range(round(silent_s / 0.1)):
+        harness.step(0.1)
+    assert harness.find_placements('j') == before
+    runners[0].connected = True
+    harness.attach(runners[0])
+    for _ in range(20):
+        harness.step(0.5)
+    assert harness.find_placements('j') == before
+    assert not [e for e in harness.log_events if e.event == 'run lost']
--- a/tests/scheduler/test_owner.py
+++ b/tests/scheduler/test_owner.py
@@ -180,3 +180,44 @@
     made.begin()
     submit(harness)
     assert replies(harness) == ['not_owner']
+
+
+def test_replaced_owner_does_not_deny_jobs_of_its_successor() -> None:
+    """Guard against an owner that was suspended and answers from memory.
+
+    It does not know the jobs that its successor has accepted, and told their
+    callers that they don't exist.
+    """
+    first, _ = make()
+    second, _ = make(first.store)
+    submit(second)
+    second.advance(0.1)
+    assert replies(second) == ['accepted']
+    for verb in ('state', 'cancel'):
+        call = messages.JobCall('t', verb, 'q', 'j')
+        first.post(addresses.OWNER, events.LocalCall(call))
+    first.advance(0.2)
+    assert 'unknown_job' not in replies(first)
+
+
+def test_hand_over_leaves_no_order_of_the_former_owner() -> None:
+    """Guard against two processes that both send orders for a moment.
+
+    The former owner has orders that wait for the log when it steps down.
+    """
+    harness, made = make()
+    info = types.RunnerInfo('i', 1, 'svc', 'z', types.Demand(100, 100))
+    attach = messages.Attach('n', info)
+    harness.post(addresses.OWNER, session.Received('s', HELLO, attach))
+    token = harness.recorders['s'].pop_all(session.Send)[0].msg.token
+    report = messages.RunnerReport(token, 1, info, True, (), ())
+    harness.post(addresses.OWNER, session.Received('s', HELLO, report))
+    harness.advance(0.1)
+    harness.store.faults.extend(['late'] * 3)
+    submit(harness)
+    harness.post(addresses.OWNER, events.StepDown())
+    harness.store.apply_late_appends()
+    harness.advance(2.0)
+    sent = [s.msg for s in harness.recorders['s'].pop_all(session.Send)]
+    assert not any(isinstance(msg, messages.StartRun) for msg in sent)
+    assert made.phase == 'idle'
