Close the connection of a body that has stalled

The transport that Twisted gives the reader of a body has no abortConnection, so the connection stayed open until the store closed it. Found by reading the change; test_stalled_page_keeps_the_records_that_came was red without it.

--- a/packages/runtime/src/kcr_runtime/http_client.py
+++ b/packages/runtime/src/kcr_runtime/http_client.py
@@ -121,9 +121,10 @@
 
     def _stop(self, reason: str) -> None:
         self._finish(reason)
-        abort = getattr(self.transport, 'abortConnection', None)
-        if abort is not None:
-            abort()
+        # A connection in the middle of a body can't be used again. Twisted
+        # passes on only this call to the connection.
+        if self.transport is not None:
+            self.transport.loseConnection()
 
     def _finish(self, reason: str | None) -> None:
         if self.done.called:
--- a/tests/platform/test_store_reads.py
+++ b/tests/platform/test_store_reads.py
@@ -1,6 +1,7 @@
 """Test the client of the store over real HTTP connections."""
 
 import threading
+import time
 import typing
 
 import platform_fakes
@@ -8,6 +9,7 @@
 import pytest
 from twisted.internet import defer
 from twisted.internet import reactor as twisted_reactor
+from twisted.internet import tcp
 
 from kcr_platform import log_store
 from kcr_runtime import http_client
@@ -67,6 +69,17 @@
     return found[0]
 
 
+def is_connected(address: str) -> bool:
+    """Return whether the reactor has a connection to an address."""
+    reactor: typing.Any = twisted_reactor
+    port = int(address.rpartition(':')[2])
+    return any(
+        getattr(reader, 'addr', ('', 0))[1] == port
+        for reader in reactor.getReaders()
+        if isinstance(reader, tcp.Client)
+    )
+
+
 def make_client(address: str) -> log_store.LogStore:
     """Return a client of the store at an address."""
     ctx: typing.Any = Context()
@@ -116,6 +129,11 @@
     got = run(lambda: client.read('jobs', 0, 0.0))
     assert isinstance(got, store.Page)
     assert 0 < len(got.records) < 40
+    # The connection is closed, not left open until the store closes it.
+    end = time.monotonic() + WAIT_S
+    while is_connected(link.address) and time.monotonic() < end:
+        time.sleep(0.02)
+    assert not is_connected(link.address)
     network.close()
     fake.close()
 
