Tell a restarted owner task again whether to follow the log; test the mesh

Found by reading the change: the mesh sent Follow only when it changed, so an owner task that its supervisor had restarted no longer followed.

--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -360,6 +360,8 @@
         """Store the newest claim as the owner task has read it."""
         was_owner, self.is_owner = self.is_owner, False
         self._claim_progress = None
+        # An owner task that was restarted has to be told again.
+        self._follows = False
         if event.epoch >= self.epoch:
             self.epoch, self.owner = event.epoch, event.owner
         if was_owner or self._owner_lost_at is None:
--- a/tests/scheduler/test_mesh.py
+++ b/tests/scheduler/test_mesh.py
@@ -2,8 +2,12 @@
 
 import scheduler_harness
 
+from kcr_core import message_base
+from kcr_core import types as core_types
 from kcr_jobs import election
+from kcr_jobs import messages
 from kcr_jobs import records
+from kcr_runtime.wire import session
 from kcr_scheduler import addresses
 from kcr_scheduler import events
 from kcr_scheduler.fleet import mesh
@@ -11,6 +15,7 @@
 from kcr_scheduler.work import job_log
 from kcr_scheduler.work import owner
 
+PLACE = core_types.Place('x', 'x', 'x', 'n')
 TASKS = (
     addresses.WATCH, addresses.CALLS, addresses.FRONT, addresses.SESSIONS,
     addresses.PEER_SESSIONS,
@@ -47,3 +52,58 @@
     harness, made = start_scheduler('other')
     harness.advance(election.PEER_DISCOVERY_S)
     assert made.phase == 'idle'
+
+
+def test_best_scheduler_follows_the_log_of_the_owner() -> None:
+    """Guard against a takeover that starts by reading the whole log."""
+    harness = scheduler_harness.Harness(*TASKS, addresses.OWNER, 's')
+    made = mesh.Mesh(harness.ctx, addresses.MESH)
+    made.begin()
+    hello = message_base.Hello(
+        1, 'scheduler', 'o', 'o-1', PLACE, address='127.0.0.1:2'
+    )
+    harness.post(addresses.MESH, session.Opened('s', hello))
+    pulse = messages.Pulse(3, '127.0.0.1:2', True, 10, 0, (-9, 'o'))
+    harness.post(addresses.MESH, session.Received('s', hello, pulse))
+    harness.advance(0.2)
+    follows = harness.recorders[addresses.OWNER].pop_all(events.Follow)
+    assert [event.follows for event in follows] == [True]
+
+
+def test_scheduler_waits_for_a_claimant_that_makes_progress() -> None:
+    """Guard against claimants that share the rate of the store."""
+    harness = scheduler_harness.Harness(*TASKS, addresses.OWNER, 's')
+    mesh.Mesh(harness.ctx, addresses.MESH).begin()
+    hello = message_base.Hello(
+        1, 'scheduler', 'o', 'o-1', PLACE, address='127.0.0.1:2'
+    )
+    harness.post(addresses.MESH, session.Opened('s', hello))
+    for step in range(60):
+        harness.post(addresses.MESH, events.StoreAnswered())
+        progress = min(step, 30)
+        pulse = messages.Pulse(
+            0, '', False, 10, 0, (9, 'o'), claiming=progress
+        )
+        harness.post(addresses.MESH, session.Received('s', hello, pulse))
+        harness.advance(0.1)
+        campaigns = harness.recorders[addresses.OWNER].pop_all(events.Campaign)
+        if progress < 30:
+            assert campaigns == []
+        elif campaigns:
+            return
+    raise AssertionError('a stuck claimant is waited for')
+
+
+def test_pulses_repeat_addresses_only_when_they_change() -> None:
+    """Guard against pulses that are mostly the list of all schedulers."""
+    harness = scheduler_harness.Harness(*TASKS, addresses.OWNER, 's')
+    mesh.Mesh(harness.ctx, addresses.MESH).begin()
+    hello = message_base.Hello(
+        1, 'scheduler', 'o', 'o-1', PLACE, address='127.0.0.1:2'
+    )
+    harness.post(addresses.MESH, session.Opened('s', hello))
+    harness.advance(4.0)
+    sent = [send.msg for send in harness.recorders['s'].pop_all(session.Send)]
+    pulses = [msg for msg in sent if isinstance(msg, messages.Pulse)]
+    assert len(pulses) > 10
+    assert sum(bool(pulse.entries) for pulse in pulses) == 1
