--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from twisted.internet import defer
 from twisted.internet import task as twisted_task
 
 from kcr_agent import addresses
@@ -209,18 +210,24 @@
 
     # Lists of runs.
 
+    def _query_runs(
+        self, queried_at: float, wait_ms: int
+    ) -> defer.Deferred[client.RunList | client.Refused | client.NoAnswer]:
+        """Extend the lease as far as it is confirmed, and list the runs."""
+        assert self.info is not None
+        return self.runner.extend_lease(
+            self.info.runner_id,
+            self.lease.token,
+            self.lease.cursor,
+            self.lease.deadline_ms(queried_at),
+            wait_ms,
+        )
+
     async def _extend_lease_loop(self, term: int) -> None:
         wait_ms = 0
         while self._running and term == self._term:
-            assert self.info is not None
             queried_at = self.now()
-            got = await self.runner.extend_lease(
-                self.info.runner_id,
-                self.lease.token,
-                self.lease.cursor,
-                self.lease.deadline_ms(queried_at),
-                wait_ms,
-            )
+            got = await self._query_runs(queried_at, wait_ms)
             if not self._running or term != self._term:
                 return
             self._update_runner_answers(got)
@@ -369,15 +376,8 @@
         """
         await _pause(self.ctx, START_RETRY_S)
         while term == self._term and self._running and not order.withdrawn:
-            assert self.info is not None
             queried_at = self.now()
-            got = await self.runner.extend_lease(
-                self.info.runner_id,
-                self.lease.token,
-                self.lease.cursor,
-                self.lease.deadline_ms(queried_at),
-                0,
-            )
+            got = await self._query_runs(queried_at, 0)
             if term != self._term or not self._running:
                 return False
             if isinstance(got, client.RunList):
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -15,6 +15,7 @@
 from kcr_jobs import ordering
 from kcr_jobs import placement
 from kcr_jobs import runners
+from kcr_jobs import step_choice
 from kcr_jobs import tickets
 
 # Registered order in which waiting jobs get capacity.
@@ -101,7 +102,7 @@
         ]
         order = ordering.ORDERS.get(ORDER_NAME)
         plan = Plan()
-        rejected = placement.RejectedDemands()
+        rejected = step_choice.RejectedDemands()
         for job in sorted(jobs, key=lambda j: order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
         return plan
@@ -112,10 +113,10 @@
         candidates: list[placement.Candidate],
         now: float,
         plan: Plan,
-        rejected: placement.RejectedDemands,
+        rejected: step_choice.RejectedDemands,
     ) -> None:
         blocked: set[tuple[int, int]] = set()
-        choices: dict[tuple[int, int], placement.StepChoice] = {}
+        choices: dict[tuple[int, int], step_choice.StepChoice] = {}
         gangs: dict[tuple[int, int], list[job_table.Task]] = {}
         for task in job.tasks.values():
             key = (task.occurrence, task.step)
@@ -139,7 +140,7 @@
                 choices.clear()
             elif not rejected.covers(task):
                 if key not in choices:
-                    choices[key] = placement.StepChoice(task, allowed, now)
+                    choices[key] = step_choice.StepChoice(task, allowed, now)
                 candidate = choices[key].choose(task)
                 if candidate is None:
                     rejected.add(task)
--- a/tests/jobs/test_planning.py
+++ b/tests/jobs/test_planning.py
@@ -9,6 +9,7 @@
 from kcr_jobs import job_table
 from kcr_jobs import placement
 from kcr_jobs import planning
+from kcr_jobs import step_choice
 from kcr_jobs import types
 
 QUEUES = (
@@ -84,9 +85,9 @@
 ) -> None:
     """Guard against a faster choice that places tasks worse."""
     found = play(seed)
-    monkeypatch.setattr(placement, 'StepChoice', ExhaustiveChoice)
+    monkeypatch.setattr(step_choice, 'StepChoice', ExhaustiveChoice)
     monkeypatch.setattr(
-        placement.RejectedDemands, 'covers', lambda self, task: False
+        step_choice.RejectedDemands, 'covers', lambda self, task: False
     )
     assert found == play(seed)
 
