--- a/packages/jobs/src/kcr_jobs/job_checks.py
+++ b/packages/jobs/src/kcr_jobs/job_checks.py
@@ -21,7 +21,7 @@
 # make all its occurrences due at once.
 MIN_INTERVAL_MS = 1.0
 # Job id, occurrence, step and index, joined by dots.
-TASK_NAME = re.compile(r'^[^.]{1,128}\.\d{1,9}\.\d{1,4}\.\d{1,6}$', re.ASCII)
+TASK_NAME = re.compile(r'[^.]{1,128}\.\d{1,9}\.\d{1,4}\.\d{1,6}', re.ASCII)
 
 
 class BadJob(ValueError):
@@ -60,5 +60,5 @@
 
 
 def _check_name(name: str) -> None:
-    if not TASK_NAME.match(name):
+    if not TASK_NAME.fullmatch(name):
         raise BadJob(f'invalid name of a task: {name[:80]!r}')
