--- a/packages/core/src/kcr_core/net_address.py
+++ b/packages/core/src/kcr_core/net_address.py
@@ -12,6 +12,7 @@
 # Longest text of an address: four numbers of three digits and a port.
 MAX_LENGTH = 21
 MAX_PORT = 65_535
+REMEDY = 'must be IP:PORT, for example 127.0.0.1:7000'
 
 
 class BadAddress(ValueError):
@@ -34,14 +35,14 @@
 def parse(text: object, lowest_port: int = 1) -> NetAddress:
     """Return the address in a text; raise BadAddress."""
     if not isinstance(text, str) or len(text) > MAX_LENGTH:
-        raise BadAddress('must be IP:PORT, for example 127.0.0.1:7000')
+        raise BadAddress(REMEDY)
     host, _, port = text.rpartition(':')
     try:
         ipaddress.IPv4Address(host)
     except ValueError as exc:
-        raise BadAddress(f'{text!r} has no IPv4 address') from exc
+        raise BadAddress(f'{text!r} has no IPv4 address; {REMEDY}') from exc
     if not (port.isascii() and port.isdigit()):
-        raise BadAddress(f'{text!r} has no port')
+        raise BadAddress(f'{text!r} has no port; {REMEDY}')
     if not lowest_port <= int(port) <= MAX_PORT:
         raise BadAddress(
             f'port of {text!r} is not {lowest_port} to {MAX_PORT}'
--- a/packages/jobs/src/kcr_jobs/job_checks.py
+++ b/packages/jobs/src/kcr_jobs/job_checks.py
@@ -27,6 +27,11 @@
 class BadJob(ValueError):
     """Report a job or a record that can't be handled."""
 
+    def __init__(self, text: str, field: str = 'Phases') -> None:
+        super().__init__(text)
+        # Field of the request that a caller has to correct.
+        self.field = field
+
 
 def check_spec(spec: types.JobSpec) -> None:
     """Raise BadJob, with the step, if a job can't be planned."""
@@ -37,7 +42,8 @@
     if sum(step.count for step in spec.steps) > MAX_TASKS:
         raise BadJob(f'more than {MAX_TASKS} tasks')
     if spec.repeat > 1 and spec.interval_ms < MIN_INTERVAL_MS:
-        raise BadJob(f'interval must be at least {MIN_INTERVAL_MS} ms')
+        text = f'interval must be at least {MIN_INTERVAL_MS} ms'
+        raise BadJob(text, 'IntervalMs')
     for number, step in enumerate(spec.steps):
         if any(before >= number for before in step.after):
             raise BadJob(
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -445,3 +445,38 @@
     spec = types.JobSpec('j', QUEUE, 'p', (step,), repeat=10**6)
     with pytest.raises(job_checks.BadJob):
         job_checks.check_spec(spec)
+
+
+@pytest.mark.parametrize(
+    ('change', 'field'),
+    [
+        ({'Phases': [{'DependsOn': [0]}]}, 'Phases'),
+        ({'Phases': [{'Count': 20_000}] * 2}, 'Phases'),
+        ({'RepeatCount': 9}, 'IntervalMs'),
+    ],
+)
+def test_error_of_a_job_names_the_field(
+    change: dict[str, typing.Any], field: str
+) -> None:
+    """Guard against a caller that is not told which field is wrong."""
+    text = encode_json({'Phases': [{}], **change})
+    with pytest.raises(decode.BadBody, match=f'^{field}: '):
+        decode.read(decode_jobs.JobBody, text).to_spec('j', QUEUE)
+
+
+@pytest.mark.parametrize('text', ['x', '127.0.0.1', '127.0.0.1:70000'])
+def test_error_of_an_address_tells_the_remedy(text: str) -> None:
+    """Guard against an operator who is not told what an address looks like."""
+    if text.endswith('70000'):
+        remedy = 'is not 1 to 65535'
+    else:
+        remedy = net_address.REMEDY
+    with pytest.raises(net_address.BadAddress, match=remedy):
+        net_address.parse(text)
+
+
+def test_long_reason_of_a_refusal_is_read() -> None:
+    """Guard against a refused order that counts as unanswered."""
+    body = encode_json({'ClockMs': 1, 'Reason': 'x' * 5000})
+    found = decode.read(decode_runner.OrderReplyBody, body)
+    assert found.reason.startswith('x')
