--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import struct
+import time
 
 from stand_ins import http
 
@@ -39,7 +40,8 @@
         self.first = {}
         # Whether each call is answered with 503, as nothing is done.
         self.down = False
-        self._changed = asyncio.Condition()
+        # Reads that wait for a record.
+        self._waiting = set()
         self._appending = asyncio.Lock()
         self.server = http.Server(self._answer)
 
@@ -53,14 +55,18 @@
         self.down = down
         self.record.write('store', 'down' if down else 'up again')
 
-    async def put(self, topic, key, value):
+    def put(self, topic, key, value):
         """Write a value of a key, as the operator does."""
         name = key.encode()
-        async with self._changed:
-            self.topics.setdefault(topic, []).append(
-                bytes((len(name),)) + name + json.dumps(value).encode()
-            )
-            self._changed.notify_all()
+        self.topics.setdefault(topic, []).append(
+            bytes((len(name),)) + name + json.dumps(value).encode()
+        )
+        self._wake()
+
+    def _wake(self):
+        for item in self._waiting:
+            if not item.done():
+                item.set_result(None)
 
     async def _answer(self, req):
         if self.down:
@@ -89,15 +95,14 @@
             return 400, {}
         async with self._appending:
             await asyncio.sleep(APPEND_S)
-            async with self._changed:
-                log = self.topics.setdefault(req.query['Topic'], [])
-                at = req.query.get('At')
-                if at is not None and int(at) != len(log):
-                    return 412, {'EndOffset': len(log)}
-                offset = len(log)
-                log.extend(found)
-                self._changed.notify_all()
-                return 200, {'Offset': offset, 'EndOffset': len(log)}
+            log = self.topics.setdefault(req.query['Topic'], [])
+            at = req.query.get('At')
+            if at is not None and int(at) != len(log):
+                return 412, {'EndOffset': len(log)}
+            offset = len(log)
+            log.extend(found)
+            self._wake()
+            return 200, {'Offset': offset, 'EndOffset': len(log)}
 
     async def _read(self, req):
         topic, start = req.query['Topic'], int(req.query['From'])
@@ -105,15 +110,12 @@
         if start < self.first.get(topic, 0):
             return 410, {'FirstOffset': self.first[topic]}
         wait_s = int(req.query.get('WaitMs', 0)) / 1000.0
-        if len(log) <= start and wait_s:
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(
-                        self._changed.wait_for(lambda: len(log) > start),
-                        wait_s,
-                    )
-                except asyncio.TimeoutError:
-                    pass
+        until = time.monotonic() + wait_s
+        while len(log) <= start and time.monotonic() < until:
+            item = asyncio.get_running_loop().create_future()
+            self._waiting.add(item)
+            await asyncio.wait({item}, timeout=until - time.monotonic())
+            self._waiting.discard(item)
         if self.down:
             return 503, {}
         limit = int(req.query.get('MaxKb', 1024)) * 1024
--- a/review/stand_ins/play.py
+++ b/review/stand_ins/play.py
@@ -29,7 +29,7 @@
     async def start(self, config, schedulers=2, advice=''):
         """Start the store with a configuration, and the schedulers."""
         await self.store.start()
-        await self.store.put('keyed.op', 'config', config)
+        self.store.put('keyed.op', 'config', config)
         self.deploy = deployment.Deployment(
             self.record, self.store.server.address, schedulers, advice
         )
@@ -58,7 +58,7 @@
     def close(self):
         """End everything that was started."""
         if self.deploy is not None:
-            self.deploy.close(keep=os.environ.get('KEEP'))
+            self.deploy.close(keep=os.environ.get('KEEP') or None)
         for item in [*self.runners, *self.closing]:
             item.close()
         self.store.server.close()
--- a/review/stand_ins/runner.py
+++ b/review/stand_ins/runner.py
@@ -87,7 +87,8 @@
         self.disturb = lambda path, msg: None
         self.seq = 0
         self.acked_beats = 0
-        self._changed = asyncio.Condition()
+        # Lists that wait for an end.
+        self._waiting = set()
         self._late = set()
         self._tasks = []
         self.server = http.Server(self._answer)
@@ -157,9 +158,9 @@
     async def _watch(self):
         while True:
             await asyncio.sleep(TICK_S)
-            await self._update()
+            self._update()
 
-    async def _update(self):
+    def _update(self):
         if self.clock_ms() > self.lease_until_ms:
             for run in self.runs:
                 if run.ended is not None and run.noted is None:
@@ -170,8 +171,6 @@
         for task, run in list(self.running.items()):
             if run.due is not None and now >= run.due:
                 self._end(task, run.outcome)
-        async with self._changed:
-            self._changed.notify_all()
 
     def _end(self, task, how):
         run = self.running.pop(task)
@@ -184,6 +183,9 @@
         self.record.write(
             self.name, f'end {run.number}: {task} run {run.attempt} {how}'
         )
+        for item in self._waiting:
+            if not item.done():
+                item.set_result(None)
 
     # Calls of the agent.
 
@@ -293,13 +295,10 @@
         self.ended = [run for run in self.ended if run.number > cursor]
         wait_s = min(MAX_WAIT_MS, msg.get('WaitMs', 0)) / 1000.0
         if wait_s and not self.ended:
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(
-                        self._changed.wait_for(lambda: self.ended), wait_s
-                    )
-                except asyncio.TimeoutError:
-                    pass
+            item = asyncio.get_running_loop().create_future()
+            self._waiting.add(item)
+            await asyncio.wait({item}, timeout=wait_s)
+            self._waiting.discard(item)
         if not self.up:
             return http.NO_ANSWER
         return 200, {
