--- a/review/4/case.py
+++ b/review/4/case.py
@@ -24,7 +24,7 @@
 WORK_MS = (45_000, 50_000)
 # Time from the last hand-in until the channels go silent, and time after that
 # for which the case looks on, in seconds.
-SILENT_AFTER_S, AFTER_S = 8.0, 25.0
+SILENT_AFTER_S, AFTER_S = 8.0, 30.0
 # `finish_s`: time from the end of the traffic from which the rule counts.
 FINISH_S = 14.0
 
--- a/review/stand_ins/play.py
+++ b/review/stand_ins/play.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 
 from stand_ins import deployment
@@ -16,12 +17,20 @@
     """Report that a case could not run, with the reason."""
 
 
+def folder_site(folder):
+    """Return the site that the claim of a case names."""
+    lines = (folder / 'claim.txt').read_text().splitlines()
+    return lines[1].partition(': ')[2]
+
+
 class Case:
     """What a case has: record, store, programs and runners."""
 
     def __init__(self, folder):
         self.record = deployment.Record(folder / 'record.txt')
         self.store = platform.Store(self.record)
+        # Name of the site whose settings the programs get.
+        self.site = folder_site(folder)
         self.deploy = None
         self.runners = []
         self.closing = []
@@ -31,12 +40,14 @@
         await self.store.start()
         self.store.put('keyed.op', 'config', config)
         self.deploy = deployment.Deployment(
-            self.record, self.store.server.address, schedulers, advice
+            self.record, self.store.server.address, self.site, schedulers,
+            advice,
         )
         self.deploy.start_schedulers()
 
     async def add_runner(self, made, channel=False):
         """Start a runner with its agent; return the channel between them."""
+        made.max_hold_ms = deployment.MAX_HOLD_MS[self.site]
         await made.start()
         self.runners.append(made)
         address, way = made.server.address, None
@@ -65,6 +76,10 @@
 
 
 async def _run(folder, rule, play):
+    # A case that is ended from outside ends its processes as well.
+    this, loop = asyncio.current_task(), asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, this.cancel)
     case = Case(folder)
     found, reason = None, ''
     try:
@@ -92,7 +107,8 @@
         status = asyncio.run(
             asyncio.wait_for(_run(pathlib.Path(folder), rule, play), 115.0)
         )
-    except Exception as exc:  # The case has no result then.
+    except (Exception, asyncio.CancelledError) as exc:
+        # The case has no result then.
         print(f'{type(exc).__name__}: {exc}')
         status = 2
     sys.exit(status)
