--- a/review/stand_ins/play.py
+++ b/review/stand_ins/play.py
@@ -17,7 +17,7 @@
     """Report that a case could not run, with the reason."""
 
 
-def folder_site(folder):
+def read_site(folder):
     """Return the site that the claim of a case names."""
     lines = (folder / 'claim.txt').read_text().splitlines()
     return lines[1].partition(': ')[2]
@@ -30,7 +30,7 @@
         self.record = deployment.Record(folder / 'record.txt')
         self.store = platform.Store(self.record)
         # Name of the site whose settings the programs get.
-        self.site = folder_site(folder)
+        self.site = read_site(folder)
         self.deploy = None
         self.runners = []
         self.closing = []
--- a/review/stand_ins/runner.py
+++ b/review/stand_ins/runner.py
@@ -93,9 +93,9 @@
         self._tasks = []
         self.server = http.Server(self._answer)
 
-    async def start(self):
+    async def start(self, port=0):
         """Listen and watch the lease."""
-        await self.server.start()
+        await self.server.start(port=port)
         self._tasks.append(asyncio.ensure_future(self._watch()))
         return self
 
