--- a/review/stand_deployment.py
+++ b/review/stand_deployment.py
@@ -64,7 +64,9 @@
         self.began = time.monotonic()
 
     def write(self, who, text):
-        """Add one line."""
+        """Add one line; what ends with the case has no place any more."""
+        if self._file.closed:
+            return
         now = time.monotonic() - self.began
         self._file.write(f'{now:9.3f} {who:12} {text}\n')
 
