Settle an unanswered start only by proof that it can't begin

Callers saw nothing; a task ran on two runners at the same time (TWICE): a runner left the first order to start it unanswered, refused the repeat with 503, and carried out the first order seconds later, beside the next attempt.

Cause: the agent took the refusal of the repeat for the outcome of the attempt. It marked the start as answered, no longer reported it as unanswered, and the owner recorded the run as lost. The same happened if the lease had expired before a repeat.

A refusal after an unanswered try now settles the start only if the runner rejects the earlier order too (`fence`, `old`). After any other one the agent sends a stop of the attempt until the runner accepts it or lists the run. The runner rejects an attempt that was stopped whenever its start comes, so the owner may start the next one.

--- a/packages/agent/src/kcr_agent/runner/client.py
+++ b/packages/agent/src/kcr_agent/runner/client.py
@@ -23,9 +23,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """Report that the runner has not carried out the order and will not."""
+    """Report that the runner has not carried out the order and will not.
+
+    This holds for the order that got the answer. An earlier one for the same
+    attempt that got none may still be carried out, unless `forbids` is set.
+    """
 
     reason: str
+    # Whether the runner rejects each order to start the attempt from now on,
+    # as it has seen a higher token or the attempt has ended there.
+    forbids: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -31,6 +31,9 @@
 LIST_RETRY_S = 0.2
 # Pause before an unanswered start is repeated, in seconds.
 START_RETRY_S = 0.05
+# Pause before the stop that forbids an unanswered start is repeated, in
+# seconds.
+FORBID_RETRY_S = 0.2
 # Time between requests for a lease, in seconds.
 ATTACH_RETRY_S = 0.4
 # Age of an unconfirmed report or lease request at which the owner counts as
@@ -330,11 +333,18 @@
     ) -> None:
         assert self.info is not None
         runner_id = self.info.runner_id
+        # Whether an earlier try got no answer, so that the runner may still
+        # carry it out.
+        unanswered = False
         while term == self._term and self._running and not order.withdrawn:
             sent_at = self.now()
             deadline_ms = self.lease.deadline_ms(sent_at)
             if deadline_ms is None:
-                self._record_refused_start(msg, order, 'lease has expired')
+                reason = 'lease has expired'
+                if unanswered:
+                    await self._forbid_start(msg, order, term, reason)
+                else:
+                    self._record_refused_start(msg, order, reason)
                 return
             got = await self.runner.start(
                 runner_id, msg.token, msg.task, msg.attempt, msg.payload,
@@ -353,11 +363,15 @@
                     )
                     await self._throttle(throttle, term)
                 return
-            if isinstance(got, client.Refused):
-                self._record_refused_start(msg, order, got.reason)
-                return
             if order.answered_at is not None:
                 return
+            if isinstance(got, client.Refused):
+                if unanswered and not got.forbids:
+                    await self._forbid_start(msg, order, term, got.reason)
+                else:
+                    self._record_refused_start(msg, order, got.reason)
+                return
+            unanswered = True
             self.log.warning(
                 'start unanswered', task=msg.task, run=msg.attempt,
                 reason=got.reason,
@@ -365,6 +379,41 @@
             if not await self._may_repeat(order, term):
                 return
 
+    async def _forbid_start(
+        self,
+        msg: messages.StartRun,
+        order: runner_lease.StartOrder,
+        term: int,
+        reason: str,
+    ) -> None:
+        """Have the runner reject an unanswered start that it still may get.
+
+        A refusal of a repeat tells nothing of the start before it, which the
+        runner may carry out seconds later. Until the runner has accepted a
+        stop of the attempt, or lists the run, the start counts as unanswered,
+        so that the owner does not start the task elsewhere.
+        """
+        self.log.warning(
+            'unanswered start given up', task=msg.task, run=msg.attempt,
+            reason=reason,
+        )  # fmt: skip
+        assert self.info is not None
+        runner_id = self.info.runner_id
+        while term == self._term and self._running:
+            if order.answered_at is not None:
+                return
+            got = await self.runner.stop(
+                runner_id, msg.token, msg.task, msg.attempt
+            )
+            if term != self._term or not self._running:
+                return
+            if isinstance(got, client.Done) or (
+                isinstance(got, client.Refused) and got.forbids
+            ):
+                self._record_refused_start(msg, order, reason)
+                return
+            await _pause(self.ctx, FORBID_RETRY_S)
+
     async def _may_repeat(
         self, order: runner_lease.StartOrder, term: int
     ) -> bool:
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -94,8 +94,16 @@
 
     def answer(self) -> None:
         """Answer the last extension of the lease."""
-        view = client.RunList(self.born_ms, 1000, self.running, self.ended)
-        self.lease_calls[-1].callback(view)
+        self.lease_calls[-1].callback(self._list())
+
+    def answer_all(self) -> None:
+        """Answer every extension of the lease that waits."""
+        for call in list(self.lease_calls):
+            if not call.called:
+                call.callback(self._list())
+
+    def _list(self) -> client.RunList:
+        return client.RunList(self.born_ms, 1000, self.running, self.ended)
 
     def count(self, kind: str) -> int:
         """Return the number of calls of a kind."""
@@ -161,6 +169,21 @@
         report = self.owner.pop_all(messages.RunnerReport)[-1]
         self.receive(messages.RunnerReportAck(token, report.seq, 6000, 0))
 
+    def list_unanswered(self) -> tuple[str, ...]:
+        """Answer lists until a report is complete; return its open starts."""
+        self.owner.pop_all(messages.RunnerReport)
+        for _ in range(9):
+            self.advance(0.1)
+            self.runner.answer_all()
+            self.advance(0.0)
+            for report in self.owner.pop_all(messages.RunnerReport):
+                self.receive(
+                    messages.RunnerReportAck(report.token, report.seq, 6000, 0)
+                )
+                if report.complete:
+                    return tuple(report.unanswered)
+        raise AssertionError('no complete report')
+
     def order_start(self, task: str = 't', number: int = 1) -> None:
         """Order a start."""
         self.receive(
@@ -243,6 +266,77 @@
     assert harness.runner.count('start') == 1
 
 
+def test_refused_repeat_does_not_settle_an_unanswered_start() -> None:
+    """Guard against a task that runs twice after a refused repeat.
+
+    The runner refused the repeat as busy and carried out the first order
+    seconds later, beside the next attempt on another runner (review/2).
+    """
+    harness = Harness()
+    harness.lease()
+    busy = client.Refused('503')
+    harness.runner.outcomes.extend(
+        [client.NoAnswer('x'), busy, busy, client.NoAnswer('x')]
+    )
+    harness.runner.outcomes.extend([busy] * 99)
+    harness.order_start()
+    for _ in range(5):
+        assert harness.list_unanswered() == ('t',)
+    assert harness.runner.count('start') == 2
+    assert harness.runner.count('stop') >= 3
+    harness.runner.outcomes.clear()
+    harness.advance(0.5)
+    # A list that was queried before the stop may not show the run yet.
+    harness.list_unanswered()
+    assert harness.list_unanswered() == ()
+    assert harness.runner.count('start') == 2
+
+
+def test_unanswered_start_is_not_settled_when_the_lease_expires() -> None:
+    """Guard against the same with a lease that is not extended in time."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.order_start()
+    harness.clock.rightNow += 10.0
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.list_unanswered()
+    assert harness.runner.count('start') == 1
+    assert harness.runner.count('stop') >= 1
+    assert harness.list_unanswered() == ()
+
+
+def test_repeat_that_the_runner_forbids_settles_the_start() -> None:
+    """Guard against stops of an attempt that can't begin any more."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.outcomes.extend(
+        [client.NoAnswer('x'), client.Refused('old', True)]
+    )
+    harness.order_start()
+    harness.list_unanswered()
+    harness.advance(0.5)
+    assert harness.list_unanswered() == ()
+    assert harness.runner.count('stop') == 0
+
+
+def test_given_up_start_that_runs_is_not_stopped_again() -> None:
+    """Guard against a stop of a run that the runner lists meanwhile."""
+    harness = Harness()
+    harness.lease()
+    busy = client.Refused('503')
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.runner.outcomes.extend([busy] * 10)
+    harness.order_start()
+    harness.list_unanswered()
+    harness.runner.running = (types.ReportedRun('t', 1),)
+    harness.list_unanswered()
+    stops = harness.runner.count('stop')
+    harness.advance(1.0)
+    assert harness.list_unanswered() == ()
+    assert harness.runner.count('stop') <= stops + 1
+
+
 def test_complete_report_repeats_ends_that_are_not_confirmed() -> None:
     """Guard against work that is run again after a report was lost.
 
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -240,6 +240,11 @@
         # Share of the orders that are carried out late and not answered.
         self.late_share = 0.0
         self.rng = random.Random(0)
+        # Time until which the runner refuses orders as busy, and the delay of
+        # the first start in that time, which it carries out without an answer;
+        # 0 for none.
+        self.busy_until = 0.0
+        self.late_start_s = 0.0
         # Whether the runner answers nothing and sends no heartbeats.
         self.unreachable = False
         self.start_incarnation()
@@ -273,6 +278,13 @@
         headers: abc.Mapping[str, str],
     ) -> tuple[int, typing.Any]:
         """Carry out an order of the agent, some of them late."""
+        delay_s = self._take_late_start() if path == '/-/run-start' else 0.0
+        if delay_s:
+            time.sleep(delay_s)
+            self._handle_order(path, json.loads(body), headers)
+            return NO_ANSWER
+        if path != '/-/hold' and time.monotonic() < self.busy_until:
+            return 503, {}
         late = path != '/-/hold' and self.rng.random() < self.late_share
         if late:
             born_ms = self.born_ms
@@ -283,6 +295,12 @@
         got = self._handle_order(path, json.loads(body), headers)
         return NO_ANSWER if late else got
 
+    def _take_late_start(self) -> float:
+        """Return the delay of a start if it is the one to carry out late."""
+        with self.lock:
+            delay_s, self.late_start_s = self.late_start_s, 0.0
+            return delay_s
+
     def _handle_order(
         self,
         path: str,
--- a/tests/platform/test_operator_reports.py
+++ b/tests/platform/test_operator_reports.py
@@ -20,6 +20,10 @@
 # Time for which a process is suspended: longer than the time after which the
 # others replace it, shorter than the lease of a runner.
 SUSPENDED_S = 3.0
+# Time for which the runners refuse orders, and time after which they carry out
+# the one that got no answer: within the run time of the next attempt.
+BUSY_S = 1.0
+LATE_START_S = 2.5
 
 
 @pytest.fixture
@@ -159,3 +163,21 @@
     for number in range(4):
         deployment.wait_completed(f'{number:016x}')
     assert deployment.checker.violations == []
+
+
+def test_order_that_is_late_after_a_refused_repeat_runs_once(
+    deployment: deployments.Deployment,
+) -> None:
+    """Guard against a task that runs twice after a refused repeat (review/2).
+
+    The runner leaves the first start unanswered, refuses the others as busy
+    for a while, and carries out the first one after that.
+    """
+    deployment.submit('0' * 16, count=1)
+    deployment.wait_completed('0' * 16)
+    for runner in deployment.runners.values():
+        runner.busy_until = time.monotonic() + BUSY_S
+        runner.late_start_s = LATE_START_S
+    deployment.submit('1' * 16, count=4)
+    deployment.wait_completed('1' * 16)
+    assert deployment.checker.violations == [], deployment.read_logs()
