Close idle connections that may be silent after a timeout

A job had nothing running for 6 s on healthy, empty runners (LOST): the open connections between the agents and their runners had become silent, without a reset, while new ones worked.

Cause: after a timeout the client closed one connection and used the next idle one, which was as old. The agent keeps twelve, an extension of the lease times out after 1.3 s, and a lease lasts 10 s at most.

Evidence: a client alone, with twelve idle connections of a link that goes silent, fails each of the next requests; a new connection works at once.

The pool now notes when a connection was last taken for a request. After a timeout, idle connections that were last taken before the unanswered request was sent are closed instead of used; newer ones have answered since then and are kept, so a lost answer costs no new connections. All users of HttpClient get this: the store, the advice service, runners and workers.

--- a/packages/runtime/src/kcr_runtime/http_client.py
+++ b/packages/runtime/src/kcr_runtime/http_client.py
@@ -7,9 +7,13 @@
 
 from collections import abc
 import dataclasses
+import functools
 import json
+import math
 import typing
+import weakref
 
+import structlog
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import protocol
@@ -25,6 +29,8 @@
 # Longest transfer of a body that ends by lack of progress, in seconds; bounds
 # a peer that sends a few bytes at a time.
 MAX_TRANSFER_S = 20.0
+# Reason of a body that stopped before its end.
+NO_PROGRESS = 'no progress'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,9 +91,7 @@
         # complete.
         self.done: defer.Deferred[str | None] = defer.Deferred()
         self._timers = {
-            'no progress': reactor.callLater(
-                idle_s, self._stop, 'no progress'
-            ),
+            NO_PROGRESS: reactor.callLater(idle_s, self._stop, NO_PROGRESS),
             'transfer took too long': reactor.callLater(
                 max_transfer_s, self._stop, 'transfer took too long'
             ),
@@ -107,7 +111,7 @@
         self._parts.append(data)
         self._received_at = float(self._reactor.seconds())
         if not self.done.called:
-            self._timers['no progress'].reset(self._idle_s)
+            self._timers[NO_PROGRESS].reset(self._idle_s)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -160,6 +164,52 @@
         pass
 
 
+class _Pool(client.HTTPConnectionPool):
+    """Keep idle connections, but none that may have become silent.
+
+    A connection can stop to carry bytes without being closed, and the others
+    of the same path with it. Trying them in turn would take a timeout each.
+    """
+
+    def __init__(self, reactor: typing.Any, address: str) -> None:
+        # Twisted does not annotate it.
+        super().__init__(  # type: ignore[no-untyped-call]
+            reactor, persistent=True
+        )
+        # By default Twisted resends some requests automatically.
+        self.retryAutomatically = False
+        self._log = structlog.get_logger().bind(peer=address)
+        # Time at which the newest request that got no answer was sent.
+        self._suspect_before = -math.inf
+        # Time at which each connection was last taken for a request.
+        self._taken_at: weakref.WeakKeyDictionary[typing.Any, float] = (
+            weakref.WeakKeyDictionary()
+        )
+
+    def suspect_older(self, sent_at: float) -> None:
+        """Give up idle connections whose last request is older than this."""
+        self._suspect_before = max(self._suspect_before, sent_at)
+
+    def getConnection(  # noqa: N802
+        self, key: typing.Any, endpoint: typing.Any
+    ) -> defer.Deferred[typing.Any]:
+        return defer.ensureDeferred(self._take(key, endpoint))
+
+    async def _take(self, key: typing.Any, endpoint: typing.Any) -> typing.Any:
+        closed = 0
+        while True:
+            conn = await super().getConnection(key, endpoint)
+            now = float(self._reactor.seconds())
+            if self._taken_at.get(conn, now) >= self._suspect_before:
+                break
+            conn.abort()
+            closed += 1
+        if closed:
+            self._log.info('silent connections closed', connections=closed)
+        self._taken_at[conn] = now
+        return conn
+
+
 class HttpClient:
     """Send requests to one HTTP service over persistent connections."""
 
@@ -169,10 +219,8 @@
         self.reactor = reactor
         # Address `host:port` of the service.
         self.address = address
-        self._pool = client.HTTPConnectionPool(reactor, persistent=True)
+        self._pool: typing.Any = _Pool(reactor, address)
         self._pool.maxPersistentPerHost = connections
-        # By default Twisted resends some requests automatically.
-        self._pool.retryAutomatically = False
         self._agent = client.Agent(
             reactor, pool=self._pool, connectTimeout=CONNECT_TIMEOUT_S
         )
@@ -220,8 +268,13 @@
         url = f'http://{self.address}{path}'.encode()
         fields = http_headers.Headers({k: [v] for k, v in headers.items()})
         producer = _Body(body) if body else None
+        sent_at = float(self.reactor.seconds())
         fut = self._agent.request(method.encode(), url, fields, producer)
-        fut.addTimeout(timeout_s, self.reactor)
+        fut.addTimeout(
+            timeout_s,
+            self.reactor,
+            functools.partial(self._on_timeout, sent_at),
+        )
         try:
             response = await fut
             reader = _BodyReader(
@@ -233,6 +286,8 @@
             reason = await reader.done
             if reason is None:
                 return Reply(response.code, reader.body, reader.transfer_s)
+            if reason == NO_PROGRESS:
+                self._pool.suspect_older(sent_at)
             return Truncated(
                 reason, response.code, reader.body, reader.transfer_s
             )
@@ -241,6 +296,16 @@
         except Exception as exc:  # Twisted's HTTP client raises many types.
             return NoAnswer(f'{type(exc).__name__}: {exc}'[:300])
 
+    def _on_timeout(
+        self, sent_at: float, result: typing.Any, timeout_s: float
+    ) -> typing.Any:
+        """Suspect the older connections, unless none could be made."""
+        assert isinstance(result, failure.Failure)
+        if not result.check(error.ConnectingCancelledError):
+            self._pool.suspect_older(sent_at)
+        result.trap(defer.CancelledError)
+        raise defer.TimeoutError(f'no answer within {timeout_s} s')
+
     def close(self) -> defer.Deferred[None]:
         """Close idle connections."""
         return typing.cast(
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -66,6 +66,15 @@
     """Serve each connection in a thread; ignore connection resets."""
 
     daemon_threads = True
+    # With the default of 5, connections that come together wait a second.
+    request_queue_size = 64
+
+    def process_request(
+        self, request: typing.Any, address: typing.Any
+    ) -> None:
+        """Count each connection."""
+        vars(self)['fake'].connections += 1
+        super().process_request(request, address)
 
     def handle_error(self, request: typing.Any, address: typing.Any) -> None:
         """Print errors of the fake, but not connection errors."""
@@ -78,6 +87,8 @@
 
     def __init__(self) -> None:
         self.lock = threading.Condition()
+        # Number of connections that were accepted.
+        self.connections = 0
         self.http = Server(('127.0.0.1', 0), Handler)
         vars(self.http)['fake'] = self
         self.address = f'127.0.0.1:{self.http.server_port}'
--- a/tests/platform/proxy.py
+++ b/tests/platform/proxy.py
@@ -39,6 +39,8 @@
         self._turns = {'up': asyncio.Lock(), 'down': asyncio.Lock()}
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
+        # The writers of connections that carry no more bytes.
+        self._silent: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> None:
         """Listen on a free port."""
@@ -73,6 +75,15 @@
 
         self.network.loop.call_soon_threadsafe(abort)
 
+    def silence(self) -> None:
+        """Let the open connections carry no more bytes; new ones work."""
+        asyncio.run_coroutine_threadsafe(
+            self._silence(), self.network.loop
+        ).result(5.0)
+
+    async def _silence(self) -> None:
+        self._silent |= self._writers
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -92,6 +103,7 @@
                 )
             finally:
                 self._writers.discard(back)
+                self._silent -= {back, writer}
                 back.transport.abort()
         except OSError:
             # The other side sees the connection closed.
@@ -115,6 +127,8 @@
             if self.delay_s:
                 await asyncio.sleep(self.delay_s)
             await self._wait_for(direction)
+            if writer in self._silent:
+                continue
             writer.write(data)
             await writer.drain()
         await self._wait_for(direction)
--- a/tests/platform/test_operator_reports.py
+++ b/tests/platform/test_operator_reports.py
@@ -181,3 +181,24 @@
     deployment.submit('1' * 16, count=4)
     deployment.wait_completed('1' * 16)
     assert deployment.checker.violations == [], deployment.read_logs()
+
+
+def test_silent_connections_to_the_runners_end_no_work(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a lease that lapses beside a healthy runner (review/4).
+
+    The agent tried its silent connections in turn, a timeout each, and what
+    ran was ended and started again.
+    """
+    monkeypatch.setattr(platform_fakes, 'TASK_DURATION_S', 14.0)
+    made = deployments.Deployment(tmp_path, linked=True)
+    try:
+        made.submit('1' * 16, count=16)
+        wait_started(made, 16)
+        for name in made.runners:
+            made.links[f'runner of {name}'].silence()
+        made.wait_completed('1' * 16)
+        check_started_once(made)
+    finally:
+        made.close()
--- a/tests/platform/test_store_reads.py
+++ b/tests/platform/test_store_reads.py
@@ -1,5 +1,7 @@
 """Test the client of the store over real HTTP connections."""
 
+import contextlib
+import socket
 import threading
 import time
 import typing
@@ -18,6 +20,8 @@
 
 # Time to wait for an outcome, in seconds.
 WAIT_S = 30.0
+# Timeout of requests on connections that have become silent, in seconds.
+SILENT_TIMEOUT_S = 1.0
 
 
 class CutStore(platform_fakes.LogStore):
@@ -139,6 +143,86 @@
     fake.close()
 
 
+def test_silent_connections_cost_two_timeouts_at_most(
+    reactor_thread: None,
+) -> None:
+    """Guard against a client that tries its silent connections in turn.
+
+    An agent with twelve of them extended no lease for so long that the runner
+    ended everything (review/4).
+    """
+    fake = platform_fakes.LogStore()
+    network = proxy.Network()
+    link = network.connect(fake.address)
+    made = http_client.HttpClient(twisted_reactor, link.address, 12)
+    path = '/-/log-newest?Topic=t&part=0'
+
+    def request() -> defer.Deferred[http_client.HttpOutcome]:
+        return made.request('GET', path, timeout_s=SILENT_TIMEOUT_S)
+
+    def open_connections() -> defer.Deferred[typing.Any]:
+        return defer.gatherResults([request() for _ in range(12)])
+
+    fake.call_delay_s = 0.1
+    first = run(open_connections)
+    assert all(isinstance(got, http_client.Reply) for got in first), first
+    link.silence()
+    outcomes = [run(request) for _ in range(3)]
+    assert isinstance(outcomes[-1], http_client.Reply), outcomes
+    run(made.close)
+    network.close()
+    fake.close()
+
+
+def test_unanswered_request_closes_no_newer_connection(
+    reactor_thread: None,
+) -> None:
+    """Guard against new connections for each answer that is lost."""
+    fake = platform_fakes.LogStore()
+    made = http_client.HttpClient(twisted_reactor, fake.address, 12)
+    path = '/-/log-newest?Topic=t&part=0'
+    wait = '/-/log-read?Topic=t&part=0&From=0&WaitMs=3000'
+
+    def read_beside_a_wait() -> defer.Deferred[typing.Any]:
+        waiting = made.request('GET', wait, timeout_s=0.5)
+        reads = made.request('GET', path).addCallback(
+            lambda _: made.request('GET', path)
+        )
+        return defer.gatherResults([waiting, reads])
+
+    waited, _ = run(read_beside_a_wait)
+    assert isinstance(waited, http_client.NoAnswer)
+    before = fake.connections
+    assert isinstance(
+        run(lambda: made.request('GET', path)), http_client.Reply
+    )
+    assert fake.connections == before
+    run(made.close)
+    fake.close()
+
+
+def test_connection_that_is_not_made_is_not_sent(
+    reactor_thread: None,
+) -> None:
+    """Guard against a call that counts as sent though nobody accepted it."""
+    made = http_client.HttpClient(twisted_reactor, '127.0.0.1:9', 1)
+    got = run(lambda: made.request('GET', '/', timeout_s=1.0))
+    assert isinstance(got, http_client.NotSent)
+    with socket.socket() as full:
+        # A full queue of a listener leaves later connections unanswered.
+        full.bind(('127.0.0.1', 0))
+        full.listen(0)
+        address = f'127.0.0.1:{full.getsockname()[1]}'
+        with contextlib.ExitStack() as stack:
+            for _ in range(3):
+                item = stack.enter_context(socket.socket())
+                item.setblocking(False)
+                item.connect_ex(full.getsockname())
+            made = http_client.HttpClient(twisted_reactor, address, 1)
+            got = run(lambda: made.request('GET', '/', timeout_s=0.3))
+    assert isinstance(got, http_client.NotSent), got
+
+
 def test_body_that_trickles_ends(reactor_thread: None) -> None:
     """Guard against a peer that keeps a call open with a byte at a time."""
     clock: typing.Any = twisted_reactor
