Refuse a submission only once every message with it is settled

Cause: a scheduler sends a submission again if the owner changes or does not reply for a second. All messages had one token, so the first reply was taken for the call: the refusal of one copy was passed on while another copy was under way to the same owner or the next one, which accepted it. An earlier try was also overlooked if too many calls waited, and forgotten if the owner's acceptance came after the caller's timeout.

Each copy has its own token now, and kcr_jobs.submissions decides. A refusal settles its copy and those before it on the same session, which the owner reads in order after it has looked for the job. With an open copy on the route to the owner the refusal waits for its reply; with one elsewhere the answer is 504. A job that is known to be accepted is answered as accepted.

--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -2,14 +2,15 @@
 
 The mesh task reports the route to the owner, which may be in this process. A
 call is idempotent by the id of its job, so one that was sent to an owner that
-failed is sent again to the next owner.
+failed is sent again to the next owner. Whether a submission may be refused is
+decided in kcr_jobs.submissions.
 """
 
-import collections
 import dataclasses
 import typing
 
 from kcr_jobs import messages
+from kcr_jobs import submissions
 from kcr_jobs import types
 from kcr_runtime import query
 from kcr_runtime import task
@@ -27,11 +28,6 @@
 SCAN_INTERVAL_S = 0.05
 # Time without a reply before a call is sent again, in seconds.
 RESEND_AFTER_S = 1.0
-# Time for which a submission without a reply is remembered, in seconds;
-# callers retry within some seconds.
-UNRESOLVED_S = 60.0
-# Maximum number of submissions that are remembered.
-MAX_UNRESOLVED = 20_000
 # Maximum number of calls that may wait for a reply.
 MAX_CALLS = 5000
 
@@ -61,6 +57,8 @@
     # Route over which it was last sent; empty before that.
     route: str = ''
     sent_at: float = 0.0
+    # Tokens of the messages sent; each has its own.
+    tokens: set[str] = dataclasses.field(default_factory=set)
 
 
 class _Scan:
@@ -77,11 +75,8 @@
         self._route = ''
         # Calls without a reply, by token.
         self._pending: dict[str, _Pending] = {}
-        # Time of the last submission of each job whose outcome is not known,
-        # by the id of the job; the oldest first.
-        self._unresolved: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
+        # What was sent of each submission.
+        self._submissions = submissions.Submissions()
         self._count = 0
         self._token_prefix = f'{ctx.rng.getrandbits(32):08x}'
 
@@ -97,17 +92,15 @@
     def _on_query(self, msg: query.Query) -> None:
         call: Call = msg.body
         now = self.now()
-        if len(self._pending) >= MAX_CALLS:
-            self._reply(
-                msg, 'refused', 'too many calls', NO_OWNER_RETRY_AFTER_MS
-            )
-            return
         self._count += 1
         token = f'{self._token_prefix}:{self._count}'
         sent = messages.JobCall(
             token, call.verb, call.queue, call.job_id, call.spec
         )
         pending = _Pending(msg, sent, now, now + call.timeout_s)
+        if len(self._pending) >= MAX_CALLS:
+            self._refuse(pending, 'too many calls', NO_OWNER_RETRY_AFTER_MS)
+            return
         self._pending[token] = pending
         self._send(pending)
 
@@ -115,40 +108,36 @@
         if not self._route:
             return
         pending.route, pending.sent_at = self._route, self.now()
-        if pending.msg.verb == 'submit':
-            self._record_unresolved(pending.msg.job_id)
+        token = f'{pending.msg.token}.{len(pending.tokens)}'
+        pending.tokens.add(token)
+        msg = dataclasses.replace(pending.msg, token=token)
+        if msg.verb == 'submit':
+            self._submissions.record_sent(
+                token, msg.job_id, self._route, self.now()
+            )
         if self._route == addresses.OWNER:
-            self.send(self._route, events.LocalCall(pending.msg))
+            self.send(self._route, events.LocalCall(msg))
         else:
-            self.send(self._route, session.Send(pending.msg))
+            self.send(self._route, session.Send(msg))
 
-    def _record_unresolved(self, job_id: str) -> None:
-        self._unresolved[job_id] = self.now()
-        self._unresolved.move_to_end(job_id)
-        while len(self._unresolved) > MAX_UNRESOLVED:
-            self._unresolved.popitem(last=False)
+    def _refuse(self, pending: _Pending, detail: str, number: int) -> None:
+        """Refuse a call, unless its job may be accepted all the same.
 
-    def _is_unresolved(self, job_id: str) -> bool:
-        """Return whether an earlier submission may have been accepted."""
-        sent_at = self._unresolved.get(job_id)
-        return sent_at is not None and self.now() - sent_at < UNRESOLVED_S
-
-    def _refuse(
-        self, pending: _Pending, detail: str, number: int, resolved: bool
-    ) -> None:
-        """Refuse a call, unless its job may have been accepted before.
-
-        A refusal tells that the job never runs. `resolved` is whether the
-        owner has refused it, which has looked for the job.
+        A refusal tells that the job never runs.
         """
         msg = pending.msg
-        if resolved:
-            self._unresolved.pop(msg.job_id, None)
-        elif msg.verb == 'submit' and self._is_unresolved(msg.job_id):
-            self.log.warning('earlier submission unanswered', job=msg.job_id)
-            self._reply(pending.caller_query, 'unknown', detail)
-            return
-        self._reply(pending.caller_query, 'refused', detail, number)
+        outcome = 'refused'
+        if msg.verb == 'submit':
+            if self._submissions.is_accepted(msg.job_id):
+                outcome = 'accepted'
+            elif self._submissions.may_be_accepted(msg.job_id, self.now()):
+                outcome = 'unknown'
+        self.log.info(
+            'call refused' if outcome == 'refused' else 'call not refused',
+            verb=msg.verb, job=msg.job_id, reason=detail, outcome=outcome,
+            route=pending.route, sent=len(pending.tokens),
+        )  # fmt: skip
+        self._reply(pending.caller_query, outcome, detail, number)
 
     def _reply(
         self,
@@ -171,17 +160,30 @@
     def _handle_reply(self, msg: messages.JobReply) -> None:
         if msg.outcome == 'not_owner':
             # The call is sent again once the owner is known.
+            self._submissions.record_returned(msg.token)
             return
-        pending = self._pending.pop(msg.token, None)
+        if msg.outcome == 'refused':
+            self._submissions.record_refused(msg.token)
+        elif msg.outcome == 'accepted':
+            self._submissions.record_accepted(msg.token)
+        call_token = msg.token.rpartition('.')[0]
+        pending = self._pending.get(call_token)
         if pending is None:
             return
+        if msg.outcome == 'refused' and self._submissions.is_open(
+            pending.tokens, self._route
+        ):
+            self.log.info(
+                'refusal set aside', job=pending.msg.job_id,
+                reason=msg.detail, sent=len(pending.tokens),
+            )  # fmt: skip
+            return
+        del self._pending[call_token]
         took_ms = (self.now() - pending.received_at) * 1000.0
         self.ctx.metrics.record_ms('call', took_ms, verb=pending.msg.verb)
         if msg.outcome == 'refused':
-            self._refuse(pending, msg.detail, msg.number, True)
+            self._refuse(pending, msg.detail, msg.number)
             return
-        if msg.outcome == 'accepted':
-            self._unresolved.pop(pending.msg.job_id, None)
         self._reply(pending.caller_query, msg.outcome, msg.detail, msg.number)
 
     @task.handles(events.OwnerRouteChanged)
@@ -220,13 +222,7 @@
         if not pending.route:
             if now - pending.received_at >= NO_OWNER_TIMEOUT_S:
                 del self._pending[token]
-                self.log.info(
-                    'call refused', verb=pending.msg.verb,
-                    job=pending.msg.job_id, reason='no owner',
-                )  # fmt: skip
-                self._refuse(
-                    pending, 'no owner', NO_OWNER_RETRY_AFTER_MS, False
-                )
+                self._refuse(pending, 'no owner', NO_OWNER_RETRY_AFTER_MS)
             return
         if now >= pending.deadline:
             del self._pending[token]
--- a/tests/scheduler/test_calls.py
+++ b/tests/scheduler/test_calls.py
@@ -1,5 +1,6 @@
 """Check that calls reach the owner, also across a change of owner."""
 
+import pytest
 import scheduler_harness
 
 from kcr_jobs import messages
@@ -114,3 +115,108 @@
     reply = messages.JobReply(sent[-1].msg.token, 'refused', 'full', 1000)
     harness.post(addresses.CALLS, reply)
     assert answers(harness) == ['unknown', 'refused']
+
+
+def sent_tokens(harness: scheduler_harness.Harness, route: str) -> list[str]:
+    """Return the tokens of the calls that were sent over a session."""
+    found = harness.recorders[route].pop_all(session.Send)
+    return [sent.msg.token for sent in found]
+
+
+def reply_to(
+    harness: scheduler_harness.Harness, token: str, outcome: str
+) -> None:
+    """Deliver a reply of an owner."""
+    reply = messages.JobReply(token, outcome, 'store does not answer', 1000)
+    harness.post(addresses.CALLS, reply)
+
+
+def test_refusal_of_a_former_owner_does_not_refuse_the_job() -> None:
+    """Guard against a refused job that the next owner has accepted.
+
+    The submission was sent again to the next owner while the refusal of the
+    former one was under way (REFUSED on mouldhub-fj-grown).
+    """
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    submit(harness, timeout_s=3.0)
+    first = sent_tokens(harness, 'p1')[0]
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, ''))
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(2, 'p2'))
+    second = sent_tokens(harness, 'p2')[0]
+    reply_to(harness, first, 'refused')
+    assert answers(harness) == []
+    reply_to(harness, second, 'accepted')
+    assert answers(harness) == ['accepted']
+
+
+def test_refusal_before_a_repeat_does_not_refuse_the_job() -> None:
+    """Guard against the same with one owner, whose store answers again."""
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    submit(harness, timeout_s=3.0)
+    harness.advance(1.1)
+    first, second = sent_tokens(harness, 'p1')
+    reply_to(harness, first, 'refused')
+    assert answers(harness) == []
+    reply_to(harness, second, 'accepted')
+    assert answers(harness) == ['accepted']
+
+
+def test_refusal_of_the_last_copy_is_passed_on() -> None:
+    """Guard against callers that wait although the owner has refused."""
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    submit(harness, timeout_s=3.0)
+    harness.advance(1.1)
+    first, second = sent_tokens(harness, 'p1')
+    reply_to(harness, first, 'refused')
+    reply_to(harness, second, 'refused')
+    assert answers(harness) == ['refused']
+
+
+def test_refusal_beside_a_lost_owner_is_unknown() -> None:
+    """Guard against a refusal while a copy may be read by a former owner."""
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    submit(harness, timeout_s=3.0)
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(2, 'p2'))
+    reply_to(harness, sent_tokens(harness, 'p2')[0], 'refused')
+    assert answers(harness) == ['unknown']
+
+
+def test_copy_that_came_to_no_owner_does_not_hold_a_refusal() -> None:
+    """Guard against jobs in doubt because a copy was returned."""
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    submit(harness, timeout_s=3.0)
+    reply_to(harness, sent_tokens(harness, 'p1')[0], 'not_owner')
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(2, 'p2'))
+    reply_to(harness, sent_tokens(harness, 'p2')[0], 'refused')
+    assert answers(harness) == ['refused']
+
+
+def test_accepted_job_is_not_refused_when_it_is_submitted_again() -> None:
+    """Guard against the refusal of a job whose acceptance came too late."""
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    submit(harness, timeout_s=0.3)
+    harness.advance(0.5)
+    assert answers(harness) == ['unknown']
+    reply_to(harness, sent_tokens(harness, 'p1')[0], 'accepted')
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, ''))
+    submit(harness, timeout_s=3.0)
+    harness.advance(0.5)
+    assert answers(harness) == ['accepted']
+
+
+def test_retry_is_not_refused_for_too_many_calls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a refusal by a full process that has sent the job."""
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    submit(harness, timeout_s=3.0)
+    monkeypatch.setattr(calls, 'MAX_CALLS', 1)
+    submit(harness, timeout_s=3.0)
+    assert answers(harness) == ['unknown']
