--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -66,6 +66,15 @@
     """Serve each connection in a thread; ignore connection resets."""
 
     daemon_threads = True
+    # With the default of 5, connections that come together wait a second.
+    request_queue_size = 64
+
+    def process_request(
+        self, request: typing.Any, address: typing.Any
+    ) -> None:
+        """Count each connection."""
+        vars(self)['fake'].connections += 1
+        super().process_request(request, address)
 
     def handle_error(self, request: typing.Any, address: typing.Any) -> None:
         """Print errors of the fake, but not connection errors."""
@@ -78,6 +87,8 @@
 
     def __init__(self) -> None:
         self.lock = threading.Condition()
+        # Number of connections that were accepted.
+        self.connections = 0
         self.http = Server(('127.0.0.1', 0), Handler)
         vars(self.http)['fake'] = self
         self.address = f'127.0.0.1:{self.http.server_port}'
@@ -240,6 +251,11 @@
         # Share of the orders that are carried out late and not answered.
         self.late_share = 0.0
         self.rng = random.Random(0)
+        # Time until which the runner refuses orders as busy, and the delay of
+        # the first start in that time, which it carries out without an answer;
+        # 0 for none.
+        self.busy_until = 0.0
+        self.late_start_s = 0.0
         # Whether the runner answers nothing and sends no heartbeats.
         self.unreachable = False
         self.start_incarnation()
@@ -273,6 +289,13 @@
         headers: abc.Mapping[str, str],
     ) -> tuple[int, typing.Any]:
         """Carry out an order of the agent, some of them late."""
+        delay_s = self._take_late_start() if path == '/-/run-start' else 0.0
+        if delay_s:
+            time.sleep(delay_s)
+            self._handle_order(path, json.loads(body), headers)
+            return NO_ANSWER
+        if path != '/-/hold' and time.monotonic() < self.busy_until:
+            return 503, {}
         late = path != '/-/hold' and self.rng.random() < self.late_share
         if late:
             born_ms = self.born_ms
@@ -283,6 +306,12 @@
         got = self._handle_order(path, json.loads(body), headers)
         return NO_ANSWER if late else got
 
+    def _take_late_start(self) -> float:
+        """Return the delay of a start if it is the one to carry out late."""
+        with self.lock:
+            delay_s, self.late_start_s = self.late_start_s, 0.0
+            return delay_s
+
     def _handle_order(
         self,
         path: str,
