Replace silent sessions between schedulers

After the open sessions between three schedulers had become silent, without a reset, they changed the owner of the jobs 24 times in 13 s and went on so. New connections worked all the time.

Cause: only the owner's pulses have a timeout, and nothing closes a session. Each scheduler counted the owner as failed and claimed the jobs, and the others did not hear of it.

A scheduler now probes a peer that is silent (1 s for the owner, 2.5 s for others) with a new connection. If it is made, the session is at fault: it is closed and dialed again, also by a scheduler that had accepted it, as the peer may not notice the close. If it is not made, the path is cut, and the session is kept, because it goes on when the cut ends. A process that was suspended itself reads the waiting pulses first.

--- a/packages/runtime/src/kcr_runtime/wire/dialer.py
+++ b/packages/runtime/src/kcr_runtime/wire/dialer.py
@@ -59,6 +59,21 @@
         spec = self._make_spec(target)
         self._ctx.directory.send(self._sessions, supervisor.StartChild(spec))
 
+    def is_dialed(self, name: str) -> bool:
+        """Return whether this process has dialed a session."""
+        return name.rpartition('/')[0] == self._sessions
+
+    def replace(self, name: str, address: str) -> None:
+        """Dial a peer whose own connection is given up."""
+        if not self.is_dialed(name):
+            self.failed.pop(address, None)
+            self.dial(address)
+
+    def stop_dialing(self, name: str) -> None:
+        """Stop a session to a peer that has connected to this process."""
+        if self.is_dialed(name):
+            self._stop(name.rpartition('/')[2])
+
     def drop_own(self, name: str) -> None:
         """Stop a session by which this process has dialed itself."""
         parent, _, target = name.rpartition('/')
--- a/packages/scheduler/src/kcr_scheduler/addresses.py
+++ b/packages/scheduler/src/kcr_scheduler/addresses.py
@@ -3,6 +3,7 @@
 WATCH = 'config/watch'
 MESH = 'fleet/mesh'
 PUBLISHER = 'fleet/publisher'
+PROBER = 'fleet/prober'
 SESSIONS = 'fleet/sessions'
 PEER_SESSIONS = 'fleet/peer_sessions'
 OWNER = 'work/owner'
--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -20,6 +20,7 @@
 from kcr_runtime.wire import session
 from kcr_scheduler import addresses
 from kcr_scheduler import events
+from kcr_scheduler.fleet import probe
 from kcr_scheduler.fleet import routes
 
 # Time between pulses, in seconds; the owner counts as failed after four missed
@@ -30,6 +31,12 @@
 # Time that the owner of a claim that was just read has to send a pulse, in
 # seconds; a connection and a pulse between regions take 0.2 s.
 OWNER_DISCOVERY_S = 0.35
+# Time without a pulse after which a peer that is not the owner is probed, in
+# seconds; a busy process sends none for a second or two.
+PEER_SILENT_S = 2.5
+# Time between scans that shows that this process itself was suspended, in
+# seconds.
+SUSPENDED_S = 0.5
 # Pulses on a session between those that repeat unchanged addresses.
 PULSES_PER_LIST = 20
 # Maximum number of schedulers that are dialed at the same time.
@@ -76,6 +83,11 @@
         self._relay = config_relay.ConfigRelay()
         # Address of each connected scheduler, by session.
         self._open_sessions: dict[str, str] = {}
+        # Time of the last pulse on each session, and the sessions whose peers
+        # are being probed.
+        self._heard_at: dict[str, float] = {}
+        self._probing: set[str] = set()
+        self._scanned_at = 0.0
         self._dialer = dialer.Dialer(
             ctx, addresses.PEER_SESSIONS, ctx.cfg.address, ctx.cfg.seeds,
             MAX_PEERS, MAX_DIAL_FAILURES, routes.make_peer_spec,
@@ -129,6 +141,7 @@
             self.send(event.session, session.Close('address is malformed'))
             return
         self._open_sessions[event.session] = hello.address
+        self._heard_at[event.session] = self.now()
         # One session per peer is enough, so a peer that has dialed is not
         # dialed.
         self._dialer.failed[hello.address] = 0
@@ -139,6 +152,8 @@
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
         address = self._open_sessions.pop(event.session, None)
+        self._heard_at.pop(event.session, None)
+        self._probing.discard(event.session)
         self.peers.pop(event.session, None)
         self._relay.record_closed(event.session)
         self._lists_sent.pop(event.session, None)
@@ -250,6 +265,8 @@
         self, event: session.Received, msg: messages.Pulse
     ) -> None:
         now = self.now()
+        if event.session in self._heard_at:
+            self._heard_at[event.session] = now
         age = None if msg.store_age_ms < 0 else msg.store_age_ms / 1000.0
         progress = None if msg.claiming < 0 else msg.claiming
         last = self.peers.get(event.session)
@@ -297,6 +314,7 @@
     def _on_scan(self, msg: _Scan) -> None:
         now = self.now()
         self.after(SCAN_INTERVAL_S, _Scan())
+        self._probe_silent_peers(now)
         self._request_config(now)
         if self.is_owner:
             return
@@ -314,6 +332,44 @@
         ):  # fmt: skip
             self._campaign()
 
+    def _probe_silent_peers(self, now: float) -> None:
+        if now - self._scanned_at >= SUSPENDED_S:
+            # The pulses that came meanwhile have not been read yet.
+            self._heard_at = dict.fromkeys(self._heard_at, now)
+        self._scanned_at = now
+        for name, heard_at in self._heard_at.items():
+            address = self._open_sessions[name]
+            limit_s = (
+                election.OWNER_TIMEOUT_S
+                if address == self.owner
+                else PEER_SILENT_S
+            )
+            if now - heard_at > limit_s and name not in self._probing:
+                self._probing.add(name)
+                self.send(addresses.PROBER, probe.Probe(name, address))
+
+    @task.handles(probe.ProbeEnded)
+    def _on_probe_ended(self, event: probe.ProbeEnded) -> None:
+        """Replace a silent session if a new connection can be made."""
+        name = event.session
+        self._probing.discard(name)
+        heard_at = self._heard_at.get(name)
+        if heard_at is None or not event.connected:
+            return
+        silent_s = self.now() - heard_at
+        if silent_s <= election.OWNER_TIMEOUT_S:
+            return
+        address = self._open_sessions[name]
+        self.log.warning(
+            'session silent', peer=address, silent_s=round(silent_s, 3)
+        )
+        del self._heard_at[name]
+        if list(self._open_sessions.values()).count(address) > 1:
+            self._dialer.stop_dialing(name)
+        else:
+            self._dialer.replace(name, address)
+        self.send(name, session.Close('silent'))
+
     def _update_follows(self, now: float) -> None:
         follows = self._owner_lost_at is None and election.should_follow(
             self._peer_list(), self.rank, now
--- a/packages/scheduler/src/kcr_scheduler/fleet/supervisor.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/supervisor.py
@@ -7,6 +7,7 @@
 from kcr_runtime.wire import listener
 from kcr_scheduler import addresses
 from kcr_scheduler.fleet import mesh
+from kcr_scheduler.fleet import probe
 from kcr_scheduler.fleet import publisher
 from kcr_scheduler.fleet import routes
 
@@ -27,6 +28,7 @@
         return (
             supervisor.ChildSpec('sessions', Sessions),
             supervisor.ChildSpec('peer_sessions', Sessions),
+            supervisor.ChildSpec('prober', probe.Prober),
             supervisor.ChildSpec('mesh', mesh.Mesh),
             supervisor.ChildSpec('publisher', publisher.Publisher),
             supervisor.ChildSpec('listener', make_listener),
--- a/tests/platform/test_operator_reports.py
+++ b/tests/platform/test_operator_reports.py
@@ -202,3 +202,37 @@
         check_started_once(made)
     finally:
         made.close()
+
+
+def test_silent_sessions_between_schedulers_change_no_owner(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against schedulers that displace each other's owner for good.
+
+    Before their sessions were replaced, three schedulers changed the owner 24
+    times in 13 s.
+    """
+    made = deployments.Deployment(tmp_path, schedulers=3, linked=True)
+
+    def count_owners() -> int:
+        logs = [(tmp_path / f'{name}.log').read_text() for name in made.fronts]
+        return sum(text.count('"leading"') for text in logs)
+
+    try:
+        made.submit('1' * 16, count=2)
+        made.wait_completed('1' * 16)
+        time.sleep(SUSPENDED_S)
+        before = count_owners()
+        for name in made.fronts:
+            made.links[name].silence()
+        time.sleep(SUSPENDED_S)
+        made.submit('2' * 16, count=2)
+        made.wait_completed('2' * 16)
+        settled = count_owners()
+        # One change for each scheduler that claims before it is connected.
+        assert settled - before <= 2, made.read_logs()
+        time.sleep(SUSPENDED_S)
+        assert count_owners() == settled
+        check_started_once(made)
+    finally:
+        made.close()
--- a/tests/scheduler/test_mesh.py
+++ b/tests/scheduler/test_mesh.py
@@ -7,10 +7,12 @@
 from kcr_jobs import election
 from kcr_jobs import messages
 from kcr_jobs import records
+from kcr_runtime import supervisor
 from kcr_runtime.wire import session
 from kcr_scheduler import addresses
 from kcr_scheduler import events
 from kcr_scheduler.fleet import mesh
+from kcr_scheduler.fleet import probe
 from kcr_scheduler.work import codec
 from kcr_scheduler.work import job_log
 from kcr_scheduler.work import owner
@@ -107,3 +109,78 @@
     pulses = [msg for msg in sent if isinstance(msg, messages.Pulse)]
     assert len(pulses) > 10
     assert sum(bool(pulse.entries) for pulse in pulses) == 1
+
+
+OWNER_HELLO = message_base.Hello(
+    1, 'scheduler', 'o', 'o-1', PLACE, address='127.0.0.1:2'
+)
+
+
+def hear_owner(harness: scheduler_harness.Harness, name: str) -> None:
+    """Deliver a pulse of the owner over a session."""
+    pulse = messages.Pulse(3, '127.0.0.1:2', True, 10, 0, (-9, 'o'))
+    harness.post(addresses.MESH, session.Received(name, OWNER_HELLO, pulse))
+
+
+def start_silent_peer() -> scheduler_harness.Harness:
+    """Start a scheduler whose owner has been silent for a while."""
+    harness = scheduler_harness.Harness(
+        *TASKS, addresses.OWNER, addresses.PROBER, 's'
+    )
+    mesh.Mesh(harness.ctx, addresses.MESH).begin()
+    harness.post(addresses.MESH, session.Opened('s', OWNER_HELLO))
+    hear_owner(harness, 's')
+    harness.advance(0.9)
+    assert harness.recorders[addresses.PROBER].pop_all(probe.Probe) == []
+    harness.advance(0.3)
+    return harness
+
+
+def closes(harness: scheduler_harness.Harness) -> int:
+    """Return how often the session was closed."""
+    return len(harness.recorders['s'].pop_all(session.Close))
+
+
+def test_silent_session_is_replaced_if_a_new_one_can_be_made() -> None:
+    """Guard against schedulers that displace each other's owner for good.
+
+    Their sessions were silent, so each counted the owner as failed.
+    """
+    harness = start_silent_peer()
+    probes = harness.recorders[addresses.PROBER].pop_all(probe.Probe)
+    assert probes == [probe.Probe('s', '127.0.0.1:2')]
+    harness.post(addresses.MESH, probe.ProbeEnded('s', True))
+    assert closes(harness) == 1
+    started = harness.recorders[addresses.PEER_SESSIONS].pop_all(
+        supervisor.StartChild
+    )
+    assert '127.0.0.1:2' in [msg.spec.name for msg in started]
+
+
+def test_session_over_a_cut_path_is_kept() -> None:
+    """Guard against a session that is dialed again long after a cut."""
+    harness = start_silent_peer()
+    harness.post(addresses.MESH, probe.ProbeEnded('s', False))
+    assert closes(harness) == 0
+
+
+def test_session_that_is_heard_again_is_kept() -> None:
+    """Guard against closing the session of a peer that was only slow."""
+    harness = start_silent_peer()
+    hear_owner(harness, 's')
+    harness.post(addresses.MESH, probe.ProbeEnded('s', True))
+    assert closes(harness) == 0
+
+
+def test_suspended_scheduler_probes_nobody() -> None:
+    """Guard against a process that wakes and closes all its sessions."""
+    harness = scheduler_harness.Harness(
+        *TASKS, addresses.OWNER, addresses.PROBER, 's'
+    )
+    mesh.Mesh(harness.ctx, addresses.MESH).begin()
+    harness.post(addresses.MESH, session.Opened('s', OWNER_HELLO))
+    hear_owner(harness, 's')
+    harness.advance(0.3)
+    harness.clock.rightNow += 5.0
+    harness.advance(0.1)
+    assert harness.recorders[addresses.PROBER].pop_all(probe.Probe) == []
