Settle earlier copies of a submission only on the same connection

A session task that dials keeps its address across connections. A refusal on the new connection settled a copy that was sent on the old one, though the owner may read the old one's last bytes later, and accept the job that the caller was told is refused.

A copy is detached from its route once the connection has closed.

A silent session whose close hangs is probed and closed again.

--- a/packages/jobs/src/kcr_jobs/submissions.py
+++ b/packages/jobs/src/kcr_jobs/submissions.py
@@ -22,7 +22,8 @@
 
     # Job that it submits.
     job_id: str
-    # Session over which it was sent, or address of the local owner.
+    # Session over which it was sent, or address of the local owner; empty
+    # once the connection of the session has closed.
     route: str
     # Number in the order of sending.
     number: int
@@ -60,19 +61,20 @@
     def record_refused(self, token: str) -> None:
         """Record that the owner has refused a copy.
 
-        The owner reads a session in order, and had looked for the job. So it
-        had accepted none of the copies before it on the same session.
+        The owner reads a connection in order, and had looked for the job. So
+        it had accepted none of the copies before it on that connection.
         """
         refused = self._copies.get(token)
         if refused is None:
             return
         for other in list(self._tokens[refused.job_id]):
             copy = self._copies[other]
-            if (
-                copy.route == refused.route
-                and copy.number <= refused.number
-                and not copy.accepted
-            ):
+            is_before = (
+                refused.route
+                and copy.route == refused.route
+                and copy.number < refused.number
+            )
+            if (other == token or is_before) and not copy.accepted:
                 self._drop(other)
 
     def record_returned(self, token: str) -> None:
@@ -80,6 +82,16 @@
         if token in self._copies:
             self._drop(token)
 
+    def record_closed(self, route: str) -> None:
+        """Record that the connection of a session has closed.
+
+        The session may connect again under the same address. The owner may
+        read what was sent before after what is sent then.
+        """
+        for copy in self._copies.values():
+            if copy.route == route:
+                copy.route = ''
+
     def is_accepted(self, job_id: str) -> bool:
         """Return whether a copy of a job is known to be accepted."""
         return any(
--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -363,7 +363,8 @@
         self.log.warning(
             'session silent', peer=address, silent_s=round(silent_s, 3)
         )
-        del self._heard_at[name]
+        # If the close hangs, it is probed and closed again.
+        self._heard_at[name] = self.now()
         if list(self._open_sessions.values()).count(address) > 1:
             self._dialer.stop_dialing(name)
         else:
--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -200,6 +200,7 @@
 
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
+        self._submissions.record_closed(event.session)
         if event.session == self._route:
             self._route = ''
 
--- a/tests/jobs/test_submissions.py
+++ b/tests/jobs/test_submissions.py
@@ -28,12 +28,17 @@
 
 
 class World:
-    """Run owners with sessions that deliver late, but in order."""
+    """Run owners with connections that deliver late, but in order.
+
+    A session that connects again has another connection under its address.
+    """
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
         self.made = submissions.Submissions()
-        # Copies under way and replies under way, by session.
+        # Number of connections that each session has had.
+        self.connections: collections.Counter[str] = collections.Counter()
+        # Copies under way and replies under way, by connection.
         self.calls: dict[str, collections.deque[str]] = (
             collections.defaultdict(collections.deque)
         )
@@ -49,7 +54,12 @@
         self.sent += 1
         token = str(self.sent)
         self.made.record_sent(token, 'j', route, float(self.sent) / 100)
-        self.calls[route].append(token)
+        self.calls[f'{route}/{self.connections[route]}'].append(token)
+
+    def reconnect(self, route: str) -> None:
+        """Close the connection of a session and dial again."""
+        self.connections[route] += 1
+        self.made.record_closed(route)
 
     def read_call(self, route: str) -> None:
         """Let the process behind a session read its next copy."""
@@ -78,8 +88,15 @@
         steps: list[tuple[typing.Callable[[str], None], str]] = []
         if self.sent < 6:
             steps.append((self.send, self.rng.choice(routes)))
-        steps += [(self.read_call, r) for r in routes if self.calls[r]]
-        steps += [(self.read_reply, r) for r in routes if self.replies[r]]
+            steps.append((self.reconnect, self.rng.choice(routes)))
+        steps += [
+            (self.read_call, c) for c, sent in self.calls.items() if sent
+        ]
+        steps += [
+            (self.read_reply, c)
+            for c, sent in self.replies.items()
+            if sent and c == f'{c[:2]}/{self.connections[c[:2]]}'
+        ]
         if steps:
             action, route = self.rng.choice(steps)
             action(route)
--- a/tests/scheduler/test_calls.py
+++ b/tests/scheduler/test_calls.py
@@ -3,6 +3,8 @@
 import pytest
 import scheduler_harness
 
+from kcr_core import message_base
+from kcr_core import types as core_types
 from kcr_jobs import messages
 from kcr_jobs import types
 from kcr_runtime import query
@@ -12,6 +14,10 @@
 from kcr_scheduler.work import calls
 
 
+PLACE = core_types.Place('x', 'x', 'x', 'n')
+HELLO = message_base.Hello(1, 'scheduler', 'o', 'i', PLACE)
+
+
 def make() -> tuple[scheduler_harness.Harness, calls.Calls]:
     """Return the calls task and recorders for the sessions of two owners."""
     harness = scheduler_harness.Harness('front', 'p1', 'p2', addresses.OWNER)
@@ -185,6 +191,22 @@
     assert answers(harness) == ['unknown']
 
 
+def test_refusal_on_a_new_connection_leaves_the_older_copy_open() -> None:
+    """Guard against an old connection whose last bytes are read later.
+
+    The session task dials again under its address.
+    """
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    submit(harness, timeout_s=3.0)
+    harness.post(addresses.CALLS, session.Closed('p1', HELLO, 'silent'))
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    harness.advance(1.1)
+    _, second = sent_tokens(harness, 'p1')
+    reply_to(harness, second, 'refused')
+    assert answers(harness) == ['unknown']
+
+
 def test_copy_that_came_to_no_owner_does_not_hold_a_refusal() -> None:
     """Guard against jobs in doubt because a copy was returned."""
     harness, _ = make()
