Bound the calls to the advice service to what it answers in time

Cause: the owner had a call in flight for each waiting step. The service handles the calls of one scheduler in turn, so that with more calls than it handles within a ticket's validity each reply came too late. The owner counted the validity from the sending of the call, dropped the ticket and called again, behind the others; the load no longer came from the traffic. Calls that timed out after 5 s were still worked on.

Why it works: advice_window keeps in flight only what keeps the service busy while a reply and the next call are on their way. What waits beyond that waits in the planner, in the order of the jobs, and its tickets are asked for when their turn has come. After a failure one call is sent at a time until a later one is answered. The validity counts from when the service can have granted the ticket.

--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -21,6 +21,7 @@
 from kcr_jobs import runners
 from kcr_jobs import snapshots
 from kcr_jobs import throttling
+from kcr_jobs import tickets
 from kcr_jobs import types
 
 # Number of tokens per epoch; tokens of a later epoch are higher.
@@ -446,8 +447,8 @@
                 # The start failed. Under a new lease this is unknown: the
                 # run may have ended with an older incarnation of the runner.
                 for task in lost:
-                    runner.record_end('failed')
-                    self._planner.drop_ticket(task)
+                    if self._planner.reject_ticket(task, now):
+                        runner.record_end('failed')
             self._record_lost(runner, lost, 'runner does not list it')
         if not runner.reconciled:
             runner.reconciled = True
@@ -646,11 +647,15 @@
         for request in plan.requests:
             self.immediate.append(request)
             self._log_event(
-                'advice asked', step=request.step, runners=len(request.runners)
-            )
+                'advice asked', step=request.step,
+                runners=len(request.runners), request=request.number,
+                unanswered=self._planner.window.unanswered,
+                steps_waiting=plan.steps_ahead,
+            )  # fmt: skip
         for waiting in plan.waits:
             self._log_event(
                 'step waits', step=waiting.step, runners=len(schedulable),
+                steps_ahead=waiting.steps_ahead,
                 **{k.replace(' ', '_'): n for k, n in waiting.reasons.items()},
             )  # fmt: skip
         if not plan.starts:
@@ -664,28 +669,34 @@
             self._order_start(task, now)
 
     def record_advice(
-        self,
-        request: effects.RequestAdvice,
-        granted: dict[str, str] | None,
-        requested_at: float,
-        now: float,
+        self, request: effects.RequestAdvice, reply: tickets.Reply, now: float
     ) -> None:
-        """Store the tickets that the adviser granted; none if it failed."""
-        job = self.table.jobs.get(request.step.partition('.')[0])
-        if job is None:
-            return
+        """Store the tickets that the adviser granted."""
         self._changed = True
-        valid_s = job.spec.queue.ticket_ms / 1000.0
-        step_tickets = self._planner.find_tickets(request.step)
-        step_tickets.record_reply(
-            request.runners, granted, requested_at, valid_s, now
-        )
+        job = self.table.jobs.get(request.step.partition('.')[0])
+        valid_s = reply.valid_s
+        if job is not None and not valid_s:
+            valid_s = job.spec.queue.ticket_ms / 1000.0
+        left_s = self._planner.record_advice(request, reply, valid_s, now)
         self._log_event(
             'advice taken',
             step=request.step,
-            granted=-1 if granted is None else len(granted),
+            request=request.number,
+            granted=-1 if reply.granted is None else len(reply.granted),
+            valid_s=valid_s,
+            left_s=round(left_s, 3),
+            unanswered=self._planner.window.unanswered,
         )
 
+    def describe_advice(self) -> dict[str, typing.Any]:
+        """Return the state of the requests to the adviser, for the dump."""
+        window = self._planner.window
+        return {
+            'unanswered': window.unanswered,
+            'congested': window.congested,
+            'steps_waiting': self._planner.steps_waiting,
+        }
+
     def find_session(self, effect: effects.SendToAgent) -> str:
         """Return the session to which a message is sent; empty for none.
 
--- a/packages/jobs/src/kcr_jobs/effects.py
+++ b/packages/jobs/src/kcr_jobs/effects.py
@@ -64,6 +64,9 @@
     step: str
     # Id and incarnation of each runner in question.
     runners: tuple[tuple[str, str], ...]
+    # Number in the ownership, and how long to wait for the reply.
+    number: int = 0
+    timeout_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -8,7 +8,9 @@
 
 from collections import abc
 import dataclasses
+import math
 
+from kcr_jobs import advice_window
 from kcr_jobs import effects
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
@@ -37,6 +39,8 @@
     step: str
     # Number of runners by the reason of their rejection.
     reasons: dict[str, int]
+    # Number of steps that get a request to the adviser before it.
+    steps_ahead: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,6 +55,8 @@
     )
     # Steps for which no runner has capacity.
     waits: list[WaitingStep] = dataclasses.field(default_factory=list)
+    # Number of steps so far that wait for their turn at the adviser.
+    steps_ahead: int = 0
 
 
 class Planner:
@@ -63,6 +69,10 @@
         self._interference = interference
         # Tickets by name of the step.
         self._tickets: dict[str, tickets.StepTickets] = {}
+        # Bounds the requests to the adviser.
+        self.window = advice_window.AdviceWindow()
+        # Number of steps that waited for their turn in the last plan.
+        self.steps_waiting = 0
         # Time of the last log event of why a step waits, by its name.
         self._logged_at: dict[str, float] = {}
 
@@ -72,14 +82,49 @@
 
     def find_ticket(self, task: job_table.Task, now: float) -> str:
         """Return the ticket that a start carries; empty for none."""
+        ticket = self._find_ticket(task)
+        return ticket.text if ticket and now < ticket.used_until else ''
+
+    def _find_ticket(self, task: job_table.Task) -> tickets.Ticket | None:
         step_tickets = self._tickets.get(_step_name(task))
-        return step_tickets.find(task.incarnation, now) if step_tickets else ''
+        if step_tickets is None:
+            return None
+        return step_tickets.granted.get(task.incarnation)
+
+    def reject_ticket(self, task: job_table.Task, now: float) -> bool:
+        """Stop to use the ticket of a failed start; return if it was valid.
 
-    def drop_ticket(self, task: job_table.Task) -> None:
-        """Discard the ticket of a start that has failed."""
+        A start that needs no ticket counts as one with a valid ticket.
+        """
         step_tickets = self._tickets.get(_step_name(task))
+        return step_tickets is None or step_tickets.reject(
+            task.incarnation, now
+        )
+
+    def record_advice(
+        self,
+        request: effects.RequestAdvice,
+        reply: tickets.Reply,
+        valid_s: float,
+        now: float,
+    ) -> float:
+        """Store the tickets of a reply; return how long they can be used."""
+        step_tickets = self._tickets.get(request.step)
+        if reply.granted is None:
+            self.window.record_failure(request.number, reply.overloaded, now)
+            if step_tickets is not None:
+                step_tickets.record_failure(now)
+            return 0.0
+        granted_at = self.window.record_reply(request.number, now)
+        left_s = granted_at + valid_s * tickets.USABLE_SHARE - now
+        if left_s < tickets.LATE_USE_S:
+            self.window.record_late_reply()
+        # The job may have ended meanwhile.
         if step_tickets is not None:
-            step_tickets.discard(task.incarnation)
+            step_tickets.record_reply(
+                request.runners, reply.granted, granted_at, valid_s, now
+            )
+        return left_s
 
     def forget(self, job: job_table.Job) -> None:
         """Discard the tickets of a job and the times of its log events."""
@@ -105,6 +150,7 @@
         rejected = step_choice.RejectedDemands()
         for job in sorted(jobs, key=lambda j: order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
+        self.steps_waiting = plan.steps_ahead
         return plan
 
     def _plan_job(
@@ -130,6 +176,7 @@
                 continue
             allowed = candidates
             candidate: placement.Candidate | None = None
+            steps_ahead = plan.steps_ahead
             if job.spec.queue.ticket_ms:
                 allowed = self._find_allowed_candidates(
                     task, candidates, now, plan
@@ -150,7 +197,7 @@
             if candidate is None:
                 # All tasks of a step have the same demand.
                 blocked.add(key)
-                self._log_waiting(task, allowed, now, plan)
+                self._log_waiting(task, candidates, now, plan, steps_ahead)
                 continue
             _assign(task, candidate, plan)
         for members in gangs.values():
@@ -162,6 +209,7 @@
         candidates: list[placement.Candidate],
         now: float,
         plan: Plan,
+        steps_ahead: int,
     ) -> None:
         step = _step_name(task)
         if len(plan.waits) >= MAX_WAITS_PER_PLAN:
@@ -172,35 +220,110 @@
         ):
             return
         self._logged_at[step] = now
-        plan.waits.append(
-            WaitingStep(step, placement.count_rejections(task, candidates))
-        )
+        allowed, unknown, refused = candidates, 0, 0
+        if task.job.spec.queue.ticket_ms:
+            allowed, unknown, refused = self._split_by_ticket(
+                task, candidates, now
+            )
+        reasons = placement.count_rejections(task, allowed)
+        if unknown:
+            reasons['no ticket yet'] = unknown
+        if refused:
+            reasons['ticket refused'] = refused
+        plan.waits.append(WaitingStep(step, reasons, steps_ahead))
 
-    def _find_allowed_candidates(
+    def _split_by_ticket(
         self,
         task: job_table.Task,
         candidates: list[placement.Candidate],
         now: float,
-        plan: Plan,
-    ) -> list[placement.Candidate]:
-        """Return the candidates with a ticket; request more if none fits."""
-        step = _step_name(task)
-        step_tickets = self.find_tickets(step)
+    ) -> tuple[list[placement.Candidate], int, int]:
+        """Return who has a ticket or does not fit, and count the others.
+
+        They are counted as without a reply of the adviser, and as refused.
+        """
+        step_tickets = self.find_tickets(_step_name(task))
         allowed = []
-        without_ticket = []
+        unknown = refused = 0
         for candidate in candidates:
             info = candidate.runner.info
             assert info is not None
-            if step_tickets.find(info.incarnation, now):
+            if step_tickets.find(info.incarnation, now) or not placement.fits(
+                task, candidate
+            ):
                 allowed.append(candidate)
-            elif placement.fits(task, candidate):
-                without_ticket.append((info.runner_id, info.incarnation))
-        requested = step_tickets.choose_runners(without_ticket, now)
-        if requested and not any(placement.fits(task, c) for c in allowed):
-            step_tickets.in_flight = True
-            plan.requests.append(effects.RequestAdvice(step, requested))
+            elif step_tickets.is_refused(info.incarnation, now):
+                refused += 1
+            else:
+                unknown += 1
+        return allowed, unknown, refused
+
+    def _find_allowed_candidates(
+        self,
+        task: job_table.Task,
+        candidates: list[placement.Candidate],
+        now: float,
+        plan: Plan,
+    ) -> list[placement.Candidate]:
+        """Return the candidates with a ticket; request more if none fits."""
+        step_tickets = self.find_tickets(_step_name(task))
+        if not step_tickets.has_any(now) and not self._may_request(
+            step_tickets, now, plan
+        ):
+            return []
+        allowed = [
+            candidate
+            for candidate in candidates
+            if step_tickets.find(_incarnation(candidate), now)
+        ]
+        if not any(
+            placement.fits(task, c) for c in allowed
+        ) and self._may_request(step_tickets, now, plan):
+            unknown = _find_unknown(task, candidates, step_tickets, now)
+            self._request_tickets(task, unknown, now, plan)
         return allowed
 
+    def _may_request(
+        self, step_tickets: tickets.StepTickets, now: float, plan: Plan
+    ) -> bool:
+        """Return whether it is the turn of a step at the adviser."""
+        if not step_tickets.may_request(now):
+            return False
+        if self.window.may_send(now):
+            return True
+        plan.steps_ahead += 1
+        return False
+
+    def _request_tickets(
+        self,
+        task: job_table.Task,
+        unknown: list[placement.Candidate],
+        now: float,
+        plan: Plan,
+    ) -> None:
+        """Request tickets of the first runners in a list."""
+        if not unknown:
+            return
+        step = _step_name(task)
+        queue = task.job.spec.queue
+        chosen = unknown[: tickets.infer_max_runners(queue)]
+        number = self.window.send(
+            tickets.infer_handling_s(queue, len(chosen)), now
+        )
+        self.find_tickets(step).in_flight = True
+        plan.requests.append(
+            effects.RequestAdvice(
+                step,
+                tuple(
+                    (c.runner.info.runner_id, c.runner.info.incarnation)
+                    for c in chosen
+                    if c.runner.info is not None
+                ),
+                number,
+                self.window.infer_timeout(),
+            )
+        )
+
     def _plan_gang(
         self,
         members: list[job_table.Task],
@@ -242,6 +365,33 @@
             _assign(task, by_instance[name], plan)
 
 
+def _incarnation(candidate: placement.Candidate) -> str:
+    assert candidate.runner.info is not None
+    return candidate.runner.info.incarnation
+
+
+def _find_unknown(
+    task: job_table.Task,
+    candidates: list[placement.Candidate],
+    step_tickets: tickets.StepTickets,
+    now: float,
+) -> list[placement.Candidate]:
+    """Return the fitting candidates without a reply, best first."""
+    score = placement.SCORES.get(placement.find_score_name(task.spec))
+    rated = []
+    for candidate in candidates:
+        incarnation = _incarnation(candidate)
+        if step_tickets.find(incarnation, now) or step_tickets.is_refused(
+            incarnation, now
+        ):
+            continue
+        if placement.fits(task, candidate):
+            value = score(task, candidate, now)
+            rated.append((math.inf if value is None else value, candidate))
+    rated.sort(key=lambda item: item[0])
+    return [candidate for _, candidate in rated]
+
+
 def _is_starved(job: job_table.Job, now: float) -> bool:
     """Return whether a job has waited too long with no task running."""
     if any(task.instance for task in job.tasks.values()):
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -39,6 +39,10 @@
     target_ms: Number = 1000.0
     # Validity of a ticket for a step; 0 where none is required.
     ticket_ms: Number = 0.0
+    # Time that the adviser needs for a request, and in addition for each
+    # runner that the request names.
+    advice_ms: Number = 0.0
+    advice_runner_ms: Number = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/scheduler/src/kcr_scheduler/work/advice.py
+++ b/packages/scheduler/src/kcr_scheduler/work/advice.py
@@ -20,21 +20,36 @@
 
     # Tickets by runner id.
     tickets: dict[str, str]
+    # Validity of the tickets; 0 if the service does not say it.
+    valid_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failed:
-    """Report that there is no advice at present."""
+    """Report that the service answered a request without tickets."""
 
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """Report that the service did not answer, or had no room.
+
+    It may still work on a request that it did not answer.
+    """
+
+    reason: str
+
+
+Result = Granted | Failed | Unavailable
+
+
 class Adviser(typing.Protocol):
     """Define a client of the advice service."""
 
     def advise(
-        self, step: str, runner_ids: abc.Sequence[str]
-    ) -> defer.Deferred[Granted | Failed]:
+        self, step: str, runner_ids: abc.Sequence[str], timeout_s: float
+    ) -> defer.Deferred[Result]:
         """Request the tickets of the runners that may run a step."""
 
 
@@ -51,7 +66,7 @@
         pass
 
     def advise(
-        self, step: str, runner_ids: abc.Sequence[str]
-    ) -> defer.Deferred[Granted | Failed]:
+        self, step: str, runner_ids: abc.Sequence[str], timeout_s: float
+    ) -> defer.Deferred[Result]:
         """Return a failure, as no adviser is configured."""
-        return defer.succeed(Failed('no adviser is configured'))
+        return defer.succeed(Unavailable('no adviser is configured'))
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -15,6 +15,7 @@
 from kcr_jobs import election
 from kcr_jobs import messages
 from kcr_jobs import records
+from kcr_jobs import tickets
 from kcr_runtime import store
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -109,6 +110,7 @@
             out['epoch'] = ctl.epoch
             out['jobs'] = len(ctl.table.jobs)
             out['open_jobs'] = len(ctl.open_jobs)
+            out['advice'] = ctl.describe_advice()
             out['nodes'] = {
                 runner.name: {
                     'runs': len(runner.tasks),
@@ -460,18 +462,23 @@
     async def _request_advice(
         self, request: effects.RequestAdvice, term: int
     ) -> None:
-        requested_at = self.now()
         runner_ids = tuple(runner_id for runner_id, _ in request.runners)
-        got = await self._adviser.advise(request.step, runner_ids)
+        got = await self._adviser.advise(
+            request.step, runner_ids, request.timeout_s
+        )
         ctl = self.controller
         if term != self._term or not self._running or ctl is None:
             return
-        if isinstance(got, advice.Failed):
+        if isinstance(got, advice.Granted):
+            reply = tickets.Reply(got.tickets, got.valid_s)
+        else:
+            overloaded = isinstance(got, advice.Unavailable)
+            reply = tickets.Reply(overloaded=overloaded)
             self.log.warning(
-                'advice failed', step=request.step, reason=got.reason
-            )
-        granted = got.tickets if isinstance(got, advice.Granted) else None
-        ctl.record_advice(request, granted, requested_at, self.now())
+                'advice failed', step=request.step, reason=got.reason,
+                overloaded=overloaded,
+            )  # fmt: skip
+        ctl.record_advice(request, reply, self.now())
         self._schedule_soon()
         self._flush()
 
--- a/tests/jobs/test_tickets.py
+++ b/tests/jobs/test_tickets.py
@@ -5,6 +5,7 @@
 import job_harness
 
 from kcr_jobs import effects
+from kcr_jobs import tickets
 from kcr_jobs import types
 
 QUEUE = dataclasses.replace(job_harness.QUEUE, ticket_ms=5000.0)
@@ -25,7 +26,7 @@
             super().carry_out(effect)
             return
         self.requests.append(effect)
-        self.ctl.record_advice(effect, self.granted, self.now, self.now)
+        self.ctl.record_advice(effect, tickets.Reply(self.granted), self.now)
 
 
 def make_harness() -> Harness:
