Request the tickets of a gang before it is started

A gang is now placed only on runners with tickets that are valid for sure, as one rejected member ends the others. If they are too few and the gang would find room with more, it requests those that it would use, in its turn.

Tests: test_gang_gets_the_tickets_of_its_runners, with more members than one call names and with runners that the adviser refuses, fails without the change (no member runs). test_gang_without_room_asks_for_no_tickets guards the new requests.

--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -332,9 +332,45 @@
         plan: Plan,
     ) -> None:
         """Plan the start of all members of a gang, or of none."""
-        step = members[0].spec
-        if len(members) < step.count:
+        first = members[0]
+        if len(members) < first.spec.count:
             return
+        allowed = candidates
+        step_tickets = self.find_tickets(_step_name(first))
+        if first.job.spec.queue.ticket_ms:
+            if not step_tickets.has_any(now) and not self._may_request(
+                step_tickets, now, plan
+            ):
+                return
+            # A member whose start is rejected breaks the gang.
+            allowed = [
+                candidate
+                for candidate in candidates
+                if step_tickets.find(_incarnation(candidate), now, late=False)
+            ]
+        chosen = self._choose_for_gang(members, allowed, now, plan)
+        if chosen is None:
+            if allowed is not candidates and self._may_request(
+                step_tickets, now, plan
+            ):
+                self._request_gang_tickets(
+                    members, allowed, candidates, now, plan
+                )
+            return
+        attempt = max(task.attempt for task in members)
+        saved = max(task.checkpoint for task in members)
+        for task, candidate in zip(members, chosen):
+            task.attempt, task.checkpoint = attempt, saved
+            _assign(task, candidate, plan)
+
+    def _choose_for_gang(
+        self,
+        members: list[job_table.Task],
+        candidates: list[placement.Candidate],
+        now: float,
+        plan: Plan,
+    ) -> list[placement.Candidate] | None:
+        """Return a candidate for each member; none if some find no room."""
         copies = [
             placement.make_candidate(
                 candidate.runner,
@@ -352,17 +388,32 @@
         for task in members:
             found = placement.choose(task, copies, now)
             if found is None:
-                return
+                return None
             found.reserve(task)
             chosen.append(found.runner.name)
-        attempt = max(task.attempt for task in members)
-        saved = max(task.checkpoint for task in members)
         by_instance = {
             candidate.runner.name: candidate for candidate in candidates
         }
-        for task, name in zip(members, chosen):
-            task.attempt, task.checkpoint = attempt, saved
-            _assign(task, by_instance[name], plan)
+        return [by_instance[name] for name in chosen]
+
+    def _request_gang_tickets(
+        self,
+        members: list[job_table.Task],
+        allowed: list[placement.Candidate],
+        candidates: list[placement.Candidate],
+        now: float,
+        plan: Plan,
+    ) -> None:
+        """Request the tickets that a gang lacks, if it would find room."""
+        first = members[0]
+        step_tickets = self.find_tickets(_step_name(first))
+        unknown = _find_unknown(first, candidates, step_tickets, now)
+        chosen = self._choose_for_gang(members, allowed + unknown, now, plan)
+        if chosen is None:
+            return
+        # Those that the gang would use go first.
+        unknown.sort(key=lambda c: c not in chosen)
+        self._request_tickets(first, unknown, now, plan)
 
 
 def _incarnation(candidate: placement.Candidate) -> str:
@@ -381,9 +432,10 @@
     rated = []
     for candidate in candidates:
         incarnation = _incarnation(candidate)
-        if step_tickets.find(incarnation, now) or step_tickets.is_refused(
-            incarnation, now
-        ):
+        # A gang can't use a ticket that may have expired.
+        if step_tickets.find(
+            incarnation, now, late=not task.spec.gang
+        ) or step_tickets.is_refused(incarnation, now):
             continue
         if placement.fits(task, candidate):
             value = score(task, candidate, now)
--- a/packages/jobs/src/kcr_jobs/tickets.py
+++ b/packages/jobs/src/kcr_jobs/tickets.py
@@ -95,10 +95,19 @@
     not_before: float = 0.0
     failures: int = 0
 
-    def find(self, incarnation: str, now: float) -> Ticket | None:
-        """Return the ticket of a runner's incarnation; none without one."""
+    def find(
+        self, incarnation: str, now: float, late: bool = True
+    ) -> Ticket | None:
+        """Return the ticket of a runner's incarnation; none without one.
+
+        With `late`, that is also one that may have expired before it came.
+        """
         ticket = self.granted.get(incarnation)
-        return ticket if ticket and now < ticket.used_until else None
+        if ticket is None:
+            return None
+        if now >= ticket.used_until or not late and now >= ticket.valid_until:
+            return None
+        return ticket
 
     def has_any(self, now: float) -> bool:
         """Return whether any runner has a ticket."""
--- a/tests/jobs/test_advice_load.py
+++ b/tests/jobs/test_advice_load.py
@@ -189,6 +189,33 @@
     assert set(harness.done_at) == set(harness.accepted_at)
 
 
+@pytest.mark.parametrize(('members', 'share'), [(40, 1.0), (24, 0.5)])
+def test_gang_gets_the_tickets_of_its_runners(
+    members: int, share: float
+) -> None:
+    """Guard against a gang whose starts are all rejected for want of a ticket.
+
+    Its members take a runner each, more than one call names or grants.
+    """
+    harness = Load(runners=50, runner_ms=2.0).make_harness()
+    harness.adviser.allowed_share = share
+    harness.work_s = (9.0, 9.0)
+    step = types.Step(members, types.Demand(16000, 480), gang=True)
+    job_id = harness.submit_job(step)
+    harness.play(1.5)
+    assert len(harness.find_placements(job_id)) == members
+    assert not harness.rejected
+    assert harness.adviser.handled == 2
+
+
+def test_gang_without_room_asks_for_no_tickets() -> None:
+    """Guard against calls for a gang that could not start with any ticket."""
+    harness = Load(runners=5).make_harness()
+    harness.submit_job(types.Step(6, types.Demand(16000, 480), gang=True))
+    harness.play(5.0)
+    assert not harness.adviser.handled
+
+
 def test_waiting_step_says_that_it_waits_for_its_turn() -> None:
     """Guard against a step that waits for the adviser without a reason."""
     harness = Load(base_ms=2000.0).make_harness()
