Withdraw a start whose ticket expires while it waits for the log

A start waits for its record. While the store is slow or down that can take longer than the rest of the ticket's validity, and the runner rejects it: the start is priced, the runner counts as failing and becomes suspect, and of a gang the other members end for want of one.

The owner now looks at the ticket when it sends the order, of a gang at those of all members, and withdraws the start.

--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -697,12 +697,13 @@
             'steps_waiting': self._planner.steps_waiting,
         }
 
-    def find_session(self, effect: effects.SendToAgent) -> str:
+    def find_session(self, effect: effects.SendToAgent, now: float) -> str:
         """Return the session to which a message is sent; empty for none.
 
         The owner task calls it when it sends the message. A start is withdrawn
         if, while it waited for the log, its runner has begun to drain, its job
-        has ended, or another member of its gang was lost.
+        has ended, its ticket may have expired, or another member of its gang
+        was lost.
         """
         runner = self.runners.get(effect.instance)
         if runner is None or runner.token != effect.token:
@@ -712,13 +713,14 @@
         task = self.table.find_task(effect.msg.task)
         draining = runner.info is not None and runner.info.draining
         broken = task is not None and not task.is_gang_complete()
-        if task is None or task.stopping or draining or broken:
+        expired = task is not None and self._planner.has_expired(task, now)
+        if task is None or task.stopping or draining or broken or expired:
             if task is not None:
                 # The next complete report shows that it is not running.
                 task.ordered_number = 0
             self._log_event(
                 'start withdrawn', task=effect.msg.task, node=runner.name,
-                draining=draining, gang_broken=broken,
+                draining=draining, gang_broken=broken, ticket_expired=expired,
             )  # fmt: skip
             return ''
         return runner.session
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -78,16 +78,19 @@
         """Return whether all members of its gang run in the same attempt."""
         if not self.spec.gang:
             return True
-        prefix = self.name.rpartition('.')[0]
-        members = (
-            self.job.tasks[f'{prefix}.{index}']
-            for index in range(self.spec.count)
-        )
         return all(
             m.instance and not m.stopping and m.attempt == self.attempt
-            for m in members
+            for m in self.find_gang()
         )
 
+    def find_gang(self) -> list['Task']:
+        """Return all tasks of its step and occurrence."""
+        prefix = self.name.rpartition('.')[0]
+        return [
+            self.job.tasks[f'{prefix}.{index}']
+            for index in range(self.spec.count)
+        ]
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -91,6 +91,19 @@
             return None
         return step_tickets.granted.get(task.incarnation)
 
+    def has_expired(self, task: job_table.Task, now: float) -> bool:
+        """Return whether the ticket of a start may have expired.
+
+        The members of a gang run together, so one expired ticket is enough.
+        """
+        if not task.job.spec.queue.ticket_ms:
+            return False
+        members = [task]
+        if task.spec.gang:
+            members = task.find_gang()
+        found = [self._find_ticket(member) for member in members]
+        return any(t is not None and now >= t.expires_at for t in found)
+
     def reject_ticket(self, task: job_table.Task, now: float) -> bool:
         """Stop to use the ticket of a failed start; return if it was valid.
 
--- a/packages/jobs/src/kcr_jobs/tickets.py
+++ b/packages/jobs/src/kcr_jobs/tickets.py
@@ -50,6 +50,9 @@
     valid_until: float
     # Time until which it is used; later than `valid_until` if it came late.
     used_until: float
+    # Time at which it may expire at the earliest; infinite if it may have
+    # expired before it came, as only the runner knows then.
+    expires_at: float
 
 
 def make_ticket(
@@ -58,8 +61,8 @@
     """Return a ticket that the adviser granted at the given time or later."""
     valid_until = granted_at + valid_s * USABLE_SHARE
     if valid_until < now + LATE_USE_S:
-        return Ticket(text, valid_until, now + LATE_USE_S)
-    return Ticket(text, valid_until, valid_until)
+        return Ticket(text, valid_until, now + LATE_USE_S, math.inf)
+    return Ticket(text, valid_until, valid_until, granted_at + valid_s)
 
 
 def infer_handling_s(queue: types.Queue, runners: int) -> float:
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -455,7 +455,7 @@
                 effect.instance, effect.token, effect.number, self._lease_ms()
             )
         else:
-            route = ctl.find_session(effect)
+            route = ctl.find_session(effect, self.now())
             if route:
                 self.send(route, session.Send(effect.msg))
 
--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -179,7 +179,7 @@
             )
         elif isinstance(effect, effects.SendToAgent):
             runner = self.runners[effect.instance]
-            if self.ctl.find_session(effect) and runner.connected:
+            if self.ctl.find_session(effect, self.now) and runner.connected:
                 runner.handle(effect.msg)
 
     def submit(self, spec: types.JobSpec) -> None:
--- a/tests/jobs/test_advice_load.py
+++ b/tests/jobs/test_advice_load.py
@@ -216,6 +216,29 @@
     assert not harness.adviser.handled
 
 
+@pytest.mark.parametrize('gang', [False, True])
+def test_start_whose_ticket_expires_in_the_log_is_withdrawn(
+    gang: bool,
+) -> None:
+    """Guard against starts that the runner is known to reject.
+
+    Of a gang the other members would end for want of one.
+    """
+    harness = Load(valid_ms=1000.0, runners=3).make_harness()
+    harness.play(0.5)
+    step = types.Step(6, types.Demand(240, 480), gang=gang)
+    harness.submit_job(step)
+    harness.store_available = False
+    harness.play(1.5)
+    assert any(r.tasks for r in harness.ctl.runners.values())
+    harness.store_available = True
+    harness.play(5.0)
+    assert set(harness.done_at) == set(harness.accepted_at)
+    assert not harness.rejected
+    assert all(not r.failure_rate for r in harness.ctl.runners.values())
+    assert any(e.fields.get('ticket_expired') for e in harness.log_events)
+
+
 def test_waiting_step_says_that_it_waits_for_its_turn() -> None:
     """Guard against a step that waits for the adviser without a reason."""
     harness = Load(base_ms=2000.0).make_harness()
