Ask again for refused runners only when no other step waits

The adviser's policy for a step does not change, but a refusal counted for the validity of a ticket only. Steps without any allowed runner were asked for again every three seconds, as the oldest before all others: 15 of them take the whole rate of an adviser that handles five calls a second, and newer steps never got a ticket.

A request now names the runners without a reply first. Those that were refused are named again when no other step waits for its turn, after a pause that doubles up to a minute.

Test: test_steps_that_get_no_ticket_do_not_hold_up_the_others; without the change none of the 20 other jobs starts. Tried and not enough: the doubling pause alone, with which some of them had not started after 12.5 s.

--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -57,6 +57,11 @@
     waits: list[WaitingStep] = dataclasses.field(default_factory=list)
     # Number of steps so far that wait for their turn at the adviser.
     steps_ahead: int = 0
+    # Tasks of steps whose runners the adviser has all refused before, with
+    # the runners of which to ask again.
+    repeats: list[tuple[job_table.Task, list[placement.Candidate]]] = (
+        dataclasses.field(default_factory=list)
+    )
 
 
 class Planner:
@@ -163,6 +168,10 @@
         rejected = step_choice.RejectedDemands()
         for job in sorted(jobs, key=lambda j: order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
+        for task, refused in plan.repeats:
+            step_tickets = self.find_tickets(_step_name(task))
+            if step_tickets.may_request(now) and self.window.may_send(now):
+                self._send_request(task, refused, now, plan)
         self.steps_waiting = plan.steps_ahead
         return plan
 
@@ -313,10 +322,27 @@
         unknown: list[placement.Candidate],
         now: float,
         plan: Plan,
+    ) -> None:
+        """Request tickets of runners, of those that were refused last."""
+        step_tickets = self.find_tickets(_step_name(task))
+        new = [
+            candidate
+            for candidate in unknown
+            if _incarnation(candidate) not in step_tickets.refused
+        ]
+        if new:
+            self._send_request(task, new, now, plan)
+        elif unknown:
+            plan.repeats.append((task, unknown))
+
+    def _send_request(
+        self,
+        task: job_table.Task,
+        unknown: list[placement.Candidate],
+        now: float,
+        plan: Plan,
     ) -> None:
         """Request tickets of the first runners in a list."""
-        if not unknown:
-            return
         step = _step_name(task)
         queue = task.job.spec.queue
         chosen = unknown[: tickets.infer_max_runners(queue)]
--- a/packages/jobs/src/kcr_jobs/tickets.py
+++ b/packages/jobs/src/kcr_jobs/tickets.py
@@ -26,6 +26,9 @@
 # each failure up to the maximum.
 RETRY_DELAY_S = 0.5
 MAX_RETRY_DELAY_S = 8.0
+# Maximum time until a runner that was refused is named again, in seconds. The
+# adviser's policy for a step does not change.
+MAX_REFUSAL_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,8 +92,11 @@
 
     # Tickets by incarnation of the runner.
     granted: dict[str, Ticket] = dataclasses.field(default_factory=dict)
-    # Time until which a refusal counts, by incarnation of the runner.
-    refused: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Time until which a refusal counts, and how long the refusal counted, by
+    # incarnation of the runner.
+    refused: dict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
     # Whether a request is in flight.
     in_flight: bool = False
     # Time before which no request is sent, and the number of requests that
@@ -118,7 +124,7 @@
 
     def is_refused(self, incarnation: str, now: float) -> bool:
         """Return whether the adviser has refused a runner."""
-        return now < self.refused.get(incarnation, 0.0)
+        return now < self.refused.get(incarnation, (0.0, 0.0))[0]
 
     def may_request(self, now: float) -> bool:
         """Return whether a request may be sent for the step."""
@@ -139,8 +145,11 @@
                 self.granted[incarnation] = make_ticket(
                     granted[runner_id], granted_at, valid_s, now
                 )
-            else:
-                self.refused[incarnation] = now + valid_s
+                self.refused.pop(incarnation, None)
+                continue
+            pause_s = self.refused.get(incarnation, (0.0, 0.0))[1]
+            pause_s = min(MAX_REFUSAL_S, max(valid_s, 2.0 * pause_s))
+            self.refused[incarnation] = (now + pause_s, pause_s)
 
     def record_failure(self, now: float) -> None:
         """Record that a request failed; let other steps go first."""
--- a/tests/jobs/advice_harness.py
+++ b/tests/jobs/advice_harness.py
@@ -49,6 +49,8 @@
     slowdown: float = 1.0
     # Share of the runners that its policy allows.
     allowed_share: float = 1.0
+    # Steps that no runner may run.
+    refused_steps: set[str] = dataclasses.field(default_factory=set)
     calls: list[Call] = dataclasses.field(default_factory=list)
     waiting: collections.deque[Call] = dataclasses.field(
         default_factory=collections.deque
@@ -104,7 +106,8 @@
         granted = {}
         for runner_id, _ in call.request.runners:
             rng = random.Random(f'{call.request.step} {runner_id}')
-            if rng.random() < self.allowed_share:
+            refused = call.request.step in self.refused_steps
+            if not refused and rng.random() < self.allowed_share:
                 text = f't{self.handled}-{runner_id}'
                 granted[runner_id] = text
                 key = (call.request.step, runner_id, text)
--- a/tests/jobs/test_advice_load.py
+++ b/tests/jobs/test_advice_load.py
@@ -189,6 +189,22 @@
     assert set(harness.done_at) == set(harness.accepted_at)
 
 
+def test_steps_that_get_no_ticket_do_not_hold_up_the_others() -> None:
+    """Guard against calls for refused steps that take the adviser's time."""
+    harness = Load().make_harness()
+    # None of them becomes too late to go before newer ones.
+    step = dataclasses.replace(STEP, estimate_ms=9000.0)
+    refused = {harness.submit_job(step) for _ in range(40)}
+    harness.adviser.refused_steps = {f'{job_id}.0.0' for job_id in refused}
+    harness.play(8.5)
+    for _ in range(20):
+        harness.submit_job(step)
+        harness.play(0.5)
+    harness.play(2.0)
+    others = set(harness.accepted_at) - refused
+    assert others <= set(harness.started_at)
+
+
 @pytest.mark.parametrize(('members', 'share'), [(40, 1.0), (24, 0.5)])
 def test_gang_gets_the_tickets_of_its_runners(
     members: int, share: float
