Move the requests for tickets out of the planner

The planner had grown to two subjects in 510 lines: which runner a task gets, and which tickets its step may request. AdvicePlanner now owns the tickets and the window; the planner asks it which candidates a step may use. No change of behaviour, shown by the tests of tests/jobs, which are the same.

--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -447,7 +447,7 @@
                 # The start failed. Under a new lease this is unknown: the
                 # run may have ended with an older incarnation of the runner.
                 for task in lost:
-                    if self._planner.reject_ticket(task, now):
+                    if self._planner.advice.reject_ticket(task, now):
                         runner.record_end('failed')
             self._record_lost(runner, lost, 'runner does not list it')
         if not runner.reconciled:
@@ -649,8 +649,8 @@
             self._log_event(
                 'advice asked', step=request.step,
                 runners=len(request.runners), request=request.number,
-                unanswered=self._planner.window.unanswered,
-                steps_waiting=plan.steps_ahead,
+                unanswered=self._planner.advice.window.unanswered,
+                steps_waiting=self._planner.advice.steps_ahead,
             )  # fmt: skip
         for waiting in plan.waits:
             self._log_event(
@@ -677,7 +677,9 @@
         valid_s = reply.valid_s
         if job is not None and not valid_s:
             valid_s = job.spec.queue.ticket_ms / 1000.0
-        left_s = self._planner.record_advice(request, reply, valid_s, now)
+        left_s = self._planner.advice.record_reply(
+            request, reply, valid_s, now
+        )
         self._log_event(
             'advice taken',
             step=request.step,
@@ -685,16 +687,16 @@
             granted=-1 if reply.granted is None else len(reply.granted),
             valid_s=valid_s,
             left_s=round(left_s, 3),
-            unanswered=self._planner.window.unanswered,
+            unanswered=self._planner.advice.window.unanswered,
         )
 
     def describe_advice(self) -> dict[str, typing.Any]:
         """Return the state of the requests to the adviser, for the dump."""
-        window = self._planner.window
+        advice = self._planner.advice
         return {
-            'unanswered': window.unanswered,
-            'congested': window.congested,
-            'steps_waiting': self._planner.steps_waiting,
+            'unanswered': advice.window.unanswered,
+            'congested': advice.window.congested,
+            'steps_waiting': advice.steps_ahead,
         }
 
     def find_session(self, effect: effects.SendToAgent, now: float) -> str:
@@ -713,7 +715,9 @@
         task = self.table.find_task(effect.msg.task)
         draining = runner.info is not None and runner.info.draining
         broken = task is not None and not task.is_gang_complete()
-        expired = task is not None and self._planner.has_expired(task, now)
+        expired = task is not None and self._planner.advice.has_expired(
+            task, now
+        )
         if task is None or task.stopping or draining or broken or expired:
             if task is not None:
                 # The next complete report shows that it is not running.
@@ -734,7 +738,7 @@
         task.throttled_at = task.not_stalled_at = now
         task.ordered_number = runner.last_order
         task.listed = task.stopping = False
-        ticket = self._planner.find_ticket(task, now)
+        ticket = self._planner.advice.find_ticket(task, now)
         order = messages.StartRun(
             runner.token, runner.last_order, task.incarnation, task.name,
             task.attempt, task.job.spec.payload, task.checkpoint,
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -74,6 +74,11 @@
         """Return the specification of the task's step."""
         return self.job.spec.steps[self.step]
 
+    @property
+    def step_name(self) -> str:
+        """Return the name of its step: job id, occurrence and step."""
+        return self.name.rpartition('.')[0]
+
     def is_gang_complete(self) -> bool:
         """Return whether all members of its gang run in the same attempt."""
         if not self.spec.gang:
@@ -85,9 +90,8 @@
 
     def find_gang(self) -> list['Task']:
         """Return all tasks of its step and occurrence."""
-        prefix = self.name.rpartition('.')[0]
         return [
-            self.job.tasks[f'{prefix}.{index}']
+            self.job.tasks[f'{self.step_name}.{index}']
             for index in range(self.spec.count)
         ]
 
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -63,6 +63,18 @@
     # Number of reservations that were made.
     version: int = 0
 
+    @property
+    def runner_id(self) -> str:
+        """Return the id of the runner."""
+        assert self.runner.info is not None
+        return self.runner.info.runner_id
+
+    @property
+    def incarnation(self) -> str:
+        """Return the name of the incarnation of the runner."""
+        assert self.runner.info is not None
+        return self.runner.info.incarnation
+
     def reserve(self, task: job_table.Task) -> None:
         """Reserve capacity for a task."""
         self.version += 1
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -3,14 +3,13 @@
 The controller calls the planner with its open jobs and the runners that
 accept starts. The planner goes through the jobs in the order of `ordering`,
 lets `placement` choose a runner for each task that is ready, and returns a
-Plan; it keeps the tickets of advised steps between calls.
+Plan; `advice_planning` keeps the tickets of advised steps.
 """
 
 from collections import abc
 import dataclasses
-import math
 
-from kcr_jobs import advice_window
+from kcr_jobs import advice_planning
 from kcr_jobs import effects
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
@@ -18,7 +17,6 @@
 from kcr_jobs import placement
 from kcr_jobs import runners
 from kcr_jobs import step_choice
-from kcr_jobs import tickets
 
 # Registered order in which waiting jobs get capacity.
 ORDER_NAME = 'deadline'
@@ -55,101 +53,27 @@
     )
     # Steps for which no runner has capacity.
     waits: list[WaitingStep] = dataclasses.field(default_factory=list)
-    # Number of steps so far that wait for their turn at the adviser.
-    steps_ahead: int = 0
-    # Tasks of steps whose runners the adviser has all refused before, with
-    # the runners of which to ask again.
-    repeats: list[tuple[job_table.Task, list[placement.Candidate]]] = (
-        dataclasses.field(default_factory=list)
-    )
 
 
 class Planner:
-    """Choose the tasks to start; store the tickets of advised steps."""
+    """Choose the tasks to start."""
 
     def __init__(
         self, interference: interference_model.InterferenceModel
     ) -> None:
         # Estimates of what fillers add to the latency of serving tasks.
         self._interference = interference
-        # Tickets by name of the step.
-        self._tickets: dict[str, tickets.StepTickets] = {}
-        # Bounds the requests to the adviser.
-        self.window = advice_window.AdviceWindow()
-        # Number of steps that waited for their turn in the last plan.
-        self.steps_waiting = 0
+        # Tickets of advised steps, and the requests for them.
+        self.advice = advice_planning.AdvicePlanner()
         # Time of the last log event of why a step waits, by its name.
         self._logged_at: dict[str, float] = {}
 
-    def find_tickets(self, step: str) -> tickets.StepTickets:
-        """Return the tickets of a step."""
-        return self._tickets.setdefault(step, tickets.StepTickets())
-
-    def find_ticket(self, task: job_table.Task, now: float) -> str:
-        """Return the ticket that a start carries; empty for none."""
-        ticket = self._find_ticket(task)
-        return ticket.text if ticket and now < ticket.used_until else ''
-
-    def _find_ticket(self, task: job_table.Task) -> tickets.Ticket | None:
-        step_tickets = self._tickets.get(_step_name(task))
-        if step_tickets is None:
-            return None
-        return step_tickets.granted.get(task.incarnation)
-
-    def has_expired(self, task: job_table.Task, now: float) -> bool:
-        """Return whether the ticket of a start may have expired.
-
-        The members of a gang run together, so one expired ticket is enough.
-        """
-        if not task.job.spec.queue.ticket_ms:
-            return False
-        members = [task]
-        if task.spec.gang:
-            members = task.find_gang()
-        found = [self._find_ticket(member) for member in members]
-        return any(t is not None and now >= t.expires_at for t in found)
-
-    def reject_ticket(self, task: job_table.Task, now: float) -> bool:
-        """Stop to use the ticket of a failed start; return if it was valid.
-
-        A start that needs no ticket counts as one with a valid ticket.
-        """
-        step_tickets = self._tickets.get(_step_name(task))
-        return step_tickets is None or step_tickets.reject(
-            task.incarnation, now
-        )
-
-    def record_advice(
-        self,
-        request: effects.RequestAdvice,
-        reply: tickets.Reply,
-        valid_s: float,
-        now: float,
-    ) -> float:
-        """Store the tickets of a reply; return how long they can be used."""
-        step_tickets = self._tickets.get(request.step)
-        if reply.granted is None:
-            self.window.record_failure(request.number, reply.overloaded, now)
-            if step_tickets is not None:
-                step_tickets.record_failure(now)
-            return 0.0
-        granted_at = self.window.record_reply(request.number, now)
-        left_s = granted_at + valid_s * tickets.USABLE_SHARE - now
-        if left_s < tickets.LATE_USE_S:
-            self.window.record_late_reply()
-        # The job may have ended meanwhile.
-        if step_tickets is not None:
-            step_tickets.record_reply(
-                request.runners, reply.granted, granted_at, valid_s, now
-            )
-        return left_s
-
     def forget(self, job: job_table.Job) -> None:
         """Discard the tickets of a job and the times of its log events."""
-        for by_step in (self._tickets, self._logged_at):
-            for step in list(by_step):
-                if step.startswith(f'{job.spec.job_id}.'):
-                    by_step.pop(step)
+        self.advice.forget(job)
+        for step in list(self._logged_at):
+            if step.startswith(f'{job.spec.job_id}.'):
+                self._logged_at.pop(step)
 
     def plan(
         self,
@@ -166,13 +90,10 @@
         order = ordering.ORDERS.get(ORDER_NAME)
         plan = Plan()
         rejected = step_choice.RejectedDemands()
+        self.advice.begin_plan()
         for job in sorted(jobs, key=lambda j: order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
-        for task, refused in plan.repeats:
-            step_tickets = self.find_tickets(_step_name(task))
-            if step_tickets.may_request(now) and self.window.may_send(now):
-                self._send_request(task, refused, now, plan)
-        self.steps_waiting = plan.steps_ahead
+        plan.requests = self.advice.finish_plan(now)
         return plan
 
     def _plan_job(
@@ -198,11 +119,9 @@
                 continue
             allowed = candidates
             candidate: placement.Candidate | None = None
-            steps_ahead = plan.steps_ahead
+            steps_ahead = self.advice.steps_ahead
             if job.spec.queue.ticket_ms:
-                allowed = self._find_allowed_candidates(
-                    task, candidates, now, plan
-                )
+                allowed = self.advice.find_allowed(task, candidates, now)
                 candidate = placement.choose(task, allowed, now)
             elif task.failed_on or task.avoided_instance:
                 candidate = placement.choose(task, allowed, now)
@@ -233,7 +152,7 @@
         plan: Plan,
         steps_ahead: int,
     ) -> None:
-        step = _step_name(task)
+        step = task.step_name
         if len(plan.waits) >= MAX_WAITS_PER_PLAN:
             return
         if (
@@ -242,127 +161,12 @@
         ):
             return
         self._logged_at[step] = now
-        allowed, unknown, refused = candidates, 0, 0
         if task.job.spec.queue.ticket_ms:
-            allowed, unknown, refused = self._split_by_ticket(
-                task, candidates, now
-            )
-        reasons = placement.count_rejections(task, allowed)
-        if unknown:
-            reasons['no ticket yet'] = unknown
-        if refused:
-            reasons['ticket refused'] = refused
+            reasons = self.advice.count_rejections(task, candidates, now)
+        else:
+            reasons = placement.count_rejections(task, candidates)
         plan.waits.append(WaitingStep(step, reasons, steps_ahead))
 
-    def _split_by_ticket(
-        self,
-        task: job_table.Task,
-        candidates: list[placement.Candidate],
-        now: float,
-    ) -> tuple[list[placement.Candidate], int, int]:
-        """Return who has a ticket or does not fit, and count the others.
-
-        They are counted as without a reply of the adviser, and as refused.
-        """
-        step_tickets = self.find_tickets(_step_name(task))
-        allowed = []
-        unknown = refused = 0
-        for candidate in candidates:
-            info = candidate.runner.info
-            assert info is not None
-            if step_tickets.find(info.incarnation, now) or not placement.fits(
-                task, candidate
-            ):
-                allowed.append(candidate)
-            elif step_tickets.is_refused(info.incarnation, now):
-                refused += 1
-            else:
-                unknown += 1
-        return allowed, unknown, refused
-
-    def _find_allowed_candidates(
-        self,
-        task: job_table.Task,
-        candidates: list[placement.Candidate],
-        now: float,
-        plan: Plan,
-    ) -> list[placement.Candidate]:
-        """Return the candidates with a ticket; request more if none fits."""
-        step_tickets = self.find_tickets(_step_name(task))
-        if not step_tickets.has_any(now) and not self._may_request(
-            step_tickets, now, plan
-        ):
-            return []
-        allowed = [
-            candidate
-            for candidate in candidates
-            if step_tickets.find(_incarnation(candidate), now)
-        ]
-        if not any(
-            placement.fits(task, c) for c in allowed
-        ) and self._may_request(step_tickets, now, plan):
-            unknown = _find_unknown(task, candidates, step_tickets, now)
-            self._request_tickets(task, unknown, now, plan)
-        return allowed
-
-    def _may_request(
-        self, step_tickets: tickets.StepTickets, now: float, plan: Plan
-    ) -> bool:
-        """Return whether it is the turn of a step at the adviser."""
-        if not step_tickets.may_request(now):
-            return False
-        if self.window.may_send(now):
-            return True
-        plan.steps_ahead += 1
-        return False
-
-    def _request_tickets(
-        self,
-        task: job_table.Task,
-        unknown: list[placement.Candidate],
-        now: float,
-        plan: Plan,
-    ) -> None:
-        """Request tickets of runners, of those that were refused last."""
-        step_tickets = self.find_tickets(_step_name(task))
-        new = [
-            candidate
-            for candidate in unknown
-            if _incarnation(candidate) not in step_tickets.refused
-        ]
-        if new:
-            self._send_request(task, new, now, plan)
-        elif unknown:
-            plan.repeats.append((task, unknown))
-
-    def _send_request(
-        self,
-        task: job_table.Task,
-        unknown: list[placement.Candidate],
-        now: float,
-        plan: Plan,
-    ) -> None:
-        """Request tickets of the first runners in a list."""
-        step = _step_name(task)
-        queue = task.job.spec.queue
-        chosen = unknown[: tickets.infer_max_runners(queue)]
-        number = self.window.send(
-            tickets.infer_handling_s(queue, len(chosen)), now
-        )
-        self.find_tickets(step).in_flight = True
-        plan.requests.append(
-            effects.RequestAdvice(
-                step,
-                tuple(
-                    (c.runner.info.runner_id, c.runner.info.incarnation)
-                    for c in chosen
-                    if c.runner.info is not None
-                ),
-                number,
-                self.window.infer_timeout(),
-            )
-        )
-
     def _plan_gang(
         self,
         members: list[job_table.Task],
@@ -374,27 +178,14 @@
         first = members[0]
         if len(members) < first.spec.count:
             return
+        advised = bool(first.job.spec.queue.ticket_ms)
         allowed = candidates
-        step_tickets = self.find_tickets(_step_name(first))
-        if first.job.spec.queue.ticket_ms:
-            if not step_tickets.has_any(now) and not self._may_request(
-                step_tickets, now, plan
-            ):
-                return
-            # A member whose start is rejected breaks the gang.
-            allowed = [
-                candidate
-                for candidate in candidates
-                if step_tickets.find(_incarnation(candidate), now, late=False)
-            ]
+        if advised:
+            allowed = self.advice.find_allowed_for_gang(first, candidates, now)
         chosen = self._choose_for_gang(members, allowed, now, plan)
         if chosen is None:
-            if allowed is not candidates and self._may_request(
-                step_tickets, now, plan
-            ):
-                self._request_gang_tickets(
-                    members, allowed, candidates, now, plan
-                )
+            if advised and self.advice.may_request(first, now):
+                self._request_for_gang(members, allowed, candidates, now, plan)
             return
         attempt = max(task.attempt for task in members)
         saved = max(task.checkpoint for task in members)
@@ -435,7 +226,7 @@
         }
         return [by_instance[name] for name in chosen]
 
-    def _request_gang_tickets(
+    def _request_for_gang(
         self,
         members: list[job_table.Task],
         allowed: list[placement.Candidate],
@@ -444,43 +235,12 @@
         plan: Plan,
     ) -> None:
         """Request the tickets that a gang lacks, if it would find room."""
-        first = members[0]
-        step_tickets = self.find_tickets(_step_name(first))
-        unknown = _find_unknown(first, candidates, step_tickets, now)
+        unknown = self.advice.find_unknown(members[0], candidates, now)
         chosen = self._choose_for_gang(members, allowed + unknown, now, plan)
-        if chosen is None:
-            return
-        # Those that the gang would use go first.
-        unknown.sort(key=lambda c: c not in chosen)
-        self._request_tickets(first, unknown, now, plan)
-
-
-def _incarnation(candidate: placement.Candidate) -> str:
-    assert candidate.runner.info is not None
-    return candidate.runner.info.incarnation
-
-
-def _find_unknown(
-    task: job_table.Task,
-    candidates: list[placement.Candidate],
-    step_tickets: tickets.StepTickets,
-    now: float,
-) -> list[placement.Candidate]:
-    """Return the fitting candidates without a reply, best first."""
-    score = placement.SCORES.get(placement.find_score_name(task.spec))
-    rated = []
-    for candidate in candidates:
-        incarnation = _incarnation(candidate)
-        # A gang can't use a ticket that may have expired.
-        if step_tickets.find(
-            incarnation, now, late=not task.spec.gang
-        ) or step_tickets.is_refused(incarnation, now):
-            continue
-        if placement.fits(task, candidate):
-            value = score(task, candidate, now)
-            rated.append((math.inf if value is None else value, candidate))
-    rated.sort(key=lambda item: item[0])
-    return [candidate for _, candidate in rated]
+        if chosen is not None:
+            # Those that the gang would use go first.
+            unknown.sort(key=lambda c: c not in chosen)
+            self.advice.request(members[0], unknown, now)
 
 
 def _is_starved(job: job_table.Job, now: float) -> bool:
@@ -506,7 +266,3 @@
         candidate.runner.info.incarnation,
     )
     plan.starts.append(task)
-
-
-def _step_name(task: job_table.Task) -> str:
-    return task.name.rpartition('.')[0]
