Log why a gang waits

A gang that found no room, or waits for its turn at the adviser, was planned again four times a second without a line in the log; single tasks had `step waits`. It logs the same event now, at most every five seconds a step.

Test: test_gang_that_waits_says_why; without the change there is no event.

--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -179,6 +179,7 @@
         if len(members) < first.spec.count:
             return
         advised = bool(first.job.spec.queue.ticket_ms)
+        steps_ahead = self.advice.steps_ahead
         allowed = candidates
         if advised:
             allowed = self.advice.find_allowed_for_gang(first, candidates, now)
@@ -186,6 +187,7 @@
         if chosen is None:
             if advised and self.advice.may_request(first, now):
                 self._request_for_gang(members, allowed, candidates, now, plan)
+            self._log_waiting(first, candidates, now, plan, steps_ahead)
             return
         attempt = max(task.attempt for task in members)
         saved = max(task.checkpoint for task in members)
--- a/tests/jobs/test_advice_load.py
+++ b/tests/jobs/test_advice_load.py
@@ -232,6 +232,22 @@
     assert not harness.adviser.handled
 
 
+def test_gang_that_waits_says_why() -> None:
+    """Guard against a gang that waits without a reason in the log."""
+    harness = Load(base_ms=2000.0).make_harness()
+    step = types.Step(6, types.Demand(9000, 480), gang=True)
+    for _ in range(8):
+        harness.submit_job(step)
+    harness.play(0.5)
+    waits = {
+        event.fields['step']: event.fields
+        for event in harness.log_events
+        if event.event == 'step waits'
+    }
+    assert waits['j0007.0.0']['no_ticket_yet'] == 11
+    assert waits['j0007.0.0']['steps_ahead'] >= 5
+
+
 @pytest.mark.parametrize('gang', [False, True])
 def test_start_whose_ticket_expires_in_the_log_is_withdrawn(
     gang: bool,
