Limit the copies of calls to an owner that is late

An owner that was late by two seconds stayed late for good.

Cause: a call without a reply was sent again each second, up to its caller's timeout of 3 s. A late owner got three copies of each call; if that is more than it handles, all replies come too late and the copies go on.

Why it works: copies to the same owner use a retry budget of one for ten calls, so that they can't keep an owner overloaded that handles the calls. A call that came to a process that does not own the jobs is sent again without it, as that process has done nothing.

--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from kcr_core import retry_budget
 from kcr_jobs import messages
 from kcr_jobs import submissions
 from kcr_jobs import types
@@ -28,6 +29,9 @@
 SCAN_INTERVAL_S = 0.05
 # Time without a reply before a call is sent again, in seconds.
 RESEND_AFTER_S = 1.0
+# Copies to the same owner for each call. An owner that is late would get
+# several copies of each, and stay late.
+RESEND_SHARE = 0.1
 # Maximum number of calls that may wait for a reply.
 MAX_CALLS = 5000
 
@@ -57,6 +61,8 @@
     # Route over which it was last sent; empty before that.
     route: str = ''
     sent_at: float = 0.0
+    # Whether the process to which it was last sent was not the owner.
+    returned: bool = False
     # Tokens of the messages sent; each has its own.
     tokens: set[str] = dataclasses.field(default_factory=set)
 
@@ -77,6 +83,8 @@
         self._pending: dict[str, _Pending] = {}
         # What was sent of each submission.
         self._submissions = submissions.Submissions()
+        # Limits the copies to an owner that does not reply.
+        self._budget = retry_budget.RetryBudget(RESEND_SHARE)
         self._count = 0
         self._token_prefix = f'{ctx.rng.getrandbits(32):08x}'
 
@@ -102,12 +110,14 @@
             self._refuse(pending, 'too many calls', NO_OWNER_RETRY_AFTER_MS)
             return
         self._pending[token] = pending
+        self._budget.deposit()
         self._send(pending)
 
     def _send(self, pending: _Pending) -> None:
         if not self._route:
             return
         pending.route, pending.sent_at = self._route, self.now()
+        pending.returned = False
         token = f'{pending.msg.token}.{len(pending.tokens)}'
         pending.tokens.add(token)
         msg = dataclasses.replace(pending.msg, token=token)
@@ -161,6 +171,9 @@
         if msg.outcome == 'not_owner':
             # The call is sent again once the owner is known.
             self._submissions.record_returned(msg.token)
+            returned = self._pending.get(msg.token.rpartition('.')[0])
+            if returned is not None:
+                returned.returned = True
             return
         if msg.outcome == 'refused':
             self._submissions.record_refused(msg.token)
@@ -234,4 +247,5 @@
             self._reply(pending.caller_query, 'unknown', 'owner is silent')
             return
         if self._route and now - pending.sent_at >= RESEND_AFTER_S:
-            self._send(pending)
+            if pending.returned or self._budget.spend():
+                self._send(pending)
