--- a/packages/jobs/src/kcr_jobs/advice_planning.py
+++ b/packages/jobs/src/kcr_jobs/advice_planning.py
@@ -78,7 +78,7 @@
         return any(t is not None and now >= t.expires_at for t in found)
 
     def reject_ticket(self, task: job_table.Task, now: float) -> bool:
-        """Stop to use the ticket of a failed start; return if it was valid.
+        """Stop using the ticket of a failed start; return if it was valid.
 
         A start that needs no ticket counts as one with a valid ticket.
         """
--- a/packages/jobs/src/kcr_jobs/tickets.py
+++ b/packages/jobs/src/kcr_jobs/tickets.py
@@ -19,7 +19,7 @@
 # Part of a ticket's validity in which it is used; the rest is for orders in
 # flight.
 USABLE_SHARE = 0.8
-# Time for which a ticket is tried that came too late to be known as valid, in
+# Time for which a ticket is used that may have expired before it arrived, in
 # seconds; a runner that rejects it has done nothing.
 LATE_USE_S = 0.25
 # Pause after a request for a step that failed, in seconds; it doubles with
@@ -49,12 +49,13 @@
     """Store a ticket for one runner."""
 
     text: str
-    # Time until which it is valid wherever the order takes its usual time.
+    # Time until which a start that is ordered reaches the runner in time.
     valid_until: float
-    # Time until which it is used; later than `valid_until` if it came late.
+    # Time until which starts use it; later than `valid_until` if the ticket
+    # may have expired before it arrived.
     used_until: float
-    # Time at which it may expire at the earliest; infinite if it may have
-    # expired before it came, as only the runner knows then.
+    # Earliest time at which it may expire; infinite if it may have expired
+    # before it arrived, as only the runner can tell then.
     expires_at: float
 
 
@@ -109,7 +110,7 @@
     ) -> Ticket | None:
         """Return the ticket of a runner's incarnation; none without one.
 
-        With `late`, that is also one that may have expired before it came.
+        `late` includes one that may have expired before it arrived.
         """
         ticket = self.granted.get(incarnation)
         if ticket is None:
@@ -159,7 +160,7 @@
         self.failures += 1
 
     def reject(self, incarnation: str, now: float) -> bool:
-        """Stop to use a ticket of a failed start; return if it was valid."""
+        """Stop using the ticket of a failed start; return if it was valid."""
         ticket = self.granted.get(incarnation)
         if ticket is None:
             return True
