Learn the run times of tasks by kind of work

Cause: decisions on waiting, admission and the order of jobs use the caller's estimate, which is off by up to nine tenths in the deployments K and O.

Change: durations.Durations, an attribute of the controller's state, learns mean and ninth decile by queue, image and step from runs that ended `done`.

--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from kcr_jobs import durations
 from kcr_jobs import effects
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
@@ -56,6 +57,8 @@
         self.open_jobs: dict[str, job_table.Job] = {}
         # Estimates of what fillers add to the latency of serving tasks.
         self.interference = interference_model.InterferenceModel()
+        # Learnt run times of tasks.
+        self.durations = durations.Durations()
         self.planner = planning.Planner(self.interference)
         # Whether jobs or reservations have changed since the last plan.
         self.changed = True
--- a/packages/jobs/src/kcr_jobs/filler_shares.py
+++ b/packages/jobs/src/kcr_jobs/filler_shares.py
@@ -34,6 +34,7 @@
                 continue
             if adjustment.percent == task.throttle_percent:
                 continue
+            self._state.durations.advance(task, now)
             task.throttle_percent, task.throttled_at = adjustment.percent, now
             if adjustment.percent > throttling.STALLED_PERCENT:
                 task.not_stalled_at = now
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -68,6 +68,13 @@
     throttle_percent: int = 100
     throttled_at: float = 0.0
     not_stalled_at: float = 0.0
+    # Time that the run has had at full share until `worked_until`, in seconds
+    # (see durations), and whether it resumed from a checkpoint. Not durable.
+    work_s: float = 0.0
+    worked_until: float = 0.0
+    resumed: bool = False
+    # Factor by which its place prolongs the run. Not durable.
+    slowdown: float = 1.0
 
     @property
     def spec(self) -> types.Step:
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -88,7 +88,7 @@
             return
         runner.reported_at = now
         self._update_info(runner, msg.info, now)
-        self._record_ends(runner, msg.ended)
+        self._record_ends(runner, msg.ended, now)
         if msg.complete:
             self._reconcile(runner, msg, now)
         if lease_ms > 0:
@@ -129,7 +129,10 @@
         runner.info = info
 
     def _record_ends(
-        self, runner: runners.RunnerState, ended: tuple[types.ReportedEnd, ...]
+        self,
+        runner: runners.RunnerState,
+        ended: tuple[types.ReportedEnd, ...],
+        now: float,
     ) -> None:
         rows = []
         for end in ended:
@@ -151,6 +154,7 @@
                 )
             )
             runner.record_end(end.how)
+            self._state.durations.record_end(task, end.how, now)
             if end.how == 'failed':
                 task.failed_on.add(runner.name)
             self._state.log_event(
@@ -209,6 +213,7 @@
                 runner.unknown_runs += 1
                 self._stop_unknown_run(runner, run)
                 continue
+            self._state.durations.advance(task, now)
             _update_task(task, run)
         pending = set(msg.unanswered)
         lost = []
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -138,6 +138,7 @@
         task.throttled_at = task.not_stalled_at = now
         task.ordered_number = runner.last_order
         task.listed = task.stopping = False
+        self._state.durations.begin(task, now)
         ticket = self._state.planner.advice.find_ticket(task, now)
         order = messages.StartRun(
             runner.token, runner.last_order, task.incarnation, task.name,
