--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -4,6 +4,7 @@
 import typing
 
 from kcr_jobs import controller
+from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import job_table
 from kcr_jobs import messages
@@ -109,7 +110,7 @@
         self.now = 0.0
         self.log: list[typing.Any] = []
         self.replies: list[effects.Reply] = []
-        self.log_events: list[controller.LogEvent] = []
+        self.log_events: list[controller_state.LogEvent] = []
         self.runners = {runner.name: runner for runner in runners}
         self.store_available = True
         self.deferred: list[effects.Effect] = []
