Start nothing in zones that operators have evacuated

Cause: the key evacuate/ZONE of keyed.op had no effect, so runners of an evacuated zone got starts.

Change: the watch task keeps the evacuated zones with the offset up to which it has read, peers exchange them in their pulses, and the owner starts nothing there: placement rejects the runner, a start that waits for the log is withdrawn, and the agent gives up an unanswered one (starts_closed). New jobs of a service are refused if all its zones are evacuated. A new owner starts nothing before it has a view. A topic that was recreated raises a generation, so that a stale peer with a higher offset has no effect. A value that can't be decoded no longer hides its key.

--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -73,6 +73,8 @@
         self._reported_at: float | None = None
         # Number of the last ended run that was reported under the lease.
         self._last_end_sent = 0
+        # Whether the owner forbids starts, as the zone is evacuated.
+        self._starts_closed = False
         # Whether the runner has deregistered itself.
         self._runner_left = False
         # Whether it answered the last query for its runs.
@@ -90,6 +92,7 @@
             'lease_left_s': round(self.lease.expires_at - self.now(), 3),
             'orders': len(self.lease.start_orders),
             'life': self.info.incarnation if self.info else '',
+            'starts_closed': self._starts_closed,
         }
 
     # The runner.
@@ -193,6 +196,7 @@
         elif msg.token != self.lease.token:
             self.ctx.metrics.count('order_of_older_lease')
         elif isinstance(msg, messages.RunnerReportAck):
+            self._starts_closed = msg.starts_closed
             self.lease.confirm(msg.seq, msg.lease_ms, msg.cursor)
             self.lease.drop_confirmed_reports(msg.seq + 1)
         elif isinstance(msg, messages.StartRun):
@@ -207,6 +211,7 @@
         self._attach_sent_at = None
         self._last_end_sent = 0
         self._reported_at = None
+        self._starts_closed = False
         self.lease.start(msg.token)
         self.log.info('lease granted', token=msg.token, epoch=msg.epoch)
         self.spawn(self._extend_lease_loop(self._term))
@@ -321,6 +326,11 @@
                 'start on a draining runner ignored', task=msg.task
             )
             return
+        if self._starts_closed:
+            self.log.warning(
+                'start in an evacuated zone ignored', task=msg.task
+            )
+            return
         order = runner_lease.StartOrder(msg.number, msg.attempt)
         self.lease.start_orders[msg.task] = order
         self.spawn(self._start(msg, order, self._term))
@@ -339,8 +349,12 @@
         while term == self._term and self._running and not order.withdrawn:
             sent_at = self.now()
             deadline_ms = self.lease.deadline_ms(sent_at)
-            if deadline_ms is None:
-                reason = 'lease has expired'
+            if deadline_ms is None or self._starts_closed:
+                reason = (
+                    'zone is evacuated'
+                    if self._starts_closed
+                    else 'lease has expired'
+                )
                 if unanswered:
                     await self._forbid_start(msg, order, term, reason)
                 else:
--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -8,6 +8,7 @@
 
 from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import records
 from kcr_jobs import types
@@ -18,6 +19,9 @@
 MAX_OPEN_JOBS = 4000
 # Time after which a caller may retry a refused job, in milliseconds.
 RETRY_AFTER_MS = 1000
+# Time after a takeover in which the agents find the owner, in seconds; until
+# then the known runners may be those of one zone only.
+DISCOVERY_S = 2.0
 
 
 class CallerRequests:
@@ -37,6 +41,10 @@
         if len(self._state.open_jobs) >= MAX_OPEN_JOBS:
             self.refuse(ref, spec.job_id, 'too many open jobs')
             return
+        if self._is_evacuated(spec.queue.service, now):
+            self._state.count('zone_evacuations', 'job_refused')
+            self.refuse(ref, spec.job_id, 'all zones are evacuated')
+            return
         self._state.append(records.Accepted(spec, int(wall_ms)))
         job = self._state.table.jobs[spec.job_id]
         job.accepted_at = now
@@ -51,6 +59,21 @@
             open_jobs=len(self._state.open_jobs),
         )
 
+    def _is_evacuated(self, service: str, now: float) -> bool:
+        """Return whether all zones with runners of a service are evacuated.
+
+        A service without a known runner is not, as its agents may be on
+        their way to this owner.
+        """
+        if now - self._state.began_at < DISCOVERY_S:
+            return False
+        zones = {
+            runner.info.zone
+            for runner in self._state.runners.values()
+            if runner.info is not None and runner.info.service == service
+        }
+        return evacuation.forbids_all(self._state.evacuation, zones)
+
     def refuse(self, ref: typing.Any, job_id: str, reason: str) -> None:
         """Refuse a job that is not in the log."""
         self._state.log_event('job refused', job=job_id, reason=reason)
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -36,7 +36,7 @@
         now: float,
         log_bytes: int = 0,
     ) -> None:
-        super().__init__(table, epoch, lease_s)
+        super().__init__(table, epoch, lease_s, now)
         requests = caller_requests.CallerRequests(self)
         self.submit = requests.submit
         self.refuse = requests.refuse
@@ -48,6 +48,7 @@
         )
         self.attach = reports.attach
         self.detach = reports.detach
+        self.set_evacuation = reports.set_evacuation
         self.report = reports.report
         self.confirm_ends = reports.confirm_ends
         self._starts = starts.Starts(self, now)
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -10,6 +10,7 @@
 import typing
 
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import messages
@@ -34,7 +35,7 @@
     """Store the jobs and runners of one ownership."""
 
     def __init__(
-        self, table: job_table.JobTable, epoch: int, lease_s: float
+        self, table: job_table.JobTable, epoch: int, lease_s: float, now: float
     ) -> None:
         # State of all jobs; ahead of the log by `pending_records`.
         self.table = table
@@ -42,6 +43,10 @@
         self.epoch = epoch
         # Duration of a lease, in seconds.
         self.lease_s = lease_s
+        # Time at which this ownership began.
+        self.began_at = now
+        # Evacuated zones; none before they are known.
+        self.evacuation: evacuation.View | None = None
         # Runners by the name of their instance.
         self.runners: dict[str, runners.RunnerState] = {}
         # Records to append to the log.
@@ -52,6 +57,8 @@
         self.immediate: list[effects.Effect] = []
         # Lines for the log.
         self.log_events: list[LogEvent] = []
+        # Metrics to count, each with the value of its label `effect`.
+        self.counts: list[tuple[str, str]] = []
         # Jobs that may have tasks to start, by id.
         self.open_jobs: dict[str, job_table.Job] = {}
         # Estimates of what fillers add to the latency of serving tasks.
@@ -72,6 +79,16 @@
         """Add a line for the log."""
         self.log_events.append(LogEvent(event, fields))
 
+    def count(self, metric: str, effect: str) -> None:
+        """Count an effect of a decision in a metric."""
+        self.counts.append((metric, effect))
+
+    def is_evacuated(self, runner: runners.RunnerState) -> bool:
+        """Return whether the zone of a runner is evacuated."""
+        return runner.info is not None and evacuation.forbids(
+            self.evacuation, runner.info.zone
+        )
+
     def append(self, rec: records.Record) -> None:
         """Apply a record, and add it to those to append to the log."""
         self.changed = True
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -44,6 +44,11 @@
     entries: tuple[Text, ...] = ()
     # Number of records that the sender has read for a claim; -1 for none.
     claiming: Int = -1
+    # Offset up to which the sender's view of the evacuated zones was read, -1
+    # for no view; the zones; and the generation of the topic.
+    evacuation_offset: Int = -1
+    evacuated_zones: tuple[Text, ...] = ()
+    evacuation_generation: Count = 0
 
 
 @message_base.message('job_resign')
@@ -183,6 +188,9 @@
     # Number of the last ended run whose record is durable; the runner may
     # drop the ended runs up to it.
     cursor: Count
+    # Whether the runner gets no starts, as its zone is evacuated; unanswered
+    # starts are given up.
+    starts_closed: bool = False
 
 
 @message_base.message('start_run')
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -60,6 +60,8 @@
     # Serving tasks with their pressure (see throttling), raised by what the
     # fillers that are being started will add.
     pressures: list[tuple[job_table.Task, float]]
+    # Whether the zone of the runner is evacuated.
+    evacuated: bool = False
     # Number of reservations that were made.
     version: int = 0
 
@@ -150,6 +152,7 @@
     now: float,
     suspect: bool,
     interference: interference_model.InterferenceModel,
+    evacuated: bool = False,
 ) -> Candidate:
     """Return a runner as a candidate; a suspect one gets few starts."""
     assert runner.info is not None
@@ -167,6 +170,7 @@
         1_000_000,
         interference,
         _infer_pressures(runner, interference, now),
+        evacuated,
     )
     for task in runner.tasks.values():
         step = (task.job.spec.job_id, task.occurrence, task.step)
@@ -186,6 +190,8 @@
     demand = spec.demand
     if info.service != task.job.spec.queue.service:
         return 'service'
+    if candidate.evacuated:
+        return 'zone evacuated'
     if candidate.starts_left <= 0:
         return 'failing runner'
     if demand.mem_mb > candidate.mem_mb:
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -11,6 +11,7 @@
 
 from kcr_jobs import advice_planning
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import ordering
@@ -80,11 +81,19 @@
         jobs: abc.Iterable[job_table.Job],
         schedulable: list[runners.RunnerState],
         now: float,
+        evacuated: evacuation.View | None = None,
     ) -> Plan:
         """Choose starts job by job while runners have capacity."""
         suspects = runners.find_suspects(schedulable)
         candidates = [
-            placement.make_candidate(r, now, r in suspects, self._interference)
+            placement.make_candidate(
+                r,
+                now,
+                r in suspects,
+                self._interference,
+                r.info is not None
+                and evacuation.forbids(evacuated, r.info.zone),
+            )  # fmt: skip
             for r in schedulable
         ]
         order = ordering.ORDERS.get(ORDER_NAME)
@@ -209,6 +218,7 @@
                 now,
                 candidate.starts_left <= 1,
                 self._interference,
+                candidate.evacuated,
             )
             for candidate in candidates
         ]
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -9,6 +9,7 @@
 
 from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import filler_shares
 from kcr_jobs import job_table
 from kcr_jobs import messages
@@ -104,11 +105,29 @@
             runner.acked_seq,
             max(0, lease_ms),
             runner.durable_end,
+            self._state.is_evacuated(runner),
         )
         self._state.immediate.append(
             effects.SendToAgent(runner.name, runner.token, ack)
         )
 
+    def set_evacuation(self, view: evacuation.View) -> None:
+        """Apply a view of the evacuated zones; inform the agents there.
+
+        An agent may be repeating a start that its runner has not answered, so
+        it is informed before its next report.
+        """
+        before = {
+            runner.name: self._state.is_evacuated(runner)
+            for runner in self._state.runners.values()
+        }
+        self._state.evacuation = view
+        self._state.changed = True
+        for runner in self._state.runners.values():
+            changed = self._state.is_evacuated(runner) != before[runner.name]
+            if changed and runner.session:
+                self._acknowledge(runner, 0)
+
     def _update_info(
         self, runner: runners.RunnerState, info: types.RunnerInfo, now: float
     ) -> None:
@@ -219,9 +238,10 @@
                 continue
             lost.append(task)
         if lost:
-            if runner.reconciled:
+            if runner.reconciled and not self._state.is_evacuated(runner):
                 # The start failed. Under a new lease this is unknown: the
                 # run may have ended with an older incarnation of the runner.
+                # In an evacuated zone the start was withdrawn.
                 for task in lost:
                     if self._state.planner.advice.reject_ticket(task, now):
                         runner.record_end('failed')
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -32,6 +32,9 @@
         """Start the waiting tasks for which a runner has capacity."""
         if not self._state.changed and now < self._next_plan_at:
             return
+        if self._state.evacuation is None:
+            # A zone may be evacuated that this process does not know of yet.
+            return
         self._state.changed = False
         self._next_plan_at = now + REPLAN_INTERVAL_S
         schedulable = [
@@ -42,8 +45,9 @@
         if not schedulable:
             return
         plan = self._state.planner.plan(
-            self._state.open_jobs.values(), schedulable, now
-        )
+            self._state.open_jobs.values(), schedulable, now,
+            self._state.evacuation,
+        )  # fmt: skip
         for request in plan.requests:
             self._state.immediate.append(request)
             self._state.log_event(
@@ -103,9 +107,9 @@
         """Return the session to which a message is sent; empty for none.
 
         The owner task calls it when it sends the message. A start is withdrawn
-        if, while it waited for the log, its runner has begun to drain, its job
-        has ended, its ticket may have expired, or another member of its gang
-        was lost.
+        if, while it waited for the log, its runner has begun to drain, its
+        zone was evacuated, its job has ended, its ticket may have expired, or
+        another member of its gang was lost.
         """
         runner = self._state.runners.get(effect.instance)
         if runner is None or runner.token != effect.token:
@@ -114,17 +118,22 @@
             return runner.session
         task = self._state.table.find_task(effect.msg.task)
         draining = runner.info is not None and runner.info.draining
+        evacuated = self._state.is_evacuated(runner)
         broken = task is not None and not task.is_gang_complete()
         expired = task is not None and self._state.planner.advice.has_expired(
             task, now
         )
-        if task is None or task.stopping or draining or broken or expired:
+        closed = draining or evacuated
+        if task is None or task.stopping or closed or broken or expired:
+            if evacuated:
+                self._state.count('zone_evacuations', 'start_withdrawn')
             if task is not None:
                 # The next complete report shows that it is not running.
                 task.ordered_number = 0
             self._state.log_event(
                 'start withdrawn', task=effect.msg.task, node=runner.name,
-                draining=draining, gang_broken=broken, ticket_expired=expired,
+                draining=draining, zone_evacuated=evacuated,
+                gang_broken=broken, ticket_expired=expired,
             )  # fmt: skip
             return ''
         return runner.session
--- a/packages/runtime/src/kcr_runtime/store.py
+++ b/packages/runtime/src/kcr_runtime/store.py
@@ -78,6 +78,8 @@
     value: bytes
     # Offset of the record with this value.
     offset: int
+    # Whether the value can't be decoded; it is empty then.
+    malformed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/scheduler/src/kcr_scheduler/events.py
+++ b/packages/scheduler/src/kcr_scheduler/events.py
@@ -4,6 +4,7 @@
 import typing
 
 from kcr_jobs import config
+from kcr_jobs import evacuation
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,12 +26,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigQuery:
-    """Query the watch task for the configuration in force."""
+    """Query the watch task for what is in force."""
 
     # Address of the task to reply to.
     sender: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationInForce:
+    """Inform a task of the evacuated zones."""
+
+    view: evacuation.View
+    # Where the newest change was read: store or peer.
+    source: str = 'store'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationReceived:
+    """Pass the evacuated zones that a peer knows to the watch task."""
+
+    view: evacuation.View
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationQuery:
+    """Query the mesh task for the evacuated zones that it knows."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreAnswered:
     """Report that the store has answered."""
--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -13,6 +13,7 @@
 from kcr_core import net_address
 from kcr_jobs import config_relay
 from kcr_jobs import election
+from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_runtime import seeds
 from kcr_runtime import task
@@ -79,6 +80,8 @@
         # since then, by session.
         self._lists_sent: dict[str, tuple[tuple[str, ...], int]] = {}
         self._config: events.ConfigInForce | None = None
+        # Evacuated zones; none before they are known.
+        self._evacuation: evacuation.View | None = None
         # Versions of the configuration that the peers have.
         self._relay = config_relay.ConfigRelay()
         # Address of each connected scheduler, by session.
@@ -210,6 +213,7 @@
             self.rank,
             self._choose_addresses(name),
             -1 if self._claim_progress is None else self._claim_progress,
+            **evacuation.to_pulse_fields(self._evacuation),
         )
         self.send(name, session.Send(pulse))
 
@@ -283,9 +287,17 @@
             self._owner_pulse_at = now
             if self._owner_lost_at is not None or msg.epoch > self.epoch:
                 self._set_owner(msg.epoch, event.hello.address)
+        self._pass_on_evacuation(msg)
         self._relay.record_pulse(event.session, msg.version, now)
         self._request_config(now)
 
+    def _pass_on_evacuation(self, msg: messages.Pulse) -> None:
+        found, known = evacuation.from_pulse(msg), self._evacuation
+        if found is not None and (
+            known is None or found.position > known.position
+        ):
+            self.send(addresses.WATCH, events.EvacuationReceived(found))
+
     def _request_config(self, now: float) -> None:
         name = self._relay.choose_peer(now, self._store_age())
         if name:
@@ -304,6 +316,18 @@
         for name in self._open_sessions:
             self._send_pulse(name)
 
+    @task.handles(events.EvacuationInForce)
+    def _on_evacuation(self, event: events.EvacuationInForce) -> None:
+        self._evacuation = evacuation.merge(self._evacuation, event.view)
+        for name in self._open_sessions:
+            self._send_pulse(name)
+
+    @task.handles(events.EvacuationQuery)
+    def _on_evacuation_query(self, event: events.EvacuationQuery) -> None:
+        if self._evacuation is not None:
+            view = self._evacuation
+            self.send(addresses.WATCH, events.EvacuationReceived(view))
+
     @task.handles(events.StoreAnswered)
     def _on_store_answered(self, event: events.StoreAnswered) -> None:
         self._store_answered_at = self.now()
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -13,6 +13,7 @@
 from kcr_jobs import controller
 from kcr_jobs import effects
 from kcr_jobs import election
+from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import records
 from kcr_jobs import tickets
@@ -76,6 +77,11 @@
             ctx
         )
         self._ownership = ownership.OWNERSHIP(self)
+        # Evacuated zones; none before they are known. Where and when the
+        # newest change was read.
+        self._evacuation: evacuation.View | None = None
+        self._evacuation_source = ''
+        self._evacuation_at = 0.0
         # Number of claims and ownerships; results of older ones are dropped.
         self._term = 0
         # Records of the controller for the next append, and the effects that
@@ -93,6 +99,7 @@
         """Start the ticks and read which process has claimed the jobs."""
         self.after(TICK_INTERVAL_S, _Tick())
         self.after(FOLLOW_INTERVAL_S, _Follow())
+        self.send(addresses.WATCH, events.ConfigQuery(self.address))
         self.spawn(self._look_up_owner(self._term))
 
     def _make_job_log(self) -> job_log.JobLog:
@@ -106,6 +113,13 @@
         """Return the phase, the jobs and, as `nodes`, the runners."""
         out = {**super().dump(), 'phase': self.phase, 'end': self._jobs.end}
         ctl = self.controller
+        if self._evacuation is not None:
+            out['evacuation'] = {
+                'zones': sorted(self._evacuation.zones),
+                'offset': self._evacuation.offset,
+                'source': self._evacuation_source,
+                'age_s': round(self.now() - self._evacuation_at, 3),
+            }
         if ctl is not None:
             out['epoch'] = ctl.epoch
             out['jobs'] = len(ctl.table.jobs)
@@ -214,6 +228,8 @@
             self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
             self._jobs.size,
         )  # fmt: skip
+        if self._evacuation is not None:
+            self.controller.set_evacuation(self._evacuation)
         self.log.info(
             'leading',
             epoch=epoch,
@@ -249,6 +265,22 @@
         self._snapshot_offsets.clear()
         self.send(addresses.MESH, events.NotOwner(epoch, owner))
 
+    @task.handles(events.ConfigInForce)
+    def _on_config(self, event: events.ConfigInForce) -> None:
+        """Ignore it; a job keeps the queue of its acceptance."""
+
+    @task.handles(events.EvacuationInForce)
+    def _on_evacuation(self, event: events.EvacuationInForce) -> None:
+        view = evacuation.merge(self._evacuation, event.view)
+        if view is not event.view:
+            return
+        self._evacuation, self._evacuation_source = view, event.source
+        self._evacuation_at = self.now()
+        if self.controller is not None:
+            self.controller.set_evacuation(view)
+            self._schedule_soon()
+            self._flush()
+
     @task.handles(events.StepDown)
     def _on_step_down(self, event: events.StepDown) -> None:
         if self.controller is not None:
@@ -389,6 +421,9 @@
         for log_event in ctl.log_events:
             self.log.info(log_event.event, **log_event.fields)
             self.ctx.metrics.count('decision', kind=log_event.event)
+        for metric, effect_name in ctl.counts:
+            self.ctx.metrics.count(metric, effect=effect_name)
+        ctl.counts.clear()
         immediate, ctl.immediate, ctl.log_events = ctl.immediate, [], []
         for effect in immediate:
             self._carry_out(effect)
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -431,3 +431,24 @@
     ]
     assert kinds == ['start', 'throttle']
     assert ('throttle', 7, 't', 1, 30) in harness.runner.calls
+
+
+def test_unanswered_start_is_given_up_in_an_evacuated_zone() -> None:
+    """Guard against starts after an evacuation, and one that stays open."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.order_start()
+    harness.receive(messages.RunnerReportAck(7, 0, 0, 0, True))
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    assert harness.control.dump()['starts_closed']
+    for _ in range(6):
+        harness.advance(0.1)
+        harness.runner.answer_all()
+    harness.order_start('u', 2)
+    assert harness.runner.count('start') == 1
+    assert harness.runner.count('stop') == 2
+    assert 'u' not in harness.control.lease.start_orders
+    harness.receive(messages.RunnerReportAck(7, 0, 0, 0))
+    harness.order_start('v', 3)
+    assert harness.runner.count('start') == 2
--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -4,7 +4,9 @@
 import typing
 
 from kcr_jobs import controller
+from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import messages
 from kcr_jobs import types
@@ -109,11 +111,12 @@
         self.now = 0.0
         self.log: list[typing.Any] = []
         self.replies: list[effects.Reply] = []
-        self.log_events: list[controller.LogEvent] = []
+        self.log_events: list[controller_state.LogEvent] = []
         self.runners = {runner.name: runner for runner in runners}
         self.store_available = True
         self.deferred: list[effects.Effect] = []
         self.epoch = 0
+        self.evacuation = evacuation.View(0)
         self.take_over()
         self.attach_all()
 
@@ -124,6 +127,7 @@
         job_table.fold(self.log, table)
         self.deferred.clear()
         self.ctl = controller.Controller(table, self.epoch, LEASE_S, self.now)
+        self.ctl.set_evacuation(self.evacuation)
 
     def attach_all(self) -> None:
         """Attach every connected runner and deliver its report."""
--- a/tests/platform/test_store_reads.py
+++ b/tests/platform/test_store_reads.py
@@ -244,3 +244,41 @@
 
     send()
     return ended
+
+
+class OddStore(platform_fakes.LogStore):
+    """Return the newest values of a topic as another writer left them."""
+
+    values: tuple[typing.Any, ...] = ('e30=', None, 7, '%', '')
+
+    def _newest(self, partition: list[bytes]) -> typing.Any:
+        rows = [
+            {'Key': f'evacuate/z{number}', 'Value': value, 'Offset': number}
+            for number, value in enumerate(self.values)
+        ]
+        return {'items': rows, 'HasMore': False, 'EndOffset': 5}
+
+
+def test_value_that_can_not_be_decoded_keeps_its_key(
+    reactor_thread: None,
+) -> None:
+    """Guard against an evacuation that is hidden by its value."""
+    fake = OddStore()
+    client = make_client(fake.address)
+    got = run(lambda: client.newest('keyed.op'))
+    assert isinstance(got, store.Items)
+    found = [(item.value, item.malformed) for item in got.items]
+    assert found == [
+        (b'{}', False), (b'', False), (b'', True), (b'', True), (b'', False),
+    ]  # fmt: skip
+    fake.close()
+
+
+def test_topic_with_a_lower_end_is_read_anew(reactor_thread: None) -> None:
+    """Guard against reads that wait at an offset of a deleted topic."""
+    fake = platform_fakes.LogStore()
+    fake.topics['keyed.op'] += [b'\x01kx']
+    client = make_client(fake.address)
+    got = run(lambda: client.read_keyed('keyed.op', 5, 0.0))
+    assert got == store.Trimmed(1)
+    fake.close()
--- a/tests/scheduler/test_mesh.py
+++ b/tests/scheduler/test_mesh.py
@@ -5,6 +5,7 @@
 from kcr_core import message_base
 from kcr_core import types as core_types
 from kcr_jobs import election
+from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import records
 from kcr_runtime import supervisor
@@ -184,3 +185,34 @@
     harness.clock.rightNow += 5.0
     harness.advance(0.1)
     assert harness.recorders[addresses.PROBER].pop_all(probe.Probe) == []
+
+
+def test_evacuations_of_a_peer_are_passed_on() -> None:
+    """Guard against an owner that learns of no evacuation from its peers.
+
+    The store rejects its reads; a peer's view with a higher offset counts.
+    """
+    harness = scheduler_harness.Harness(*TASKS, addresses.OWNER, 's')
+    mesh.Mesh(harness.ctx, addresses.MESH).begin()
+    harness.post(addresses.MESH, session.Opened('s', OWNER_HELLO))
+    pulse = messages.Pulse(
+        3, '127.0.0.1:2', True, 10, 0, (-9, 'o'), evacuation_offset=4,
+        evacuated_zones=('z1',),
+    )  # fmt: skip
+    known = evacuation.View(4, frozenset(['z1']))
+    event = session.Received('s', OWNER_HELLO, pulse)
+    harness.post(addresses.MESH, event)
+    watch = harness.recorders[addresses.WATCH]
+    assert watch.pop_all(events.EvacuationReceived) == [
+        events.EvacuationReceived(known)
+    ]
+    harness.recorders['s'].recorded.clear()
+    harness.post(addresses.MESH, events.EvacuationInForce(known, 'peer'))
+    sent = harness.recorders['s'].pop_all(session.Send)
+    assert sent[0].msg.evacuated_zones == ('z1',)
+    harness.post(addresses.MESH, event)
+    assert watch.pop_all(events.EvacuationReceived) == []
+    harness.post(addresses.MESH, events.EvacuationQuery())
+    assert watch.pop_all(events.EvacuationReceived) == [
+        events.EvacuationReceived(known)
+    ]
--- a/tests/scheduler/test_owner.py
+++ b/tests/scheduler/test_owner.py
@@ -4,6 +4,7 @@
 
 from kcr_core import message_base
 from kcr_core import types as core_types
+from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import records
 from kcr_jobs import types
@@ -221,3 +222,68 @@
     sent = [s.msg for s in harness.recorders['s'].pop_all(session.Send)]
     assert not any(isinstance(msg, messages.StartRun) for msg in sent)
     assert made.phase == 'idle'
+
+
+def attach(harness: scheduler_harness.Harness) -> None:
+    """Attach a runner in zone z and deliver its first report."""
+    info = types.RunnerInfo('i', 1, 'svc', 'z', types.Demand(100, 100))
+    msg = messages.Attach('n', info)
+    harness.post(addresses.OWNER, session.Received('s', HELLO, msg))
+    token = harness.recorders['s'].pop_all(session.Send)[0].msg.token
+    report = messages.RunnerReport(token, 1, info, True, (), ())
+    harness.post(addresses.OWNER, session.Received('s', HELLO, report))
+
+
+def count_starts(harness: scheduler_harness.Harness) -> int:
+    """Return the number of starts that were ordered."""
+    harness.advance(0.5)
+    sent = [s.msg for s in harness.recorders['s'].pop_all(session.Send)]
+    return sum(isinstance(msg, messages.StartRun) for msg in sent)
+
+
+def put_evacuation(
+    harness: scheduler_harness.Harness, offset: int, *zones: str
+) -> None:
+    """Deliver a view of the evacuated zones."""
+    view = evacuation.View(offset, frozenset(zones))
+    harness.post(addresses.OWNER, events.EvacuationInForce(view))
+
+
+def test_owner_that_dies_during_an_evacuation_leaves_it_in_force() -> None:
+    """Guard against a successor that starts in the zone.
+
+    It has its own view, and starts nothing before it has one.
+    """
+    first, _ = make()
+    put_evacuation(first, 4, 'z')
+    submit(first)
+    attach(first)
+    assert count_starts(first) == 0
+    second, made = make(first.store)
+    attach(second)
+    assert count_starts(second) == 0
+    put_evacuation(second, 4, 'z')
+    assert count_starts(second) == 0
+    assert made.dump()['evacuation']['zones'] == ['z']
+    assert made.dump()['evacuation']['offset'] == 4
+    # A view of an older offset, as of a restarted watch task, has no effect.
+    put_evacuation(second, 3)
+    assert count_starts(second) == 0
+    put_evacuation(second, 5)
+    assert count_starts(second) == 1
+
+
+def test_view_from_before_the_claim_is_used() -> None:
+    """Guard against a new owner that waits for a change of the zones."""
+    harness = scheduler_harness.Harness(
+        addresses.MESH, addresses.CALLS, addresses.WATCH, 's'
+    )
+    owner.Owner(harness.ctx, addresses.OWNER).begin()
+    harness.advance(0.0)
+    queries = harness.recorders[addresses.WATCH].pop_all(events.ConfigQuery)
+    assert [query.sender for query in queries] == [addresses.OWNER]
+    put_evacuation(harness, 0)
+    harness.post(addresses.OWNER, events.Campaign(0))
+    submit(harness)
+    attach(harness)
+    assert count_starts(harness) == 1
