--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -74,6 +74,7 @@
             'lease_left_s': round(self.lease.expires_at - self.now(), 3),
             'orders': len(self.lease.start_orders),
             'life': self.info.incarnation if self.info else '',
+            'starts_closed': self._state.starts_closed,
         }
 
     # The runner.
@@ -168,6 +169,7 @@
         elif msg.token != self.lease.token:
             self.ctx.metrics.count('order_of_older_lease')
         elif isinstance(msg, messages.RunnerReportAck):
+            self._state.starts_closed = msg.starts_closed
             self.lease.confirm(msg.seq, msg.lease_ms, msg.cursor)
             self.lease.drop_confirmed_reports(msg.seq + 1)
         elif isinstance(msg, messages.StartRun):
--- a/packages/agent/src/kcr_agent/runner/control_state.py
+++ b/packages/agent/src/kcr_agent/runner/control_state.py
@@ -38,6 +38,8 @@
         self.attach_sent_at: float | None = None
         # Number of the lease; answers to calls under older ones are dropped.
         self.term = 0
+        # Whether the owner forbids starts, as the zone is evacuated.
+        self.starts_closed = False
         # Whether the runner has deregistered itself.
         self.runner_left = False
         # Whether the task has ended.
@@ -81,6 +83,7 @@
         """Begin a lease that the owner has granted."""
         self.term += 1
         self.attach_sent_at = None
+        self.starts_closed = False
         self.lease.start(token)
 
     def drop_lease(self) -> None:
--- a/packages/agent/src/kcr_agent/runner/orders.py
+++ b/packages/agent/src/kcr_agent/runner/orders.py
@@ -45,6 +45,11 @@
                 'start on a draining runner ignored', task=msg.task
             )
             return
+        if state.starts_closed:
+            state.log.warning(
+                'start in an evacuated zone ignored', task=msg.task
+            )
+            return
         order = runner_lease.StartOrder(msg.number, msg.attempt)
         state.lease.start_orders[msg.task] = order
         state.spawn(self._start(msg, order, state.term))
@@ -64,8 +69,12 @@
         while state.is_current(term) and not order.withdrawn:
             sent_at = state.now()
             deadline_ms = state.lease.deadline_ms(sent_at)
-            if deadline_ms is None:
-                reason = 'lease has expired'
+            if deadline_ms is None or state.starts_closed:
+                reason = (
+                    'zone is evacuated'
+                    if state.starts_closed
+                    else 'lease has expired'
+                )
                 await self._settle(msg, order, term, reason, unanswered)
                 return
             got = await state.runner.start(
--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -6,6 +6,7 @@
 from kcr_jobs import controller
 from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import messages
 from kcr_jobs import types
@@ -115,6 +116,7 @@
         self.store_available = True
         self.deferred: list[effects.Effect] = []
         self.epoch = 0
+        self.evacuation = evacuation.View(0)
         self.take_over()
         self.attach_all()
 
@@ -125,6 +127,7 @@
         job_table.fold(self.log, table)
         self.deferred.clear()
         self.ctl = controller.Controller(table, self.epoch, LEASE_S, self.now)
+        self.ctl.set_evacuation(self.evacuation)
 
     def attach_all(self) -> None:
         """Attach every connected runner and deliver its report."""
