Send calls only to the incarnation of a runner that they are meant for

Cause: X-Expect-Instance names the id, which a restarted runner keeps. The client bounded only idle connections, so a wide step opened one for each start.

Change: the first call on each connection to a runner is a list with cursor 0 and without a deadline; its `born` names the incarnation at the other end. Calls name the incarnation that they are meant for and are sent only on a connection to it. After a restart no lease is requested before the heartbeat of the new incarnation.

Tests changed: the fake runner closes its connections when it restarts, as the end of a process does; before, a connection could lead from one incarnation to the next. The fakes of the client take the incarnation in place of the id.

--- a/packages/agent/src/kcr_agent/runner/client.py
+++ b/packages/agent/src/kcr_agent/runner/client.py
@@ -43,6 +43,11 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent(NoAnswer):
+    """Report that the runner has certainly not received the order."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunList:
     """Store what is running and what has ended on a runner."""
@@ -62,11 +67,16 @@
 
 
 class RunnerClient(typing.Protocol):
-    """Define a client of a runner; its calls never raise."""
+    """Define a client of a runner; its calls never raise.
+
+    `info` names the incarnation of the runner that a call is meant for. A
+    call takes no effect on another one: an order is refused, and an extension
+    of the lease returns a list that shows only the other's `born_ms`.
+    """
 
     def start(
         self,
-        runner_id: str,
+        info: types.RunnerInfo,
         token: int,
         task: str,
         attempt: int,
@@ -78,18 +88,23 @@
         """Start an attempt; repeating it has no further effect."""
 
     def stop(
-        self, runner_id: str, token: int, task: str, attempt: int
+        self, info: types.RunnerInfo, token: int, task: str, attempt: int
     ) -> defer.Deferred[OrderResult]:
         """Stop an attempt, or forbid its start if it has not started."""
 
     def throttle(
-        self, runner_id: str, token: int, task: str, attempt: int, percent: int
+        self,
+        info: types.RunnerInfo,
+        token: int,
+        task: str,
+        attempt: int,
+        percent: int,
     ) -> defer.Deferred[OrderResult]:
         """Set the share of its processors that a run may use."""
 
     def extend_lease(
         self,
-        runner_id: str,
+        info: types.RunnerInfo,
         token: int,
         cursor: int,
         deadline_ms: int | None,
--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -101,7 +101,7 @@
                 life=new.incarnation,
                 before=old.incarnation if old else '',
             )
-            state.runner_left = False
+            state.runner_left, state.answered_born_ms = False, 0
             state.lease.forget_clock()
             state.drop_lease()
             state.attach()
--- a/packages/agent/src/kcr_agent/runner/control_state.py
+++ b/packages/agent/src/kcr_agent/runner/control_state.py
@@ -38,6 +38,9 @@
         self.attach_sent_at: float | None = None
         # Number of the lease; answers to calls under older ones are dropped.
         self.term = 0
+        # Start of the newest incarnation that has answered; `info` may still
+        # be of an older one, until the next heartbeat.
+        self.answered_born_ms = 0
         # Whether the runner has deregistered itself.
         self.runner_left = False
         # Whether the task has ended.
@@ -71,7 +74,9 @@
 
     def attach(self) -> None:
         """Request a lease, if the owner and the runner are known."""
-        if self.owner_session and self.info is not None:
+        if self.info is None or self.info.born_ms < self.answered_born_ms:
+            return
+        if self.owner_session:
             self.attach_sent_at = self.now()
             self.send_to_owner(
                 messages.Attach(self.ctx.cfg.process, self.info)
--- a/packages/agent/src/kcr_agent/runner/orders.py
+++ b/packages/agent/src/kcr_agent/runner/orders.py
@@ -57,7 +57,7 @@
     ) -> None:
         state = self._state
         assert state.info is not None
-        runner_id = state.info.runner_id
+        info = state.info
         # Whether an earlier try got no answer, so that the runner may still
         # carry it out.
         unanswered = False
@@ -69,7 +69,7 @@
                 await self._settle(msg, order, term, reason, unanswered)
                 return
             got = await state.runner.start(
-                runner_id, msg.token, msg.task, msg.attempt, msg.payload,
+                info, msg.token, msg.task, msg.attempt, msg.payload,
                 deadline_ms, msg.saved, msg.ticket,
             )  # fmt: skip
             if not state.is_current(term):
@@ -83,6 +83,10 @@
                 open_try = unanswered and not got.forbids
                 await self._settle(msg, order, term, got.reason, open_try)
                 return
+            if isinstance(got, client.NotSent):
+                # It is sent anew, with the deadline of that time.
+                await state.pause(START_RETRY_S)
+                continue
             unanswered = True
             state.log.warning(
                 'start unanswered', task=msg.task, run=msg.attempt,
@@ -142,12 +146,12 @@
             reason=reason,
         )  # fmt: skip
         assert state.info is not None
-        runner_id = state.info.runner_id
+        info = state.info
         while state.is_current(term):
             if order.answered_at is not None:
                 return
             got = await state.runner.stop(
-                runner_id, msg.token, msg.task, msg.attempt
+                info, msg.token, msg.task, msg.attempt
             )
             if not state.is_current(term):
                 return
@@ -212,7 +216,7 @@
         state = self._state
         assert state.info is not None
         got = await state.runner.stop(
-            state.info.runner_id, msg.token, msg.task, msg.attempt
+            state.info, msg.token, msg.task, msg.attempt
         )
         if not state.is_current(term):
             return
@@ -236,7 +240,7 @@
         assert state.info is not None
         for _ in range(THROTTLE_TRIES):
             got = await state.runner.throttle(
-                state.info.runner_id, msg.token, msg.task, msg.attempt,
+                state.info, msg.token, msg.task, msg.attempt,
                 msg.percent,
             )  # fmt: skip
             if not state.is_current(term):
--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -49,7 +49,7 @@
         state = self._state
         assert state.info is not None
         return state.runner.extend_lease(
-            state.info.runner_id,
+            state.info,
             state.lease.token,
             state.lease.cursor,
             state.lease.deadline_ms(queried_at),
@@ -118,6 +118,7 @@
         state.log.info(
             'runner restarted, lease dropped', born_ms=run_list.born_ms
         )
+        state.answered_born_ms = max(state.answered_born_ms, run_list.born_ms)
         state.drop_lease()
         return False
 
--- a/packages/runtime/src/kcr_runtime/http_client.py
+++ b/packages/runtime/src/kcr_runtime/http_client.py
@@ -11,9 +11,7 @@
 import json
 import math
 import typing
-import weakref
 
-import structlog
 from twisted.internet import defer
 from twisted.internet import error
 from twisted.internet import protocol
@@ -24,6 +22,8 @@
 from twisted.web import iweb
 import zope.interface
 
+from kcr_runtime import http_pool
+
 # Timeout for establishing a connection, in seconds.
 CONNECT_TIMEOUT_S = 2.0
 # Longest transfer of a body that ends by lack of progress, in seconds; bounds
@@ -55,6 +55,14 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OtherPeer(NotSent):
+    """Represent a request that was meant for another incarnation."""
+
+    # Identity of the incarnation that answers by now.
+    peer: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoAnswer:
     """Represent a request that the peer may have received."""
@@ -75,6 +83,11 @@
 
 
 HttpOutcome = Reply | NotSent | NoAnswer
+# Sends a request with method, path, body, timeout and headers.
+Send = abc.Callable[
+    [str, str, bytes, float, abc.Mapping[str, str]],
+    abc.Awaitable[HttpOutcome],
+]
 
 
 class _BodyReader(protocol.Protocol):
@@ -164,66 +177,36 @@
         pass
 
 
-class _Pool(client.HTTPConnectionPool):
-    """Keep idle connections, but none that may have become silent.
+class HttpClient:
+    """Send requests to one HTTP service over persistent connections.
 
-    A connection can stop to carry bytes without being closed, and the others
-    of the same path with it. Trying them in turn would take a timeout each.
+    `connections` is the number of idle connections that are kept; `max_open`
+    bounds those in use as well, and a request waits for `reuse_wait_s` before
+    it opens another one. `greet` gets a function that sends a request on a new
+    connection, and returns the identity of the peer or none.
     """
 
-    def __init__(self, reactor: typing.Any, address: str) -> None:
-        # Twisted does not annotate it.
-        super().__init__(  # type: ignore[no-untyped-call]
-            reactor, persistent=True
-        )
-        # By default Twisted resends some requests automatically.
-        self.retryAutomatically = False
-        self._log = structlog.get_logger().bind(peer=address)
-        # Time at which the newest request that got no answer was sent.
-        self._suspect_before = -math.inf
-        # Time at which each connection was last taken for a request.
-        self._taken_at: weakref.WeakKeyDictionary[typing.Any, float] = (
-            weakref.WeakKeyDictionary()
-        )
-
-    def suspect_older(self, sent_at: float) -> None:
-        """Give up idle connections whose last request is older than this."""
-        self._suspect_before = max(self._suspect_before, sent_at)
-
-    def getConnection(  # noqa: N802
-        self, key: typing.Any, endpoint: typing.Any
-    ) -> defer.Deferred[typing.Any]:
-        return defer.ensureDeferred(self._take(key, endpoint))
-
-    async def _take(self, key: typing.Any, endpoint: typing.Any) -> typing.Any:
-        closed = 0
-        while True:
-            conn = await super().getConnection(key, endpoint)
-            now = float(self._reactor.seconds())
-            if self._taken_at.get(conn, now) >= self._suspect_before:
-                break
-            conn.abort()
-            closed += 1
-        if closed:
-            self._log.info('silent connections closed', connections=closed)
-        self._taken_at[conn] = now
-        return conn
-
-
-class HttpClient:
-    """Send requests to one HTTP service over persistent connections."""
-
     def __init__(
-        self, reactor: typing.Any, address: str, connections: int = 8
+        self,
+        reactor: typing.Any,
+        address: str,
+        connections: int = 8,
+        max_open: float = math.inf,
+        greet: abc.Callable[[Send], abc.Awaitable[int | None]] | None = None,
+        reuse_wait_s: float = 0.0,
     ) -> None:
         self.reactor = reactor
         # Address `host:port` of the service.
         self.address = address
-        self._pool: typing.Any = _Pool(reactor, address)
-        self._pool.maxPersistentPerHost = connections
-        self._agent = client.Agent(
-            reactor, pool=self._pool, connectTimeout=CONNECT_TIMEOUT_S
+        self._greet = greet
+        self._pool: typing.Any = http_pool.Pool(
+            reactor,
+            address,
+            max_open,
+            self._greet_on if greet else None,
+            reuse_wait_s,
         )
+        self._pool.maxPersistentPerHost = connections
 
     def request(
         self,
@@ -233,16 +216,39 @@
         timeout_s: float = 5.0,
         headers: abc.Mapping[str, str] | None = None,
         idle_s: float | None = None,
+        peer: int | None = None,
     ) -> defer.Deferred[HttpOutcome]:
         """Send a request; the Deferred fires with an outcome, never a failure.
 
         The timeout applies to the response headers and to the body, each
         on its own. With `idle_s`, a body may take longer while it makes
-        progress; one that stops is returned as Truncated.
+        progress; one that stops is returned as Truncated. With `peer`, the
+        request is sent only to the incarnation with that identity.
         """
         return defer.ensureDeferred(
-            self._request(method, path, body, timeout_s, headers or {}, idle_s)
-        )
+            self._request(
+                http_pool.Chosen(self._pool, peer), method, path, body,
+                timeout_s, headers or {}, idle_s,
+            )
+        )  # fmt: skip
+
+    async def _greet_on(self, conn: typing.Any) -> int | None:
+        """Greet the peer on a new connection; return its identity."""
+
+        def send(
+            method: str,
+            path: str,
+            body: bytes,
+            timeout_s: float,
+            headers: abc.Mapping[str, str],
+        ) -> abc.Awaitable[HttpOutcome]:
+            return self._request(
+                http_pool.Chosen(self._pool, conn=conn), method, path, body,
+                timeout_s, headers, None,
+            )  # fmt: skip
+
+        assert self._greet is not None
+        return await self._greet(send)
 
     def request_json(
         self,
@@ -258,6 +264,7 @@
 
     async def _request(
         self,
+        chosen: typing.Any,
         method: str,
         path: str,
         body: bytes,
@@ -269,7 +276,10 @@
         fields = http_headers.Headers({k: [v] for k, v in headers.items()})
         producer = _Body(body) if body else None
         sent_at = float(self.reactor.seconds())
-        fut = self._agent.request(method.encode(), url, fields, producer)
+        agent = client.Agent(
+            self.reactor, pool=chosen, connectTimeout=CONNECT_TIMEOUT_S
+        )
+        fut = agent.request(method.encode(), url, fields, producer)
         fut.addTimeout(
             timeout_s,
             self.reactor,
@@ -291,7 +301,14 @@
             return Truncated(
                 reason, response.code, reader.body, reader.transfer_s
             )
-        except (error.ConnectError, error.ConnectingCancelledError) as exc:
+        except http_pool.OtherPeer as exc:
+            return OtherPeer(str(exc), exc.peer)
+        except (
+            error.ConnectError,
+            error.ConnectingCancelledError,
+            http_pool.NoneFree,
+            http_pool.NotGreeted,
+        ) as exc:
             return NotSent(f'{type(exc).__name__}: {exc}')
         except Exception as exc:  # Twisted's HTTP client raises many types.
             return NoAnswer(f'{type(exc).__name__}: {exc}'[:300])
@@ -301,7 +318,9 @@
     ) -> typing.Any:
         """Suspect the older connections, unless none could be made."""
         assert isinstance(result, failure.Failure)
-        if not result.check(error.ConnectingCancelledError):
+        if not result.check(
+            error.ConnectingCancelledError, http_pool.NoneFree
+        ):
             self._pool.suspect_older(sent_at)
         result.trap(defer.CancelledError)
         raise defer.TimeoutError(f'no answer within {timeout_s} s')
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -55,7 +55,7 @@
 
     def start(
         self,
-        runner_id: str,
+        info: types.RunnerInfo,
         token: int,
         task: str,
         attempt: int,
@@ -68,20 +68,25 @@
         return self._order('start', token, task, attempt, deadline_ms)
 
     def stop(
-        self, runner_id: str, token: int, task: str, attempt: int
+        self, info: types.RunnerInfo, token: int, task: str, attempt: int
     ) -> defer.Deferred[typing.Any]:
         """Record a stop."""
         return self._order('stop', token, task, attempt)
 
     def throttle(
-        self, runner_id: str, token: int, task: str, attempt: int, percent: int
+        self,
+        info: types.RunnerInfo,
+        token: int,
+        task: str,
+        attempt: int,
+        percent: int,
     ) -> defer.Deferred[typing.Any]:
         """Record a throttle."""
         return self._order('throttle', token, task, attempt, percent)
 
     def extend_lease(
         self,
-        runner_id: str,
+        info: types.RunnerInfo,
         token: int,
         cursor: int,
         deadline_ms: int | None,
@@ -431,3 +436,29 @@
     ]
     assert kinds == ['start', 'throttle']
     assert ('throttle', 7, 't', 1, 30) in harness.runner.calls
+
+
+def test_restarted_runner_is_not_attached_before_its_heartbeat() -> None:
+    """Guard against a lease for an incarnation that has ended."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.born_ms = 6
+    harness.runner.answer()
+    harness.owner.pop_all(messages.Attach)
+    harness.advance(1.0)
+    assert harness.owner.pop_all(messages.Attach) == []
+    restarted = dataclasses.replace(INFO, born_ms=6)
+    harness.post(events.RunnerHeartbeat(restarted, 1))
+    assert harness.owner.pop_all(messages.Attach)[0].info == restarted
+
+
+def test_start_that_was_not_sent_is_sent_without_a_list() -> None:
+    """Guard against a list for each start that waits for a connection."""
+    harness = Harness()
+    harness.lease()
+    lists = harness.runner.count('extend_lease')
+    harness.runner.outcomes.extend([client.NotSent('full')] * 3)
+    harness.order_start()
+    harness.advance(0.4)
+    assert harness.runner.count('start') == 4
+    assert harness.runner.count('extend_lease') <= lists + 1
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -13,6 +13,7 @@
 from http import server
 import json
 import random
+import socket
 import struct
 import sys
 import threading
@@ -38,6 +39,21 @@
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
 
+    def setup(self) -> None:
+        """Note the incarnation to which the connection leads."""
+        super().setup()
+        http_server: typing.Any = self.server
+        fake = http_server.fake
+        fake.connection.generation = fake.generation
+        fake.sockets.add(self.connection)
+
+    def finish(self) -> None:
+        """Forget the connection."""
+        http_server: typing.Any = self.server
+        http_server.fake.sockets.discard(self.connection)
+        with contextlib.suppress(OSError):
+            super().finish()
+
     def handle_any(self) -> None:
         """Answer one request."""
         size = int(self.headers.get('content-length') or 0)
@@ -89,6 +105,11 @@
         self.lock = threading.Condition()
         # Number of connections that were accepted.
         self.connections = 0
+        # Number of restarts, now and when the connection of the present
+        # thread was accepted. Open connections.
+        self.generation = 0
+        self.connection = threading.local()
+        self.sockets: set[socket.socket] = set()
         self.http = Server(('127.0.0.1', 0), Handler)
         vars(self.http)['fake'] = self
         self.address = f'127.0.0.1:{self.http.server_port}'
@@ -104,6 +125,20 @@
         """Return status and body; subclasses override it."""
         raise NotImplementedError
 
+    def drop_connections(self) -> None:
+        """Close all connections, as the end of a process does."""
+        self.generation += 1
+        for item in list(self.sockets):
+            with contextlib.suppress(OSError):
+                item.shutdown(socket.SHUT_RDWR)
+
+    def is_dropped(self) -> bool:
+        """Return whether the thread's connection is of an older process."""
+        return bool(
+            getattr(self.connection, 'generation', self.generation)
+            != self.generation
+        )
+
     def close(self) -> None:
         """Close the port."""
         self.http.shutdown()
@@ -263,6 +298,7 @@
     def start_incarnation(self) -> None:
         """Start a new incarnation without any state of the old one."""
         with self.lock:
+            self.drop_connections()
             for task in list(vars(self).get('running', ())):
                 self.checker.running.pop(task, None)
             self.born_ms = int(time.time() * 1000)
@@ -319,7 +355,7 @@
         headers: abc.Mapping[str, str],
     ) -> tuple[int, typing.Any]:
         with self.lock:
-            if self.unreachable:
+            if self.unreachable or self.is_dropped():
                 return NO_ANSWER
             if headers.get('X-Expect-Instance') != self.runner_id:
                 return 421, {}
--- a/tests/platform/test_runner_client.py
+++ b/tests/platform/test_runner_client.py
@@ -7,10 +7,14 @@
 from twisted.internet import defer
 
 from kcr_agent.runner import client
+from kcr_jobs import types
 from kcr_platform import runner
 from kcr_runtime import http_client
 
 
+INFO = types.RunnerInfo('i', 5)
+
+
 class Config:
     """Store the options that the client reads."""
 
@@ -30,7 +34,9 @@
     def __init__(self, reply: http_client.HttpOutcome) -> None:
         self._reply = reply
 
-    def request(self, *args: typing.Any) -> defer.Deferred[typing.Any]:
+    def request(
+        self, *args: typing.Any, peer: int
+    ) -> defer.Deferred[typing.Any]:
         """Return the reply."""
         return defer.succeed(self._reply)
 
@@ -62,6 +68,6 @@
     body = json.dumps({'ClockMs': 1, 'Reason': reason}).encode()
     vars(made)['_http'] = Http(http_client.Reply(status, body))
     got: list[typing.Any] = []
-    made.start('i', 1, 't', 1, 'p', 5, '', '').addCallback(got.append)
+    made.start(INFO, 1, 't', 1, 'p', 5, '', '').addCallback(got.append)
     assert isinstance(got[0], client.Refused)
     assert got[0].forbids == forbids
--- a/tests/platform/test_store_reads.py
+++ b/tests/platform/test_store_reads.py
@@ -9,6 +9,7 @@
 import platform_fakes
 import proxy
 import pytest
+import reactor_thread as reactor_thread_calls
 from twisted.internet import defer
 from twisted.internet import reactor as twisted_reactor
 from twisted.internet import tcp
@@ -19,7 +20,8 @@
 from kcr_runtime import store
 
 # Time to wait for an outcome, in seconds.
-WAIT_S = 30.0
+WAIT_S = reactor_thread_calls.WAIT_S
+run = reactor_thread_calls.run
 # Timeout of requests on connections that have become silent, in seconds.
 SILENT_TIMEOUT_S = 1.0
 
@@ -50,29 +52,10 @@
 @pytest.fixture(scope='module')
 def reactor_thread() -> typing.Iterator[None]:
     """Run the reactor in a thread."""
-    reactor: typing.Any = twisted_reactor
-    thread = threading.Thread(
-        target=reactor.run, kwargs={'installSignalHandlers': False}
-    )
-    thread.daemon = True
-    thread.start()
+    reactor_thread_calls.start()
     yield
 
 
-def run(call: typing.Callable[[], defer.Deferred[typing.Any]]) -> typing.Any:
-    """Run a call in the thread of the reactor; return its outcome."""
-    done = threading.Event()
-    found: list[typing.Any] = []
-
-    def begin() -> None:
-        call().addBoth(found.append).addBoth(lambda _: done.set())
-
-    reactor: typing.Any = twisted_reactor
-    reactor.callFromThread(begin)
-    assert done.wait(WAIT_S)
-    return found[0]
-
-
 def is_connected(address: str) -> bool:
     """Return whether the reactor has a connection to an address."""
     reactor: typing.Any = twisted_reactor
