Take no task as lost while the list of a runner may be truncated

Cause: a runner returns at most 500 ended runs in a list. Lists with unconfirmed ends were queried without a pause.

Change: the report of a list with 500 ends shows ends and progress and is not complete; an unanswered start is not repeated before a later list is complete. Lists that do not fit into a message are reported in parts (new field `part`, default 0). The agent waits up to 0.1 s for the confirmation of listed ends.

--- a/packages/agent/src/kcr_agent/runner/client.py
+++ b/packages/agent/src/kcr_agent/runner/client.py
@@ -61,6 +61,8 @@
     running: tuple[types.ReportedRun, ...]
     # Ended runs after the cursor, the oldest first.
     ended: tuple[types.ReportedEnd, ...]
+    # Whether more runs may have ended than the list contains.
+    truncated: bool = False
 
 
 OrderResult = Done | Refused | NoAnswer
--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -107,7 +107,7 @@
             state.attach()
         elif new.draining and not old.draining:
             self.log.info('runner draining', left_ms=new.remaining_ms)
-            self._lists.report((), (), False, self.now())
+            self._lists.report((), (), self.now())
 
     @task.handles(events.RunnerLeft)
     def _on_runner_left(self, event: events.RunnerLeft) -> None:
@@ -170,6 +170,7 @@
         elif isinstance(msg, messages.RunnerReportAck):
             self.lease.confirm(msg.seq, msg.lease_ms, msg.cursor)
             self.lease.drop_confirmed_reports(msg.seq + 1)
+            self._lists.confirmed()
         elif isinstance(msg, messages.StartRun):
             self._orders.start(msg)
         elif isinstance(msg, messages.StopRun):
--- a/packages/agent/src/kcr_agent/runner/orders.py
+++ b/packages/agent/src/kcr_agent/runner/orders.py
@@ -169,7 +169,8 @@
 
         The start may have been carried out, and the run may even have ended.
         A runner that was restarted under the same id meanwhile has forgotten
-        that, and would run the task once more.
+        that, and would run the task once more. A truncated list may leave out
+        its end.
         """
         state = self._state
         await state.pause(START_RETRY_S)
@@ -182,7 +183,8 @@
                 if not self._lists.is_of_incarnation(got):
                     return False
                 self._lists.record_listed_starts(got, queried_at)
-                return order.answered_at is None
+                if order.answered_at is not None or not got.truncated:
+                    return order.answered_at is None
             await state.pause(run_lists.LIST_RETRY_S)
         return False
 
--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -2,7 +2,9 @@
 
 The calls that extend the lease list what runs and what has ended. What is new
 is reported to the owner at once; from time to time a report is complete, so
-that the owner can compare it with what it expects.
+that the owner can compare it with what it expects. A list that may be
+truncated gives no complete report: the tasks that it does not show may have
+ended.
 """
 
 import dataclasses
@@ -13,6 +15,7 @@
 from kcr_agent.runner import client
 from kcr_agent.runner import control_state
 from kcr_jobs import messages
+from kcr_jobs import report_parts
 from kcr_jobs import types
 
 # Longest wait of one list for the end of a run, in milliseconds; the usage
@@ -20,6 +23,11 @@
 LIST_WAIT_MS = 500
 # Time between complete reports, in seconds.
 REPORT_INTERVAL_S = 0.45
+# Longest wait for the confirmation of listed ends, in seconds: after a list
+# with new ends, and after one without. The runner returns a list with ends at
+# once, so that without a wait the next one would show the same.
+CONFIRM_WAIT_S = 0.03
+STALLED_WAIT_S = 0.1
 # Pause after a list has failed, in seconds.
 LIST_RETRY_S = 0.2
 
@@ -29,10 +37,15 @@
 
     def __init__(self, state: control_state.State) -> None:
         self._state = state
-        # Time of the last complete report under the lease; none before it.
+        # Time of the last report of a whole list under the lease; none before
+        # it.
         self._reported_at: float | None = None
         # Number of the last ended run that was reported under the lease.
         self._last_end_sent = 0
+        # Number of the end whose confirmation is awaited; fired with it.
+        self._awaited: tuple[int, defer.Deferred[None]] | None = None
+        # Whether the last reported list may have been truncated.
+        self._truncated = False
         # Whether the runner answered the last query for its runs.
         self._runner_answers = True
 
@@ -66,13 +79,42 @@
                 return
             self._update_runner_answers(got)
             if isinstance(got, client.RunList):
+                last_sent = self._last_end_sent
                 self._handle_list(got, queried_at)
+                if state.is_current(term):
+                    await self._wait_confirmed(got, last_sent)
                 # Until the first confirmation the lists wait only briefly, so
                 # that the runner soon gets a deadline.
                 wait_ms = LIST_WAIT_MS if state.lease.expires_at else 20
             else:
                 await state.pause(LIST_RETRY_S)
 
+    async def _wait_confirmed(
+        self, run_list: client.RunList, last_sent: int
+    ) -> None:
+        """Wait until the owner has confirmed the ends of a list."""
+        last = max((end.number for end in run_list.ended), default=0)
+        if last <= self._state.lease.cursor:
+            return
+        self._awaited = (last, defer.Deferred())
+        wait_s = CONFIRM_WAIT_S if last > last_sent else STALLED_WAIT_S
+        timer = self._state.ctx.reactor.callLater(
+            wait_s, self._end_wait, self._awaited
+        )
+        await self._awaited[1]
+        if timer.active():
+            timer.cancel()
+
+    def confirmed(self) -> None:
+        """Go on with the next list if the awaited ends are confirmed."""
+        awaited = self._awaited
+        if awaited is not None and self._state.lease.cursor >= awaited[0]:
+            self._end_wait(awaited)
+
+    def _end_wait(self, awaited: tuple[int, defer.Deferred[None]]) -> None:
+        if not awaited[1].called:
+            awaited[1].callback(None)
+
     def _update_runner_answers(self, got: typing.Any) -> None:
         answers = isinstance(got, client.RunList)
         if answers != self._runner_answers:
@@ -97,14 +139,36 @@
             e for e in run_list.ended if e.number > self._last_end_sent
         )
         last = self._reported_at
-        complete = last is None or now - last >= REPORT_INTERVAL_S
-        if new_ends or complete:
+        due = last is None or now - last >= REPORT_INTERVAL_S
+        if due:
+            # It repeats the ends that are not confirmed: if a report with
+            # ends was lost, their tasks would look as if they had vanished,
+            # and would be started again.
+            self._reported_at = now
             unanswered = lease.list_unconfirmed_starts(queried_at)
-            # A complete report repeats the ends that are not confirmed: if a
-            # report with ends was lost, their tasks would look as if they had
-            # vanished, and would be started again.
-            ends = run_list.ended if complete else new_ends
-            self.report(run_list.running, ends, complete, now, unanswered)
+            self._report_list(run_list, unanswered, now)
+        elif new_ends:
+            self.report((), new_ends, now)
+
+    def _report_list(
+        self, run_list: client.RunList, unanswered: tuple[str, ...], now: float
+    ) -> None:
+        """Report a whole list, in parts if it does not fit into a message."""
+        if run_list.truncated != self._truncated:
+            self._truncated = run_list.truncated
+            self._state.log.info(
+                'list truncated' if run_list.truncated else 'list complete',
+                ends=len(run_list.ended),
+            )
+        if run_list.truncated:
+            self._state.ctx.metrics.count('list_truncated')
+        parts = report_parts.split(run_list.running, run_list.ended)
+        for number, part in enumerate(parts, 1):
+            complete = number == len(parts) and not run_list.truncated
+            self.report(
+                tuple(part.running), tuple(part.ended), now, complete,
+                unanswered if complete else (), number if parts[1:] else 0,
+            )  # fmt: skip
 
     def is_of_incarnation(self, run_list: client.RunList) -> bool:
         """Return whether a list is of the known incarnation of the runner.
@@ -138,9 +202,10 @@
         self,
         running: tuple[types.ReportedRun, ...],
         ended: tuple[types.ReportedEnd, ...],
-        complete: bool,
         now: float,
+        complete: bool = False,
         unanswered: tuple[str, ...] = (),
+        part: int = 0,
     ) -> None:
         """Report runs to the owner, if there is a lease."""
         state = self._state
@@ -152,16 +217,8 @@
         self._last_end_sent = max(
             self._last_end_sent, *(e.number for e in ended), 0
         )
-        if complete:
-            self._reported_at = now
         report = messages.RunnerReport(
-            lease.token,
-            lease.next_report(now),
-            info,
-            complete,
-            running if complete else (),
-            ended,
-            lease.last_order,
-            unanswered if complete else (),
-        )
+            lease.token, lease.next_report(now), info, complete, running,
+            ended, lease.last_order, unanswered, part,
+        )  # fmt: skip
         state.send_to_owner(report)
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -156,9 +156,10 @@
     seq: Count
     # Self-description of the runner.
     info: types.RunnerInfo
-    # Whether `running` and `ended` are the complete lists.
+    # Whether `running` and `ended` are the complete lists, with the parts
+    # before this one. Tasks may be missing in the lists of other reports.
     complete: bool
-    # The running tasks.
+    # The running tasks; empty in a report of new ends only.
     running: tuple[types.ReportedRun, ...]
     # Ended runs that the owner has not confirmed.
     ended: tuple[types.ReportedEnd, ...]
@@ -166,6 +167,9 @@
     orders: Count = 0
     # Tasks whose start the runner has not answered yet.
     unanswered: tuple[Text, ...] = ()
+    # Number of this part of a complete list, from 1; 0 if the list is not in
+    # parts. Only the last part is complete.
+    part: Count = 0
 
 
 @message_base.message('runner_report_ack')
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -2,7 +2,8 @@
 
 An agent attaches to get a lease on its runner, then reports what runs and what
 has ended. A complete report is compared with the expected runs: what is
-missing is recorded as lost, and what is unknown is stopped.
+missing is recorded as lost, and what is unknown is stopped. Other reports,
+such as those of truncated lists, show only what they contain.
 """
 
 import dataclasses
@@ -13,6 +14,7 @@
 from kcr_jobs import job_table
 from kcr_jobs import messages
 from kcr_jobs import records
+from kcr_jobs import report_parts
 from kcr_jobs import runners
 from kcr_jobs import types
 
@@ -44,6 +46,7 @@
         runner.session = session
         self._update_info(runner, info, now)
         runner.reconciled = False
+        runner.parts = report_parts.Joiner()
         runner.last_order = runner.recorded_end = runner.durable_end = (
             runner.acked_seq
         ) = 0
@@ -89,13 +92,16 @@
         runner.reported_at = now
         self._update_info(runner, msg.info, now)
         self._record_ends(runner, msg.ended)
-        if msg.complete:
-            self._reconcile(runner, msg, now)
+        running = runner.parts.join(msg)
+        if running is not None:
+            self._reconcile(runner, msg, running, now)
+        else:
+            _update_tasks(runner, msg.running)
         if lease_ms > 0:
             runner.extend_lease(runners.infer_expiry(now, lease_ms / 1000.0))
         runner.acked_seq = msg.seq
         self._acknowledge(runner, lease_ms)
-        if msg.complete:
+        if running is not None or (msg.running and not msg.part):
             self._fillers.adjust(runner, now)
 
     def _acknowledge(self, runner: runners.RunnerState, lease_ms: int) -> None:
@@ -193,6 +199,7 @@
         self,
         runner: runners.RunnerState,
         msg: messages.RunnerReport,
+        listed: tuple[types.ReportedRun, ...],
         now: float,
     ) -> None:
         """Compare the runs of a complete report with the expected ones.
@@ -201,15 +208,11 @@
         listed, and whose start the report must already show, are recorded as
         lost.
         """
-        running = {run.task: run for run in msg.running}
-        runner.unknown_runs = 0
-        for run in msg.running:
-            task = runner.tasks.get(run.task)
-            if task is None or task.attempt != run.attempt:
-                runner.unknown_runs += 1
-                self._stop_unknown_run(runner, run)
-                continue
-            _update_task(task, run)
+        running = {run.task for run in listed}
+        unknown = _update_tasks(runner, listed)
+        runner.unknown_runs = len(unknown)
+        for run in unknown:
+            self._stop_unknown_run(runner, run)
         pending = set(msg.unanswered)
         lost = []
         for task in list(runner.tasks.values()):
@@ -246,8 +249,18 @@
         )  # fmt: skip
 
 
-def _update_task(task: job_table.Task, run: types.ReportedRun) -> None:
-    task.listed = True
-    task.percent, task.usage = run.percent, run.usage
-    if run.saved:
-        task.checkpoint = run.saved
+def _update_tasks(
+    runner: runners.RunnerState, listed: tuple[types.ReportedRun, ...]
+) -> list[types.ReportedRun]:
+    """Update the tasks that a list shows; return the runs of unknown ones."""
+    unknown = []
+    for run in listed:
+        task = runner.tasks.get(run.task)
+        if task is None or task.attempt != run.attempt:
+            unknown.append(run)
+            continue
+        task.listed = True
+        task.percent, task.usage = run.percent, run.usage
+        if run.saved:
+            task.checkpoint = run.saved
+    return unknown
--- a/packages/jobs/src/kcr_jobs/runners.py
+++ b/packages/jobs/src/kcr_jobs/runners.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from kcr_jobs import job_table
+from kcr_jobs import report_parts
 from kcr_jobs import types
 
 # Weight of the newest run in the failure rate of a runner.
@@ -53,6 +54,10 @@
     # record is durable.
     recorded_end: int = 0
     durable_end: int = 0
+    # Parts of a complete list of running tasks that have arrived.
+    parts: report_parts.Joiner = dataclasses.field(
+        default_factory=report_parts.Joiner
+    )
     # Number of the last report that was confirmed.
     acked_seq: int = 0
     # Time of the last report.
