--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -102,13 +102,13 @@
                 life=new.incarnation,
                 before=old.incarnation if old else '',
             )
-            state.runner_left = False
+            state.runner_left, state.answered_born_ms = False, 0
             state.lease.forget_clock()
             state.drop_lease()
             state.attach()
         elif new.draining and not old.draining:
             self.log.info('runner draining', left_ms=new.remaining_ms)
-            self._lists.report((), (), False, self.now())
+            self._lists.report((), (), self.now())
 
     @task.handles(events.RunnerLeft)
     def _on_runner_left(self, event: events.RunnerLeft) -> None:
@@ -172,6 +172,7 @@
             self._state.starts_closed = msg.starts_closed
             self.lease.confirm(msg.seq, msg.lease_ms, msg.cursor)
             self.lease.drop_confirmed_reports(msg.seq + 1)
+            self._lists.confirmed()
         elif isinstance(msg, messages.StartRun):
             self._orders.start(msg)
         elif isinstance(msg, messages.StopRun):
