--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -140,6 +140,16 @@
         """Publish a configuration in the store."""
         self.store.put('keyed.op', 'config', config)
 
+    def evacuate(self, zone: str, allowed_s: float) -> None:
+        """Evacuate a zone; starts are a violation after a time."""
+        self.store.put('keyed.op', f'evacuate/{zone}', {})
+        self.checker.closed_from[zone] = time.monotonic() + allowed_s
+
+    def end_evacuation(self, zone: str) -> None:
+        """End the evacuation of a zone."""
+        self.checker.closed_from.pop(zone, None)
+        self.store.remove('keyed.op', f'evacuate/{zone}')
+
     def _link(self, name: str, target: str) -> str:
         """Return the address to use for a target: a link or the target."""
         if self.network is None:
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -12,6 +12,7 @@
 import dataclasses
 from http import server
 import json
+import math
 import random
 import struct
 import sys
@@ -146,6 +147,12 @@
             self.topics[topic].append(record + json.dumps(value).encode())
             self.lock.notify_all()
 
+    def remove(self, topic: str, key: str) -> None:
+        """Delete a key, as an operator does."""
+        with self.lock:
+            self.topics[topic].append(bytes((len(key),)) + key.encode())
+            self.lock.notify_all()
+
     def answer(
         self,
         path: str,
@@ -242,6 +249,7 @@
     def __init__(self, name: str, checker: 'RunChecker') -> None:
         super().__init__()
         self.runner_id = f'i-{name}'
+        self.zone = 'z'
         self.checker = checker
         # One lock for all runners, as the checker compares them.
         self.lock = threading.Condition(checker.lock)
@@ -289,6 +297,8 @@
         headers: abc.Mapping[str, str],
     ) -> tuple[int, typing.Any]:
         """Carry out an order of the agent, some of them late."""
+        if path == '/-/run-start':
+            self.checker.record_start_order(self)
         delay_s = self._take_late_start() if path == '/-/run-start' else 0.0
         if delay_s:
             time.sleep(delay_s)
@@ -416,7 +426,7 @@
         body = {
             'Service': 'svc',
             'Addr': self.address,
-            'Zone': 'z',
+            'Zone': self.zone,
             'Version': 'v1',
             'Slots': 8,
             'State': 'ready',
@@ -449,10 +459,26 @@
         self.first_start: dict[str, float] = {}
         self.started: dict[str, float] = {}
         self.first_done: dict[str, float] = {}
+        # Time from which a start order for a runner of a zone is a violation,
+        # by zone, and number of start orders that runners of a zone got.
+        self.closed_from: dict[str, float] = {}
+        self.start_orders: collections.Counter[str] = collections.Counter()
         # Descriptions of the rules that were violated.
         self.violations: list[str] = []
         self._ends: dict[str, list[EndedRun]] = collections.defaultdict(list)
 
+    def record_start_order(self, runner: Runner) -> None:
+        """Record a start order, which the runner may carry out late."""
+        with self.lock:
+            self.start_orders[runner.zone] += 1
+            closed_from = self.closed_from.get(runner.zone, math.inf)
+            late_s = time.monotonic() - closed_from
+            if late_s > 0.0:
+                self.violations.append(
+                    f'{runner.runner_id} in evacuated zone {runner.zone} got'
+                    f' a start {late_s:.1f} s after the bound'
+                )
+
     def record_start(self, task: str, runner: Runner) -> None:
         """Record the start of a run."""
         other = self.running.get(task)
