Ignore heartbeats of other runners, and repeat no start on a draining one

Cause: an agent took whatever id, service and `born` a heartbeat had, dropped its lease and attached that runner. An unanswered start was repeated after the runner's drain was known.

Change: the settings file of an agent has `Service` (default: the service of the first heartbeat). A heartbeat of another service changes nothing. An unanswered start on a runner that drains or has left is forbidden by a stop of the attempt. New metric kcr.heartbeat_of_other, new log line `heartbeat of another runner ignored`.

Failed before, on: test_heartbeat_of_another_runner_changes_nothing (8), test_first_heartbeat_of_another_service_is_ignored, test_runner_that_was_replaced_is_taken_once_it_has_the_new_id, test_unanswered_start_is_not_repeated_once_the_runner_drains (2).

--- a/packages/agent/src/kcr_agent/runner/client.py
+++ b/packages/agent/src/kcr_agent/runner/client.py
@@ -114,6 +114,9 @@
     ) -> defer.Deferred[RunList | Refused | NoAnswer]:
         """Extend the lease and list runs; wait for the end of a run."""
 
+    def identify(self, info: types.RunnerInfo) -> defer.Deferred[bool | None]:
+        """Return whether the runner has the id of `info`; none if unknown."""
+
 
 # Factories of clients, by kind of runner; each takes the context of the
 # process.
--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -46,6 +46,10 @@
         self._orders = orders.Orders(self._state, self._lists)
         # Number of the last heartbeat in the incarnation of the runner.
         self._heartbeat_seq = 0
+        # Whether the runner is asked if it has the id of a heartbeat.
+        self._identifying = False
+        # Id of the last other runner whose heartbeat was ignored.
+        self._ignored_id = ''
 
     @property
     def info(self) -> types.RunnerInfo | None:
@@ -80,34 +84,68 @@
 
     @task.handles(events.RunnerHeartbeat)
     def _on_heartbeat(self, event: events.RunnerHeartbeat) -> None:
-        state, new = self._state, event.info
-        old = state.info
-        if old is not None:
-            if new.born_ms < old.born_ms:
-                self.log.info(
-                    'heartbeat of older incarnation ignored',
-                    life=new.incarnation,
-                )
-                return
-            if (
-                new.incarnation == old.incarnation
-                and event.seq <= self._heartbeat_seq
-            ):
-                return
-        state.info, self._heartbeat_seq = new, event.seq
-        if old is None or new.incarnation != old.incarnation:
+        old, new = self._state.info, event.info
+        service = self.ctx.cfg.service or (old.service if old else '')
+        if service and new.service != service:
+            self._ignore_other(new)
+        elif old is None:
+            self._begin_incarnation(event)
+        elif new.runner_id != old.runner_id:
+            if not self._identifying:
+                self._identifying = True
+                self.spawn(self._identify(event, old.runner_id))
+        elif new.born_ms < old.born_ms:
             self.log.info(
-                'runner incarnation started',
-                life=new.incarnation,
-                before=old.incarnation if old else '',
+                'heartbeat of older incarnation ignored', life=new.incarnation
+            )
+        elif new.born_ms > old.born_ms:
+            self._begin_incarnation(event)
+        elif event.seq > self._heartbeat_seq:
+            self._state.info, self._heartbeat_seq = new, event.seq
+            if new.draining and not old.draining:
+                self.log.info('runner draining', left_ms=new.remaining_ms)
+                self._lists.report((), (), self.now())
+
+    def _begin_incarnation(self, event: events.RunnerHeartbeat) -> None:
+        state = self._state
+        self.log.info(
+            'runner incarnation started',
+            life=event.info.incarnation,
+            before=state.info.incarnation if state.info else '',
+        )
+        state.info, self._heartbeat_seq = event.info, event.seq
+        state.runner_left, state.answered_born_ms = False, 0
+        state.lease.forget_clock()
+        state.drop_lease()
+        state.attach()
+
+    async def _identify(
+        self, event: events.RunnerHeartbeat, known_id: str
+    ) -> None:
+        """Take an id of the same service if the own runner has it by now.
+
+        A runner that was replaced has a new id; the heartbeat of a runner of
+        another instance has one as well.
+        """
+        is_own = await self._state.runner.identify(event.info)
+        self._identifying = False
+        info = self._state.info
+        if self._state.ended or info is None or info.runner_id != known_id:
+            return
+        if is_own:
+            self._begin_incarnation(event)
+        elif is_own is not None:
+            self._ignore_other(event.info)
+
+    def _ignore_other(self, info: types.RunnerInfo) -> None:
+        self.ctx.metrics.count('heartbeat_of_other')
+        if info.runner_id != self._ignored_id:
+            self._ignored_id = info.runner_id
+            self.log.warning(
+                'heartbeat of another runner ignored',
+                runner=info.runner_id,
+                service=info.service,
             )
-            state.runner_left, state.answered_born_ms = False, 0
-            state.lease.forget_clock()
-            state.drop_lease()
-            state.attach()
-        elif new.draining and not old.draining:
-            self.log.info('runner draining', left_ms=new.remaining_ms)
-            self._lists.report((), (), self.now())
 
     @task.handles(events.RunnerLeft)
     def _on_runner_left(self, event: events.RunnerLeft) -> None:
--- a/packages/agent/src/kcr_agent/runner/orders.py
+++ b/packages/agent/src/kcr_agent/runner/orders.py
@@ -64,8 +64,10 @@
         while state.is_current(term) and not order.withdrawn:
             sent_at = state.now()
             deadline_ms = state.lease.deadline_ms(sent_at)
-            if deadline_ms is None:
+            if deadline_ms is None or state.is_leaving():
                 reason = 'lease has expired'
+                if deadline_ms is not None:
+                    reason = 'runner is draining'
                 await self._settle(msg, order, term, reason, unanswered)
                 return
             got = await state.runner.start(
@@ -175,6 +177,9 @@
         state = self._state
         await state.pause(START_RETRY_S)
         while state.is_current(term) and not order.withdrawn:
+            if state.is_leaving():
+                # It is not repeated; the start forbids the attempt.
+                return order.answered_at is None
             queried_at = state.now()
             got = await self._lists.query(queried_at, 0)
             if not state.is_current(term):
--- a/packages/agent/src/kcr_agent/settings.py
+++ b/packages/agent/src/kcr_agent/settings.py
@@ -15,6 +15,11 @@
     runner_address: settings.Address = pydantic.Field(
         description='address of the runner'
     )
+    service: str = pydantic.Field(
+        '',
+        description='service of the runner; empty to learn it from the first'
+        ' heartbeat',
+    )
     store: str = pydantic.Field(description='kind of store')
     store_address: settings.Address = pydantic.Field(
         description='address of the store'
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+import pytest
 import recorder
 from twisted.internet import defer
 from twisted.internet import task as twisted_task
@@ -31,6 +32,7 @@
 
     process = 'n'
     runner = 'model'
+    service = ''
 
 
 class FakeRunner:
@@ -42,6 +44,8 @@
             collections.deque()
         )
         self.born_ms = 5
+        # Id; empty if it is not answered.
+        self.runner_id = 'i'
         self.running: tuple[types.ReportedRun, ...] = ()
         self.ended: tuple[types.ReportedEnd, ...] = ()
         self.truncated = False
@@ -98,6 +102,13 @@
         self.lease_calls.append(defer.Deferred())
         return self.lease_calls[-1]
 
+    def identify(self, info: types.RunnerInfo) -> defer.Deferred[typing.Any]:
+        """Return whether the runner has an id."""
+        self.calls.append(('identify', info.runner_id))
+        return defer.succeed(
+            info.runner_id == self.runner_id if self.runner_id else None
+        )
+
     def answer(self) -> None:
         """Answer the last extension of the lease."""
         self.lease_calls[-1].callback(self._list())
@@ -530,3 +541,86 @@
     queried = harness.runner.count('extend_lease')
     harness.receive(messages.RunnerReportAck(7, 99, 6000, 9))
     assert harness.runner.count('extend_lease') == queried + 1
+
+
+@pytest.mark.parametrize('configured', ['', 'svc'])
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'service': 'other', 'born_ms': 9},
+        {'service': 'other', 'runner_id': 'j', 'born_ms': 9},
+        {'runner_id': 'j', 'born_ms': 9},
+        {'runner_id': 'j', 'born_ms': 5, 'draining': True},
+    ],
+)
+def test_heartbeat_of_another_runner_changes_nothing(
+    fields: dict[str, typing.Any], configured: str
+) -> None:
+    """Guard against a lease that ends by the heartbeat of a stranger."""
+    harness = Harness()
+    harness.ctx.cfg.service = configured
+    harness.lease()
+    harness.owner.pop_all(messages.Attach)
+    for seq in (3, 4):
+        other = dataclasses.replace(INFO, **fields)
+        harness.post(events.RunnerHeartbeat(other, seq))
+    assert harness.control.info == INFO
+    assert harness.control.lease.token == 7
+    assert harness.owner.pop_all(messages.Attach) == []
+    harness.order_start()
+    assert harness.runner.count('start') == 1
+
+
+def test_first_heartbeat_of_another_service_is_ignored() -> None:
+    """Guard against an agent that reports the runner of another service."""
+    harness = Harness()
+    harness.ctx.cfg.service = 'svc'
+    harness.post(events.OwnerSessionChanged('s'))
+    other = dataclasses.replace(INFO, service='other')
+    harness.post(events.RunnerHeartbeat(other, 1))
+    assert harness.control.info is None
+    harness.post(events.RunnerHeartbeat(INFO, 1))
+    assert harness.owner.pop_all(messages.Attach)[0].info == INFO
+
+
+def test_runner_that_was_replaced_is_taken_once_it_has_the_new_id() -> None:
+    """Guard against an agent that stays with a runner that is gone.
+
+    The clock of the instance may have been set back, so `born` of the new id
+    may be lower.
+    """
+    harness = Harness()
+    harness.lease()
+    harness.owner.pop_all(messages.Attach)
+    new = dataclasses.replace(INFO, runner_id='j', born_ms=2)
+    harness.runner.runner_id = ''
+    harness.post(events.RunnerHeartbeat(new, 1))
+    assert harness.control.info == INFO
+    harness.runner.runner_id = 'j'
+    harness.post(events.RunnerHeartbeat(new, 2))
+    assert harness.control.info == new
+    assert harness.owner.pop_all(messages.Attach)[0].info == new
+    harness.runner.runner_id = 'j'
+    harness.post(events.RunnerHeartbeat(INFO, 99))
+    assert harness.control.info == new
+
+
+@pytest.mark.parametrize('leaves', [False, True])
+def test_unanswered_start_is_not_repeated_once_the_runner_drains(
+    leaves: bool,
+) -> None:
+    """Guard against a start on a runner whose drain is known."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.order_start()
+    leaving = dataclasses.replace(INFO, draining=True, remaining_ms=3000)
+    if leaves:
+        harness.post(events.RunnerLeft('i'))
+    else:
+        harness.post(events.RunnerHeartbeat(leaving, 2))
+    harness.list_unanswered()
+    harness.advance(0.5)
+    assert harness.runner.count('start') == 1
+    assert harness.runner.count('stop') == 1
+    assert harness.list_unanswered() == ()
--- a/tests/platform/test_runner_restarts.py
+++ b/tests/platform/test_runner_restarts.py
@@ -163,3 +163,16 @@
     got = world.list_runs(world.info, 0)
     assert len(got.ended) == count
     assert got.truncated == truncated
+
+
+def test_runner_tells_whether_it_has_an_id(world: World) -> None:
+    """Guard against an agent that takes the runner of another instance."""
+    stranger = types.RunnerInfo('i-b', 9)
+
+    def identify(info: types.RunnerInfo) -> typing.Any:
+        return reactor_thread.run(lambda: world.client.identify(info))
+
+    assert identify(world.info) is True
+    assert identify(stranger) is False
+    world.fake.unreachable = True
+    assert identify(world.info) is None
