Start tasks only in the allowed regions of their route

Cause: AllowedRegions of a route had no effect.

Change: the settings file has a table Zones from zone to region, the owner gets the configuration in force, and its list for the route decides where tasks may start; jobs of a removed route keep the list of their acceptance. A start that was not sent is withdrawn, jobs without a runner in their regions are refused, step waits counts region.

--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -41,9 +41,9 @@
         if len(self._state.open_jobs) >= MAX_OPEN_JOBS:
             self.refuse(ref, spec.job_id, 'too many open jobs')
             return
-        if self._is_evacuated(spec.queue.service, now):
-            self._state.count('zone_evacuations', 'job_refused')
-            self.refuse(ref, spec.job_id, 'all zones are evacuated')
+        reason = self._find_refusal(spec.queue, now)
+        if reason:
+            self.refuse(ref, spec.job_id, reason)
             return
         self._state.append(records.Accepted(spec, int(wall_ms)))
         job = self._state.table.jobs[spec.job_id]
@@ -59,20 +59,27 @@
             open_jobs=len(self._state.open_jobs),
         )
 
-    def _is_evacuated(self, service: str, now: float) -> bool:
-        """Return whether all zones with runners of a service are evacuated.
+    def _find_refusal(self, queue: types.Queue, now: float) -> str:
+        """Return why no runner may start jobs of a queue; else empty.
 
-        A service without a known runner is not, as its agents may be on
-        their way to this owner.
+        A service without a known runner refuses nothing if its route has no
+        list, as its agents may be on their way to this owner.
         """
         if now - self._state.began_at < DISCOVERY_S:
-            return False
+            return ''
+        limits = self._state.conditions
         zones = {
             runner.info.zone
             for runner in self._state.runners.values()
-            if runner.info is not None and runner.info.service == service
+            if runner.info is not None and runner.info.service == queue.service
         }
-        return evacuation.forbids_all(self._state.evacuation, zones)
+        allowed = {z for z in zones if limits.region_rules.allows(queue, z)}
+        if not allowed and limits.region_rules.find_allowed(queue):
+            return 'no runner in the allowed regions'
+        if evacuation.forbids_all(limits.evacuation_view, allowed):
+            self._state.count('zone_evacuations', 'job_refused')
+            return 'all zones are evacuated'
+        return ''
 
     def refuse(self, ref: typing.Any, job_id: str, reason: str) -> None:
         """Refuse a job that is not in the log."""
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from kcr_jobs import conditions
 from kcr_jobs import effects
 from kcr_jobs import evacuation
 from kcr_jobs import interference_model
@@ -16,6 +17,7 @@
 from kcr_jobs import messages
 from kcr_jobs import planning
 from kcr_jobs import records
+from kcr_jobs import regions
 from kcr_jobs import runners
 
 
@@ -45,8 +47,8 @@
         self.lease_s = lease_s
         # Time at which this ownership began.
         self.began_at = now
-        # Evacuated zones; none before they are known.
-        self.evacuation: evacuation.View | None = None
+        # Where tasks may start.
+        self.conditions = conditions.Conditions()
         # Runners by the name of their instance.
         self.runners: dict[str, runners.RunnerState] = {}
         # Records to append to the log.
@@ -86,9 +88,24 @@
     def is_evacuated(self, runner: runners.RunnerState) -> bool:
         """Return whether the zone of a runner is evacuated."""
         return runner.info is not None and evacuation.forbids(
-            self.evacuation, runner.info.zone
+            self.conditions.evacuation_view, runner.info.zone
         )
 
+    def is_in_region(
+        self, task: job_table.Task, runner: runners.RunnerState
+    ) -> bool:
+        """Return whether a runner is in an allowed region of a task."""
+        return runner.info is not None and self.conditions.region_rules.allows(
+            task.job.spec.queue, runner.info.zone
+        )
+
+    def set_regions(self, rules: regions.Rules) -> None:
+        """Apply the regions of zones and routes."""
+        self.conditions = dataclasses.replace(
+            self.conditions, region_rules=rules
+        )
+        self.changed = True
+
     def append(self, rec: records.Record) -> None:
         """Apply a record, and add it to those to append to the log."""
         self.changed = True
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -11,6 +11,8 @@
 import dataclasses
 
 from kcr_core import registry
+from kcr_jobs import conditions
+from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import runners
@@ -60,8 +62,8 @@
     # Serving tasks with their pressure (see throttling), raised by what the
     # fillers that are being started will add.
     pressures: list[tuple[job_table.Task, float]]
-    # Whether the zone of the runner is evacuated.
-    evacuated: bool = False
+    # Where tasks may start.
+    limits: conditions.Conditions = conditions.Conditions()
     # Number of reservations that were made.
     version: int = 0
 
@@ -152,7 +154,7 @@
     now: float,
     suspect: bool,
     interference: interference_model.InterferenceModel,
-    evacuated: bool = False,
+    limits: conditions.Conditions = conditions.Conditions(),
 ) -> Candidate:
     """Return a runner as a candidate; a suspect one gets few starts."""
     assert runner.info is not None
@@ -170,7 +172,7 @@
         1_000_000,
         interference,
         _infer_pressures(runner, interference, now),
-        evacuated,
+        limits,
     )
     for task in runner.tasks.values():
         step = (task.job.spec.job_id, task.occurrence, task.step)
@@ -190,8 +192,12 @@
     demand = spec.demand
     if info.service != task.job.spec.queue.service:
         return 'service'
-    if candidate.evacuated:
+    if evacuation.forbids(candidate.limits.evacuation_view, info.zone):
         return 'zone evacuated'
+    if not candidate.limits.region_rules.allows(
+        task.job.spec.queue, info.zone
+    ):
+        return 'region'
     if candidate.starts_left <= 0:
         return 'failing runner'
     if demand.mem_mb > candidate.mem_mb:
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -10,8 +10,8 @@
 import dataclasses
 
 from kcr_jobs import advice_planning
+from kcr_jobs import conditions
 from kcr_jobs import effects
-from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import ordering
@@ -81,24 +81,19 @@
         jobs: abc.Iterable[job_table.Job],
         schedulable: list[runners.RunnerState],
         now: float,
-        evacuated: evacuation.View | None = None,
+        limits: conditions.Conditions = conditions.Conditions(),
     ) -> Plan:
         """Choose starts job by job while runners have capacity."""
         suspects = runners.find_suspects(schedulable)
         candidates = [
             placement.make_candidate(
-                r,
-                now,
-                r in suspects,
-                self._interference,
-                r.info is not None
-                and evacuation.forbids(evacuated, r.info.zone),
-            )  # fmt: skip
+                r, now, r in suspects, self._interference, limits
+            )
             for r in schedulable
         ]
         order = ordering.ORDERS.get(ORDER_NAME)
         plan = Plan()
-        rejected = step_choice.RejectedDemands()
+        rejected = step_choice.RejectedDemands(limits.region_rules)
         self.advice.begin_plan()
         for job in sorted(jobs, key=lambda j: order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
@@ -218,7 +213,7 @@
                 now,
                 candidate.starts_left <= 1,
                 self._interference,
-                candidate.evacuated,
+                candidate.limits,
             )
             for candidate in candidates
         ]
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -121,7 +121,9 @@
             runner.name: self._state.is_evacuated(runner)
             for runner in self._state.runners.values()
         }
-        self._state.evacuation = view
+        self._state.conditions = dataclasses.replace(
+            self._state.conditions, evacuation_view=view
+        )
         self._state.changed = True
         for runner in self._state.runners.values():
             changed = self._state.is_evacuated(runner) != before[runner.name]
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -32,7 +32,7 @@
         """Start the waiting tasks for which a runner has capacity."""
         if not self._state.changed and now < self._next_plan_at:
             return
-        if self._state.evacuation is None:
+        if self._state.conditions.evacuation_view is None:
             # A zone may be evacuated that this process does not know of yet.
             return
         self._state.changed = False
@@ -46,7 +46,7 @@
             return
         plan = self._state.planner.plan(
             self._state.open_jobs.values(), schedulable, now,
-            self._state.evacuation,
+            self._state.conditions,
         )  # fmt: skip
         for request in plan.requests:
             self._state.immediate.append(request)
@@ -108,8 +108,9 @@
 
         The owner task calls it when it sends the message. A start is withdrawn
         if, while it waited for the log, its runner has begun to drain, its
-        zone was evacuated, its job has ended, its ticket may have expired, or
-        another member of its gang was lost.
+        zone was evacuated, its region is not allowed any more, its job has
+        ended, its ticket may have expired, or another member of its gang was
+        lost.
         """
         runner = self._state.runners.get(effect.instance)
         if runner is None or runner.token != effect.token:
@@ -123,7 +124,10 @@
         expired = task is not None and self._state.planner.advice.has_expired(
             task, now
         )
-        closed = draining or evacuated
+        abroad = task is not None and not self._state.is_in_region(
+            task, runner
+        )
+        closed = draining or evacuated or abroad
         if task is None or task.stopping or closed or broken or expired:
             if evacuated:
                 self._state.count('zone_evacuations', 'start_withdrawn')
@@ -132,7 +136,7 @@
                 task.ordered_number = 0
             self._state.log_event(
                 'start withdrawn', task=effect.msg.task, node=runner.name,
-                draining=draining, zone_evacuated=evacuated,
+                draining=draining, zone_evacuated=evacuated, region=abroad,
                 gang_broken=broken, ticket_expired=expired,
             )  # fmt: skip
             return ''
--- a/packages/jobs/src/kcr_jobs/step_choice.py
+++ b/packages/jobs/src/kcr_jobs/step_choice.py
@@ -10,6 +10,7 @@
 
 from kcr_jobs import job_table
 from kcr_jobs import placement
+from kcr_jobs import regions
 
 
 class StepChoice:
@@ -69,12 +70,13 @@
     much as a rejected one, and is equal otherwise, is rejected as well.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rules: regions.Rules) -> None:
+        self._rules = rules
         self._rejected: dict[tuple[str, ...], list[tuple[int, int, int]]] = {}
 
     def add(self, task: job_table.Task) -> None:
         """Record that no candidate takes a task."""
-        key = _find_kind(task)
+        key = _find_kind(task, self._rules)
         if key is not None:
             demand = task.spec.demand
             self._rejected.setdefault(key, []).append(
@@ -83,7 +85,7 @@
 
     def covers(self, task: job_table.Task) -> bool:
         """Return whether a task can't be placed either."""
-        key = _find_kind(task)
+        key = _find_kind(task, self._rules)
         demand = task.spec.demand
         return key is not None and any(
             cpu <= demand.cpu and mem_mb <= demand.mem_mb and gpu <= demand.gpu
@@ -91,7 +93,9 @@
         )
 
 
-def _find_kind(task: job_table.Task) -> tuple[str, ...] | None:
+def _find_kind(
+    task: job_table.Task, rules: regions.Rules
+) -> tuple[str, ...] | None:
     """Return what decides besides the demand; none if the task is special."""
     spec = task.spec
     if spec.max_per_runner or task.avoided_instance:
@@ -101,4 +105,5 @@
         spec.label,
         placement.find_score_name(spec),
         spec.image,
+        *rules.find_allowed(task.job.spec.queue),
     )
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -43,6 +43,9 @@
     # runner that the request names.
     advice_ms: Number = 0.0
     advice_runner_ms: Number = 0.0
+    # Regions in which its tasks may start; empty for all. The configuration in
+    # force goes before this list.
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/scheduler/src/kcr_scheduler/config/watch.py
+++ b/packages/scheduler/src/kcr_scheduler/config/watch.py
@@ -2,10 +2,10 @@
 
 The task reads the configuration and the evacuated zones from the store; the
 mesh task passes on those of peers. A valid configuration with a higher version
-comes into force and is sent to the mesh and the front end; a newer view of the
-evacuated zones is sent to the mesh and the owner. Each answer of the store is
-reported to the mesh, which decides by it whether this process may claim the
-jobs.
+comes into force and is sent to the mesh, the owner and the front end; a newer
+view of the evacuated zones is sent to the mesh and the owner. Each answer of
+the store is reported to the mesh, which decides by it whether this process may
+claim the jobs.
 """
 
 import typing
@@ -182,7 +182,7 @@
         )
         self.ctx.metrics.count('config_applied', source=source)
         event = events.ConfigInForce(found, body)
-        for target in (addresses.MESH, addresses.FRONT):
+        for target in (addresses.OWNER, addresses.MESH, addresses.FRONT):
             self.send(target, event)
 
     @task.handles(events.ConfigQuery)
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -49,6 +49,9 @@
         gt=0,
         allow_inf_nan=False,
     )
+    zone_regions: list[str] = pydantic.Field(
+        [], description='region of each zone, as ZONE=REGION'
+    )
     grace_s: float = pydantic.Field(
         6.0, description='time between SIGTERM and SIGKILL, in seconds', gt=0
     )
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -16,6 +16,7 @@
 from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import records
+from kcr_jobs import regions
 from kcr_jobs import tickets
 from kcr_runtime import store
 from kcr_runtime import task
@@ -82,6 +83,9 @@
         self._evacuation: evacuation.View | None = None
         self._evacuation_source = ''
         self._evacuation_at = 0.0
+        # Regions of zones and routes.
+        self._zone_regions = regions.parse_zones(ctx.cfg.zone_regions)
+        self._regions = regions.make_rules(self._zone_regions, None)
         # Number of claims and ownerships; results of older ones are dropped.
         self._term = 0
         # Records of the controller for the next append, and the effects that
@@ -230,6 +234,7 @@
         )  # fmt: skip
         if self._evacuation is not None:
             self.controller.set_evacuation(self._evacuation)
+        self.controller.set_regions(self._regions)
         self.log.info(
             'leading',
             epoch=epoch,
@@ -267,7 +272,13 @@
 
     @task.handles(events.ConfigInForce)
     def _on_config(self, event: events.ConfigInForce) -> None:
-        """Ignore it; a job keeps the queue of its acceptance."""
+        rules = regions.make_rules(self._zone_regions, event.config)
+        if rules == self._regions:
+            return
+        self._regions = rules
+        if self.controller is not None:
+            self.controller.set_regions(rules)
+            self._schedule_soon()
 
     @task.handles(events.EvacuationInForce)
     def _on_evacuation(self, event: events.EvacuationInForce) -> None:
--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -9,6 +9,7 @@
 from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import messages
+from kcr_jobs import regions
 from kcr_jobs import types
 
 LEASE_S = 6.0
@@ -117,6 +118,7 @@
         self.deferred: list[effects.Effect] = []
         self.epoch = 0
         self.evacuation = evacuation.View(0)
+        self.regions = regions.Rules()
         self.take_over()
         self.attach_all()
 
@@ -128,6 +130,7 @@
         self.deferred.clear()
         self.ctl = controller.Controller(table, self.epoch, LEASE_S, self.now)
         self.ctl.set_evacuation(self.evacuation)
+        self.ctl.set_regions(self.regions)
 
     def attach_all(self) -> None:
         """Attach every connected runner and deliver its report."""
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -7,6 +7,7 @@
 import pytest
 
 from kcr_jobs import caller_requests
+from kcr_jobs import conditions
 from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import types
@@ -136,7 +137,7 @@
     for runner in harness.runners.values():
         runner.connected = False
     harness.take_over()
-    harness.ctl.evacuation = None
+    harness.ctl.conditions = conditions.Conditions()
     for runner in harness.runners.values():
         runner.connected = True
     harness.attach_all()
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -1,6 +1,7 @@
 """Test the decoding of heartbeats, configurations, jobs and store pages."""
 
 import json
+import pathlib
 import typing
 
 import pytest
@@ -12,6 +13,7 @@
 from kcr_platform import decode_jobs
 from kcr_platform import decode_runner
 from kcr_platform import log_store
+from kcr_platform import settings
 from kcr_runtime import store
 from kcr_scheduler.work import codec
 
@@ -125,3 +127,27 @@
         decode.read(decode_jobs.JobBody, data).to_spec(
             'j', types.Queue('q', 's')
         )
+
+
+def test_regions_of_a_route_and_of_zones(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    """Guard against a list of regions that is read as empty."""
+    route = {
+        'Name': 'r', 'PathPrefix': '/', 'Service': 's',
+        'AllowedRegions': ['r1', 'r2'],
+    }  # fmt: skip
+    body = json.dumps({'Version': 1, 'Routes': [route]}).encode()
+    found = decode_jobs.read_config(body)
+    queue = found.routes[''][0].queue
+    assert queue.allowed_regions == ('r1', 'r2')
+    path = tmp_path / 'settings.toml'
+    path.write_text(
+        'NodeName = "s"\nIp = "127.0.0.1"\nZone = "z1"\nRegion = "x"\n'
+        '[Listen]\n[platform]\nAddr = "127.0.0.1:1"\n'
+        '[Zones]\nz1 = "r1"\nz2 = "r2"\n'
+    )
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    options = settings.scheduler_options(settings.read())
+    assert options['zone_regions'] == ['z1=r1', 'z2=r2']
+    assert options['region'] == 'r1'
--- a/tests/scheduler/test_owner.py
+++ b/tests/scheduler/test_owner.py
@@ -4,6 +4,7 @@
 
 from kcr_core import message_base
 from kcr_core import types as core_types
+from kcr_jobs import config
 from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import records
@@ -287,3 +288,21 @@
     submit(harness)
     attach(harness)
     assert count_starts(harness) == 1
+
+
+def test_published_regions_reach_the_controller() -> None:
+    """Guard against regions of a route that the owner never looks at."""
+    scheduler_harness.Config.zone_regions = ('z=r1',)
+    harness = scheduler_harness.Harness(addresses.MESH, addresses.CALLS, 's')
+    owner.Owner(harness.ctx, addresses.OWNER).begin()
+    scheduler_harness.Config.zone_regions = ()
+    put_evacuation(harness, 0)
+    for version, region, starts in ((1, 'r2', 0), (2, 'r1', 1)):
+        queue = types.Queue('q', 'svc', allowed_regions=(region,))
+        made = config.Config(version, {'h': (config.Route('h', '/', queue),)})
+        harness.post(addresses.OWNER, events.ConfigInForce(made, b''))
+        if version == 1:
+            harness.post(addresses.OWNER, events.Campaign(0))
+            submit(harness)
+            attach(harness)
+        assert count_starts(harness) == starts
