--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,8 @@
 	$(BIN)/python -m kcr_emulator.bench --seed $(SEED)
 	$(BIN)/python tests/jobs/bench_planner.py
 	PYTHONPATH=tests/support $(BIN)/python tests/scheduler/bench_takeover.py
+	PYTHONPATH=tests/jobs:tests/support $(BIN)/python \
+	    tests/platform/bench_lists.py
 
 capacity: install
 	$(BIN)/python -m kcr_emulator.capacity
--- a/tests/platform/test_store_reads.py
+++ b/tests/platform/test_store_reads.py
@@ -126,6 +126,29 @@
     fake.close()
 
 
+class EndlessStore(platform_fakes.LogStore):
+    """Report more values after an empty page, or after the same page."""
+
+    def __init__(self, items: list[dict[str, typing.Any]]) -> None:
+        super().__init__()
+        self._items = items
+
+    def _newest(self, partition: list[bytes]) -> typing.Any:
+        return {'items': self._items, 'HasMore': True, 'EndOffset': 5}
+
+
+@pytest.mark.parametrize('items', [[], [{'Key': 'k', 'Offset': 1}]])
+def test_page_that_does_not_advance_is_not_complete(
+    reactor_thread: None, items: list[dict[str, typing.Any]]
+) -> None:
+    """Guard against a part of the keys that counts as all of them."""
+    fake = EndlessStore(items)
+    client = make_client(fake.address)
+    got = run(lambda: client.newest('keyed.op'))
+    assert isinstance(got, store.NoAnswer), got
+    fake.close()
+
+
 def test_silent_connections_cost_two_timeouts_at_most(
     reactor_thread: None,
 ) -> None:
