Decide how long tasks wait for a place in their rack

Cause: a task away from the rack of its data takes RemoteFactor times as long, and so does a step that is to stay in one rack and is spread. The planner only preferred the rack, and started tasks elsewhere as soon as the rack was full; gangs and rack-local steps were spread without need.

Gangs and rack-local steps choose a rack in which they fit now or soon, else they are spread. RemoteFactor under Bounds enables it; with 1, and for steps that name no rack, nothing changes.

--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -35,8 +35,9 @@
         lease_s: float,
         now: float,
         log_bytes: int = 0,
+        remote_factor: float = 1.0,
     ) -> None:
-        super().__init__(table, epoch, lease_s)
+        super().__init__(table, epoch, lease_s, remote_factor)
         requests = caller_requests.CallerRequests(self)
         self.submit = requests.submit
         self.refuse = requests.refuse
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -35,7 +35,11 @@
     """Store the jobs and runners of one ownership."""
 
     def __init__(
-        self, table: job_table.JobTable, epoch: int, lease_s: float
+        self,
+        table: job_table.JobTable,
+        epoch: int,
+        lease_s: float,
+        remote_factor: float = 1.0,
     ) -> None:
         # State of all jobs; ahead of the log by `pending_records`.
         self.table = table
@@ -59,7 +63,9 @@
         self.interference = interference_model.InterferenceModel()
         # Learnt run times of tasks.
         self.durations = durations.Durations()
-        self.planner = planning.Planner(self.interference)
+        self.planner = planning.Planner(
+            self.interference, self.durations, remote_factor
+        )
         # Whether jobs or reservations have changed since the last plan.
         self.changed = True
 
--- a/packages/jobs/src/kcr_jobs/durations.py
+++ b/packages/jobs/src/kcr_jobs/durations.py
@@ -195,6 +195,18 @@
             chain.append(before + self.expected_step_s(job, index))
         return max(chain, default=0.0)
 
+    def chain_after_s(self, job: job_table.Job, step: int) -> float:
+        """Return the expected time of the longest chain after a step."""
+        steps = job.spec.steps
+        ends: dict[int, float] = {step: 0.0}
+        # A step depends on earlier ones only.
+        for index in range(step + 1, len(steps)):
+            before = [ends[n] for n in steps[index].after if n in ends]
+            if before:
+                own_s = self.expected_step_s(job, index)
+                ends[index] = max(before) + own_s
+        return max(ends.values())
+
 
 def _find_kind(job: job_table.Job, step: int) -> tuple[str, str, int]:
     return (job.spec.queue.name, job.spec.steps[step].image, step)
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -23,6 +23,16 @@
 RUNNING = 'running'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RackWait:
+    """Describe the wait of a task for a place in a rack (see locality)."""
+
+    rack: str
+    # Time of the decision to wait, and the time until which it waits.
+    since: float
+    until: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
     """Store one task of one occurrence of a job."""
@@ -75,6 +85,10 @@
     resumed: bool = False
     # Factor by which its place prolongs the run. Not durable.
     slowdown: float = 1.0
+    # Rack of which it waits for a place in the current plan; empty for none.
+    # The wait itself; none before a decision to wait. Not durable.
+    awaited_rack: str = ''
+    rack_wait: RackWait | None = None
 
     @property
     def spec(self) -> types.Step:
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -36,6 +36,9 @@
 # Pressure up to which fillers are placed beside serving tasks; throttling
 # begins a little above it.
 MAX_PRESSURE = 0.75
+# Penalty of a runner in a rack for which other tasks wait; idle processors
+# and pressure differ by up to 1.
+AWAITED_PENALTY = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,6 +65,10 @@
     pressures: list[tuple[job_table.Task, float]]
     # Number of reservations that were made.
     version: int = 0
+    # Tasks that are being started.
+    started: list[job_table.Task] = dataclasses.field(default_factory=list)
+    # Whether tasks wait for its rack (see locality).
+    awaited: bool = False
 
     @property
     def runner_id(self) -> str:
@@ -75,9 +82,16 @@
         assert self.runner.info is not None
         return self.runner.info.incarnation
 
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Return the kind and the rack of the runner."""
+        assert self.runner.info is not None
+        return self.runner.info.labels
+
     def reserve(self, task: job_table.Task) -> None:
         """Reserve capacity for a task."""
         self.version += 1
+        self.started.append(task)
         demand = task.spec.demand
         self.mem_mb -= demand.mem_mb
         self.gpu -= demand.gpu
@@ -200,6 +214,8 @@
         step = (task.job.spec.job_id, task.occurrence, task.step)
         if candidate.tasks_per_step.get(step, 0) >= spec.max_per_runner:
             return 'tasks of its step'
+    if task.awaited_rack and task.awaited_rack not in info.labels:
+        return 'waits for rack'
     return ''
 
 
@@ -334,6 +350,9 @@
         score += 2.0
     if spec.near_rack and spec.near_rack not in runner.info.labels:
         score += 1.0
+    if candidate.awaited and spec.near_rack not in runner.info.labels:
+        # The next free place there is better used by a task that waits.
+        score += AWAITED_PENALTY
     return score
 
 
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -10,9 +10,11 @@
 import dataclasses
 
 from kcr_jobs import advice_planning
+from kcr_jobs import durations
 from kcr_jobs import effects
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
+from kcr_jobs import locality
 from kcr_jobs import ordering
 from kcr_jobs import placement
 from kcr_jobs import runners
@@ -59,18 +61,24 @@
     """Choose the tasks to start."""
 
     def __init__(
-        self, interference: interference_model.InterferenceModel
+        self,
+        interference: interference_model.InterferenceModel,
+        model: durations.Durations,
+        remote_factor: float,
     ) -> None:
         # Estimates of what fillers add to the latency of serving tasks.
         self._interference = interference
         # Tickets of advised steps, and the requests for them.
         self.advice = advice_planning.AdvicePlanner()
+        # Decides whether tasks wait for a place in a rack.
+        self.locality = locality.Locality(model, remote_factor)
         # Time of the last log event of why a step waits, by its name.
         self._logged_at: dict[str, float] = {}
 
     def forget(self, job: job_table.Job) -> None:
         """Discard the tickets of a job and the times of its log events."""
         self.advice.forget(job)
+        self.locality.forget(job)
         for step in list(self._logged_at):
             if step.startswith(f'{job.spec.job_id}.'):
                 self._logged_at.pop(step)
@@ -91,6 +99,7 @@
         plan = Plan()
         rejected = step_choice.RejectedDemands()
         self.advice.begin_plan()
+        self.locality.begin_plan(candidates)
         for job in sorted(jobs, key=lambda j: order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
         plan.requests = self.advice.finish_plan(now)
@@ -117,6 +126,7 @@
             if task.spec.gang:
                 gangs.setdefault(key, []).append(task)
                 continue
+            task.awaited_rack = ''
             allowed = candidates
             candidate: placement.Candidate | None = None
             steps_ahead = self.advice.steps_ahead
@@ -132,6 +142,12 @@
                 candidate = choices[key].choose(task)
                 if candidate is None:
                     rejected.add(task)
+            if candidate is not None and self.locality.applies(task):
+                candidate = self.locality.choose(task, candidate, now)
+                if candidate is None:
+                    # Another task of the step may be placed elsewhere.
+                    self._log_waiting(task, candidates, now, plan, steps_ahead)
+                    continue
             if candidate is None and _is_starved(job, now):
                 candidate = placement.choose_least_disturbed(task, allowed)
                 choices.clear()
@@ -141,6 +157,7 @@
                 self._log_waiting(task, candidates, now, plan, steps_ahead)
                 continue
             _assign(task, candidate, plan)
+            self.locality.record_start(task, candidate, now)
         for members in gangs.values():
             self._plan_gang(members, candidates, now, plan)
 
@@ -178,12 +195,19 @@
         first = members[0]
         if len(members) < first.spec.count:
             return
+        for task in members:
+            task.awaited_rack = ''
         advised = bool(first.job.spec.queue.ticket_ms)
         steps_ahead = self.advice.steps_ahead
         allowed = candidates
         if advised:
             allowed = self.advice.find_allowed_for_gang(first, candidates, now)
-        chosen = self._choose_for_gang(members, allowed, now, plan)
+        chosen = self._choose_rack_for_gang(members, now, plan)
+        if chosen is None:
+            chosen = self._choose_for_gang(members, allowed, now, plan)
+            if chosen is not None and self.locality.applies(first):
+                if self.locality.gang_waits(members, now):
+                    chosen = None
         if chosen is None:
             if advised and self.advice.may_request(first, now):
                 self._request_for_gang(members, allowed, candidates, now, plan)
@@ -194,6 +218,23 @@
         for task, candidate in zip(members, chosen):
             task.attempt, task.checkpoint = attempt, saved
             _assign(task, candidate, plan)
+        for task, candidate in zip(members, chosen):
+            self.locality.record_start(task, candidate, now)
+
+    def _choose_rack_for_gang(
+        self,
+        members: list[job_table.Task],
+        now: float,
+        plan: Plan,
+    ) -> list[placement.Candidate] | None:
+        """Return a candidate for each member in one rack; none without."""
+        if not self.locality.applies(members[0]):
+            return None
+        for rack in self.locality.find_racks(members[0]):
+            chosen = self._choose_for_gang(members, rack, now, plan)
+            if chosen is not None:
+                return chosen
+        return None
 
     def _choose_for_gang(
         self,
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -52,6 +52,13 @@
                 unanswered=self._state.planner.advice.window.unanswered,
                 steps_waiting=self._state.planner.advice.steps_ahead,
             )  # fmt: skip
+        for wait in self._state.planner.locality.new_waits:
+            self._state.log_event(
+                'task waits for rack', step=wait.step, rack=wait.rack,
+                wait_s=wait.wait_s, local_s=wait.local_s,
+                remote_s=wait.remote_s, samples=wait.samples,
+                age_s=wait.age_s,
+            )  # fmt: skip
         for waiting in plan.waits:
             self._state.log_event(
                 'step waits', step=waiting.step, runners=len(schedulable),
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -128,7 +128,7 @@
     zone: str = ''
     # Total capacity of the runner.
     capacity: Demand = Demand()
-    # Kind and rack.
+    # Kind and rack, in this order.
     labels: tuple[str, ...] = ()
     # Whether it is shutting down and takes no new tasks.
     draining: bool = False
@@ -140,6 +140,11 @@
         """Return the name of this incarnation of the runner."""
         return f'{self.runner_id}@{self.born_ms}'
 
+    @property
+    def rack(self) -> str:
+        """Return the label of its rack; empty if it reports none."""
+        return self.labels[1] if len(self.labels) > 1 else ''
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedRun:
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -34,6 +34,12 @@
     lease_s: float = pydantic.Field(
         6.0, description='longest lease of a runner, in seconds', gt=0.5
     )
+    remote_factor: float = pydantic.Field(
+        1.0,
+        description='run time of a task away from its rack, as a multiple',
+        ge=1,
+        allow_inf_nan=False,
+    )
     cores: float = pydantic.Field(
         1.0, description='cores of the instance; more make a better owner'
     )
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -111,6 +111,7 @@
             out['jobs'] = len(ctl.table.jobs)
             out['open_jobs'] = len(ctl.open_jobs)
             out['advice'] = ctl.describe_advice()
+            out['rack_waits'] = ctl.planner.locality.explain()
             out['nodes'] = {
                 runner.name: {
                     'runs': len(runner.tasks),
@@ -212,7 +213,7 @@
         epoch = self._jobs.table.epoch
         self.controller = controller.Controller(
             self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
-            self._jobs.size,
+            self._jobs.size, self.ctx.cfg.remote_factor,
         )  # fmt: skip
         self.log.info(
             'leading',
@@ -389,6 +390,8 @@
         for log_event in ctl.log_events:
             self.log.info(log_event.event, **log_event.fields)
             self.ctx.metrics.count('decision', kind=log_event.event)
+        for effect_name, n in ctl.planner.locality.take_counts().items():
+            self.ctx.metrics.count('rack_wait', n, effect=effect_name)
         immediate, ctl.immediate, ctl.log_events = ctl.immediate, [], []
         for effect in immediate:
             self._carry_out(effect)
--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -106,8 +106,11 @@
 class Harness:
     """Connect a controller with a log and fake runners."""
 
-    def __init__(self, *runners: FakeRunner) -> None:
+    def __init__(
+        self, *runners: FakeRunner, remote_factor: float = 1.0
+    ) -> None:
         self.now = 0.0
+        self.remote_factor = remote_factor
         self.log: list[typing.Any] = []
         self.replies: list[effects.Reply] = []
         self.log_events: list[controller_state.LogEvent] = []
@@ -124,7 +127,10 @@
         table = job_table.JobTable()
         job_table.fold(self.log, table)
         self.deferred.clear()
-        self.ctl = controller.Controller(table, self.epoch, LEASE_S, self.now)
+        self.ctl = controller.Controller(
+            table, self.epoch, LEASE_S, self.now,
+            remote_factor=self.remote_factor,
+        )  # fmt: skip
 
     def attach_all(self) -> None:
         """Attach every connected runner and deliver its report."""
