--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -38,7 +38,12 @@
     """Store the jobs and runners of one ownership."""
 
     def __init__(
-        self, table: job_table.JobTable, epoch: int, lease_s: float, now: float
+        self,
+        table: job_table.JobTable,
+        epoch: int,
+        lease_s: float,
+        now: float,
+        remote_factor: float = 1.0,
     ) -> None:
         # State of all jobs; ahead of the log by `pending_records`.
         self.table = table
@@ -68,7 +73,9 @@
         self.interference = interference_model.InterferenceModel()
         # Learnt run times of tasks.
         self.durations = durations.Durations()
-        self.planner = planning.Planner(self.interference)
+        self.planner = planning.Planner(
+            self.interference, self.durations, remote_factor
+        )
         # Whether jobs or reservations have changed since the last plan.
         self.changed = True
 
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -129,6 +129,7 @@
             out['jobs'] = len(ctl.table.jobs)
             out['open_jobs'] = len(ctl.open_jobs)
             out['advice'] = ctl.describe_advice()
+            out['rack_waits'] = ctl.planner.locality.explain()
             out['nodes'] = {
                 runner.name: {
                     'runs': len(runner.tasks),
@@ -230,7 +231,7 @@
         epoch = self._jobs.table.epoch
         self.controller = controller.Controller(
             self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
-            self._jobs.size,
+            self._jobs.size, self.ctx.cfg.remote_factor,
         )  # fmt: skip
         if self._evacuation is not None:
             self.controller.set_evacuation(self._evacuation)
@@ -435,6 +436,8 @@
         for metric, effect_name in ctl.counts:
             self.ctx.metrics.count(metric, effect=effect_name)
         ctl.counts.clear()
+        for effect_name, n in ctl.planner.locality.take_counts().items():
+            self.ctx.metrics.count('rack_wait', n, effect=effect_name)
         immediate, ctl.immediate, ctl.log_events = ctl.immediate, [], []
         for effect in immediate:
             self._carry_out(effect)
--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -108,8 +108,11 @@
 class Harness:
     """Connect a controller with a log and fake runners."""
 
-    def __init__(self, *runners: FakeRunner) -> None:
+    def __init__(
+        self, *runners: FakeRunner, remote_factor: float = 1.0
+    ) -> None:
         self.now = 0.0
+        self.remote_factor = remote_factor
         self.log: list[typing.Any] = []
         self.replies: list[effects.Reply] = []
         self.log_events: list[controller_state.LogEvent] = []
@@ -128,7 +131,10 @@
         table = job_table.JobTable()
         job_table.fold(self.log, table)
         self.deferred.clear()
-        self.ctl = controller.Controller(table, self.epoch, LEASE_S, self.now)
+        self.ctl = controller.Controller(
+            table, self.epoch, LEASE_S, self.now,
+            remote_factor=self.remote_factor,
+        )  # fmt: skip
         self.ctl.set_evacuation(self.evacuation)
         self.ctl.set_regions(self.regions)
 
--- a/tests/scheduler/scheduler_harness.py
+++ b/tests/scheduler/scheduler_harness.py
@@ -29,6 +29,7 @@
     memory_mb = 300.0
     lease_s = 6.0
     zone_regions: tuple[str, ...] = ()
+    remote_factor = 1.0
 
 
 class FakeStore:
