Add kingcuprouter check-config, which checks a configuration

The command line gets it from a registry that the installed adapter fills, as kcr_cli does not depend on kcr_platform.

Regions that no zone has are not checked yet.

--- a/packages/cli/src/kcr_cli/main.py
+++ b/packages/cli/src/kcr_cli/main.py
@@ -22,6 +22,7 @@
 from kcr_cli import exit_codes
 from kcr_cli import files
 from kcr_cli import output
+from kcr_cli import plugins
 from kcr_cli import publishing
 from kcr_cli import queries
 from kcr_document import document
@@ -334,7 +335,7 @@
     """Run the command that the arguments select."""
     try:
         defopt.run(
-            COMMANDS,
+            {**COMMANDS, **plugins.load()},
             argv=argv,
             cli_options='kwonly',
             argparse_kwargs={'prog': 'kingcuprouter', 'epilog': __doc__},
