--- a/packages/agent/src/kcr_agent/runner/orders.py
+++ b/packages/agent/src/kcr_agent/runner/orders.py
@@ -45,6 +45,11 @@
                 'start on a draining runner ignored', task=msg.task
             )
             return
+        if state.starts_closed:
+            state.log.warning(
+                'start in an evacuated zone ignored', task=msg.task
+            )
+            return
         order = runner_lease.StartOrder(msg.number, msg.attempt)
         state.lease.start_orders[msg.task] = order
         state.spawn(self._start(msg, order, state.term))
@@ -64,10 +69,8 @@
         while state.is_current(term) and not order.withdrawn:
             sent_at = state.now()
             deadline_ms = state.lease.deadline_ms(sent_at)
-            if deadline_ms is None or state.is_leaving():
-                reason = 'lease has expired'
-                if deadline_ms is not None:
-                    reason = 'runner is draining'
+            reason = _find_obstacle(state, deadline_ms)
+            if reason or deadline_ms is None:
                 await self._settle(msg, order, term, reason, unanswered)
                 return
             got = await state.runner.start(
@@ -255,3 +258,12 @@
             if not isinstance(got, client.NoAnswer):
                 return
         state.log.warning('pace failed', task=msg.task, percent=msg.percent)
+
+
+def _find_obstacle(state: control_state.State, deadline_ms: int | None) -> str:
+    """Return why a start must not be sent now; empty if it may be."""
+    if state.starts_closed:
+        return 'zone is evacuated'
+    if deadline_ms is None:
+        return 'lease has expired'
+    return 'runner is draining' if state.is_leaving() else ''
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -9,12 +9,16 @@
 import dataclasses
 import typing
 
+from kcr_jobs import conditions
+from kcr_jobs import durations
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import messages
 from kcr_jobs import planning
 from kcr_jobs import records
+from kcr_jobs import regions
 from kcr_jobs import runners
 
 
@@ -34,7 +38,7 @@
     """Store the jobs and runners of one ownership."""
 
     def __init__(
-        self, table: job_table.JobTable, epoch: int, lease_s: float
+        self, table: job_table.JobTable, epoch: int, lease_s: float, now: float
     ) -> None:
         # State of all jobs; ahead of the log by `pending_records`.
         self.table = table
@@ -42,6 +46,10 @@
         self.epoch = epoch
         # Duration of a lease, in seconds.
         self.lease_s = lease_s
+        # Time at which this ownership began.
+        self.began_at = now
+        # Where tasks may start.
+        self.conditions = conditions.Conditions()
         # Runners by the name of their instance.
         self.runners: dict[str, runners.RunnerState] = {}
         # Records to append to the log.
@@ -52,10 +60,14 @@
         self.immediate: list[effects.Effect] = []
         # Lines for the log.
         self.log_events: list[LogEvent] = []
+        # Metrics to count, each with the value of its label `effect`.
+        self.counts: list[tuple[str, str]] = []
         # Jobs that may have tasks to start, by id.
         self.open_jobs: dict[str, job_table.Job] = {}
         # Estimates of what fillers add to the latency of serving tasks.
         self.interference = interference_model.InterferenceModel()
+        # Learnt run times of tasks.
+        self.durations = durations.Durations()
         self.planner = planning.Planner(self.interference)
         # Whether jobs or reservations have changed since the last plan.
         self.changed = True
@@ -72,6 +84,31 @@
         """Add a line for the log."""
         self.log_events.append(LogEvent(event, fields))
 
+    def count(self, metric: str, effect: str) -> None:
+        """Count an effect of a decision in a metric."""
+        self.counts.append((metric, effect))
+
+    def is_evacuated(self, runner: runners.RunnerState) -> bool:
+        """Return whether the zone of a runner is evacuated."""
+        return runner.info is not None and evacuation.forbids(
+            self.conditions.evacuation_view, runner.info.zone
+        )
+
+    def is_in_region(
+        self, task: job_table.Task, runner: runners.RunnerState
+    ) -> bool:
+        """Return whether a runner is in an allowed region of a task."""
+        return runner.info is not None and self.conditions.region_rules.allows(
+            task.job.spec.queue, runner.info.zone
+        )
+
+    def set_regions(self, rules: regions.Rules) -> None:
+        """Apply the regions of zones and routes."""
+        self.conditions = dataclasses.replace(
+            self.conditions, region_rules=rules
+        )
+        self.changed = True
+
     def append(self, rec: records.Record) -> None:
         """Apply a record, and add it to those to append to the log."""
         self.changed = True
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -10,6 +10,7 @@
 
 from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import filler_shares
 from kcr_jobs import job_table
 from kcr_jobs import messages
@@ -91,12 +92,12 @@
             return
         runner.reported_at = now
         self._update_info(runner, msg.info, now)
-        self._record_ends(runner, msg.ended)
+        self._record_ends(runner, msg.ended, now)
         running = runner.parts.join(msg)
         if running is not None:
             self._reconcile(runner, msg, running, now)
         else:
-            _update_tasks(runner, msg.running)
+            self._update_tasks(runner, msg.running, now)
         if lease_ms > 0:
             runner.extend_lease(runners.infer_expiry(now, lease_ms / 1000.0))
         runner.acked_seq = msg.seq
@@ -110,11 +111,31 @@
             runner.acked_seq,
             max(0, lease_ms),
             runner.durable_end,
+            self._state.is_evacuated(runner),
         )
         self._state.immediate.append(
             effects.SendToAgent(runner.name, runner.token, ack)
         )
 
+    def set_evacuation(self, view: evacuation.View) -> None:
+        """Apply a view of the evacuated zones; inform the agents there.
+
+        An agent may be repeating a start that its runner has not answered, so
+        it is informed before its next report.
+        """
+        before = {
+            runner.name: self._state.is_evacuated(runner)
+            for runner in self._state.runners.values()
+        }
+        self._state.conditions = dataclasses.replace(
+            self._state.conditions, evacuation_view=view
+        )
+        self._state.changed = True
+        for runner in self._state.runners.values():
+            changed = self._state.is_evacuated(runner) != before[runner.name]
+            if changed and runner.session:
+                self._acknowledge(runner, 0)
+
     def _update_info(
         self, runner: runners.RunnerState, info: types.RunnerInfo, now: float
     ) -> None:
@@ -135,7 +156,10 @@
         runner.info = info
 
     def _record_ends(
-        self, runner: runners.RunnerState, ended: tuple[types.ReportedEnd, ...]
+        self,
+        runner: runners.RunnerState,
+        ended: tuple[types.ReportedEnd, ...],
+        now: float,
     ) -> None:
         rows = []
         for end in ended:
@@ -157,6 +181,7 @@
                 )
             )
             runner.record_end(end.how)
+            self._state.durations.record_end(task, end.how, now)
             if end.how == 'failed':
                 task.failed_on.add(runner.name)
             self._state.log_event(
@@ -209,7 +234,7 @@
         lost.
         """
         running = {run.task for run in listed}
-        unknown = _update_tasks(runner, listed)
+        unknown = self._update_tasks(runner, listed, now)
         runner.unknown_runs = len(unknown)
         for run in unknown:
             self._stop_unknown_run(runner, run)
@@ -222,9 +247,10 @@
                 continue
             lost.append(task)
         if lost:
-            if runner.reconciled:
+            if runner.reconciled and not self._state.is_evacuated(runner):
                 # The start failed. Under a new lease this is unknown: the
                 # run may have ended with an older incarnation of the runner.
+                # In an evacuated zone the start was withdrawn.
                 for task in lost:
                     if self._state.planner.advice.reject_ticket(task, now):
                         runner.record_end('failed')
@@ -236,6 +262,26 @@
                 'runner ready', node=runner.name, runs=len(running)
             )
 
+    def _update_tasks(
+        self,
+        runner: runners.RunnerState,
+        listed: tuple[types.ReportedRun, ...],
+        now: float,
+    ) -> list[types.ReportedRun]:
+        """Update the tasks that a list shows; return the unknown runs."""
+        unknown = []
+        for run in listed:
+            task = runner.tasks.get(run.task)
+            if task is None or task.attempt != run.attempt:
+                unknown.append(run)
+                continue
+            self._state.durations.advance(task, now)
+            task.listed = True
+            task.percent, task.usage = run.percent, run.usage
+            if run.saved:
+                task.checkpoint = run.saved
+        return unknown
+
     def _stop_unknown_run(
         self, runner: runners.RunnerState, run: types.ReportedRun
     ) -> None:
@@ -247,20 +293,3 @@
             'unknown run stopped', node=runner.name, task=run.task,
             run=run.attempt,
         )  # fmt: skip
-
-
-def _update_tasks(
-    runner: runners.RunnerState, listed: tuple[types.ReportedRun, ...]
-) -> list[types.ReportedRun]:
-    """Update the tasks that a list shows; return the runs of unknown ones."""
-    unknown = []
-    for run in listed:
-        task = runner.tasks.get(run.task)
-        if task is None or task.attempt != run.attempt:
-            unknown.append(run)
-            continue
-        task.listed = True
-        task.percent, task.usage = run.percent, run.usage
-        if run.saved:
-            task.checkpoint = run.saved
-    return unknown
