Refuse jobs that can't be of use, and share scarce capacity

Cause: at twice the capacity the order by deadline makes every job late, and nothing is refused below 4,000 open jobs. A queue that floods starves the others, small jobs starve large ones, refused callers return together, and a job of priority 0 waits for the end of long tasks.

Change: where `overload` is enabled (`Bounds.Overload`, default false), the owner estimates at the submission when a job would end, and refuses what would end later than three times its target. Jobs that can be in time go first within the share of their queue. Waiting jobs of priority 0 may stop less urgent tasks. Retry-After is spread by the job's id, also without `overload`. durations has any quantile of a step. The scheduler harness has the new setting.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 bench: install
 	$(BIN)/python -m kcr_emulator.bench --seed $(SEED)
 	$(BIN)/python tests/jobs/bench_planner.py
+	$(BIN)/python tests/jobs/bench_overload.py
 	PYTHONPATH=tests/support $(BIN)/python tests/scheduler/bench_takeover.py
 
 capacity: install
--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -6,9 +6,11 @@
 
 import typing
 
+from kcr_jobs import admission
 from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import job_table
+from kcr_jobs import job_work
 from kcr_jobs import records
 from kcr_jobs import types
 
@@ -37,9 +39,16 @@
         if len(self._state.open_jobs) >= MAX_OPEN_JOBS:
             self.refuse(ref, spec.job_id, 'too many open jobs')
             return
+        draft = job_work.make_draft(spec, now)
+        if self._is_useless(ref, draft, now):
+            return
         self._state.append(records.Accepted(spec, int(wall_ms)))
         job = self._state.table.jobs[spec.job_id]
         job.accepted_at = now
+        job.target_s, job.chain_left_s = draft.target_s, draft.chain_left_s
+        job.beyond_share = draft.beyond_share
+        job.size_behind = draft.size_behind
+        job.expected_late = draft.expected_late
         self._state.update_open_jobs(job, now)
         self._state.deferred.append(effects.Reply(ref, 'accepted'))
         self._state.log_event(
@@ -51,12 +60,48 @@
             open_jobs=len(self._state.open_jobs),
         )
 
-    def refuse(self, ref: typing.Any, job_id: str, reason: str) -> None:
-        """Refuse a job that is not in the log."""
-        self._state.log_event('job refused', job=job_id, reason=reason)
-        reply = effects.Reply(ref, 'refused', reason, RETRY_AFTER_MS)
+    def refuse(
+        self,
+        ref: typing.Any,
+        job_id: str,
+        reason: str,
+        wait_ms: float = RETRY_AFTER_MS,
+        **fields: typing.Any,
+    ) -> None:
+        """Refuse a job that is not in the log; `fields` go into the log."""
+        self._state.log_event(
+            'job refused', job=job_id, reason=reason, **fields
+        )
+        retry_ms = admission.infer_retry_ms(job_id, wait_ms)
+        reply = effects.Reply(ref, 'refused', reason, retry_ms)
         self._state.immediate.append(reply)
 
+    def _is_useless(
+        self, ref: typing.Any, draft: job_table.Job, now: float
+    ) -> bool:
+        """Refuse a job that would end too late; return whether it was."""
+        state = self._state
+        if state.overload.shares or state.overload.refuses:
+            state.shares.prepare(draft, now)
+            state.shares.record_submitted(draft)
+        if not state.overload.refuses:
+            return False
+        verdict = state.admission.decide(
+            draft, state.open_jobs.values(), state.runners.values(), now
+        )
+        state.count('admission', verdict.effect)
+        if verdict.effect != admission.REFUSED:
+            return False
+        state.shares.record_decided(draft, False, now)
+        self.refuse(
+            ref, draft.spec.job_id, verdict.reason, verdict.wait_ms,
+            ends_in_s=round(verdict.ends_in_s, 3),
+            useful_s=round(verdict.useful_s, 3),
+            free_cores=round(verdict.free_cores, 1),
+            ahead_core_s=round(verdict.ahead_core_s, 1),
+        )  # fmt: skip
+        return True
+
     def cancel(self, ref: typing.Any, job_id: str, now: float) -> None:
         """Cancel a job and stop its runs."""
         job = self._state.table.jobs.get(job_id)
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -35,8 +35,9 @@
         lease_s: float,
         now: float,
         log_bytes: int = 0,
+        overload: controller_state.Overload = controller_state.Overload(),
     ) -> None:
-        super().__init__(table, epoch, lease_s)
+        super().__init__(table, epoch, lease_s, overload)
         requests = caller_requests.CallerRequests(self)
         self.submit = requests.submit
         self.refuse = requests.refuse
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -9,14 +9,18 @@
 import dataclasses
 import typing
 
+from kcr_jobs import admission
 from kcr_jobs import durations
 from kcr_jobs import effects
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import messages
+from kcr_jobs import ordering
 from kcr_jobs import planning
+from kcr_jobs import preemption
 from kcr_jobs import records
 from kcr_jobs import runners
+from kcr_jobs import shares
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -31,11 +35,36 @@
     fields: dict[str, typing.Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Count:
+    """Store one increment of a metric."""
+
+    name: str
+    # Value of the label `effect`.
+    effect: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Overload:
+    """Select what the owner does when capacity is scarce."""
+
+    # Whether jobs are refused that would end too late.
+    refuses: bool = False
+    # Whether queues and sizes of jobs get shares.
+    shares: bool = False
+    # Whether urgent jobs may stop tasks of others.
+    preempts: bool = False
+
+
 class State:
     """Store the jobs and runners of one ownership."""
 
     def __init__(
-        self, table: job_table.JobTable, epoch: int, lease_s: float
+        self,
+        table: job_table.JobTable,
+        epoch: int,
+        lease_s: float,
+        overload: Overload = Overload(),
     ) -> None:
         # State of all jobs; ahead of the log by `pending_records`.
         self.table = table
@@ -43,6 +72,8 @@
         self.epoch = epoch
         # Duration of a lease, in seconds.
         self.lease_s = lease_s
+        # What is done when capacity is scarce.
+        self.overload = overload
         # Runners by the name of their instance.
         self.runners: dict[str, runners.RunnerState] = {}
         # Records to append to the log.
@@ -53,13 +84,23 @@
         self.immediate: list[effects.Effect] = []
         # Lines for the log.
         self.log_events: list[LogEvent] = []
+        # Increments of metrics.
+        self.counts: list[Count] = []
         # Jobs that may have tasks to start, by id.
         self.open_jobs: dict[str, job_table.Job] = {}
         # Estimates of what fillers add to the latency of serving tasks.
         self.interference = interference_model.InterferenceModel()
         # Learnt run times of tasks.
         self.durations = durations.Durations()
-        self.planner = planning.Planner(self.interference)
+        order_name = 'shares' if overload.shares else planning.ORDER_NAME
+        self.planner = planning.Planner(self.interference, order_name)
+        self.shares = shares.Shares(self.durations)
+        self.admission = admission.Admission(
+            self.durations, self.shares, ordering.ORDERS.get(order_name)
+        )
+        self.preemption = preemption.Preemption(
+            self.durations, self.interference
+        )
         # Whether jobs or reservations have changed since the last plan.
         self.changed = True
 
@@ -75,6 +116,10 @@
         """Add a line for the log."""
         self.log_events.append(LogEvent(event, fields))
 
+    def count(self, name: str, effect: str) -> None:
+        """Add an increment of a metric."""
+        self.counts.append(Count(name, effect))
+
     def append(self, rec: records.Record) -> None:
         """Apply a record, and add it to those to append to the log."""
         self.changed = True
--- a/packages/jobs/src/kcr_jobs/durations.py
+++ b/packages/jobs/src/kcr_jobs/durations.py
@@ -149,16 +149,22 @@
             PRIOR_RUNS + times.weight
         )
 
-    def decile_s(self, task: job_table.Task) -> float:
-        """Return the time that nine of ten tasks don't exceed, in seconds."""
-        prior_s = _infer_prior_s(task.spec)
-        times = self._kinds.get(_find_kind(task.job, task.step))
+    def quantile_step_s(
+        self, job: job_table.Job, step: int, share: float
+    ) -> float:
+        """Return the time that a share of the tasks of a step don't exceed."""
+        prior_s = _infer_prior_s(job.spec.steps[step])
+        times = self._kinds.get(_find_kind(job, step))
         if times is None:
             return prior_s
         return (
-            PRIOR_RUNS * prior_s + times.weight * times.find_quantile(0.9)
+            PRIOR_RUNS * prior_s + times.weight * times.find_quantile(share)
         ) / (PRIOR_RUNS + times.weight)
 
+    def decile_s(self, task: job_table.Task) -> float:
+        """Return the time that nine of ten tasks don't exceed, in seconds."""
+        return self.quantile_step_s(task.job, task.step, 0.9)
+
     def remaining_s(self, task: job_table.Task, now: float) -> float:
         """Return the expected time until a running task ends, in seconds.
 
--- a/packages/jobs/src/kcr_jobs/job_ends.py
+++ b/packages/jobs/src/kcr_jobs/job_ends.py
@@ -10,6 +10,7 @@
 from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import job_table
+from kcr_jobs import ordering
 from kcr_jobs import records
 from kcr_jobs import snapshots
 
@@ -34,6 +35,11 @@
         """Make the end of a job, whose records are durable, visible."""
         job = self._state.table.jobs.get(job_id)
         if job is not None and not job.finalized:
+            if job.state == job_table.COMPLETED and job.target_s:
+                useful_s = ordering.USEFUL_FACTOR * job.target_s
+                self._state.shares.record_decided(
+                    job, now <= job.accepted_at + useful_s, now
+                )
             self.mark_ended(job, now)
 
     def mark_ended(self, job: job_table.Job, now: float) -> None:
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -68,6 +68,9 @@
     throttle_percent: int = 100
     throttled_at: float = 0.0
     not_stalled_at: float = 0.0
+    # Time at which its newest checkpoint was first reported; none before that.
+    # Not durable.
+    checkpointed_at: float | None = None
     # Time that the run has had at full share until `worked_until`, in seconds
     # (see durations), and whether it resumed from a checkpoint. Not durable.
     work_s: float = 0.0
@@ -135,6 +138,22 @@
     # Monotonic time since which no runner has capacity for its tasks while
     # none of them runs. Not durable.
     starved_since: float | None = None
+    # Target time and expected time of the remaining chain of steps by learnt
+    # run times, in seconds; 0 before they are inferred. Not durable.
+    target_s: float = 0.0
+    chain_left_s: float = 0.0
+    # Whether its queue has its share without this job, and whether jobs of
+    # its size are served too rarely; set by `shares`. Not durable.
+    beyond_share: bool = False
+    size_behind: bool = False
+    # Whether it was accepted although it is expected to miss its target; it
+    # does not delay jobs that are not. Not durable.
+    expected_late: bool = False
+    # Whether it counts as served or as useless for its size. Not durable.
+    size_counted: bool = False
+    # Time at which one of its tasks was last stopped for more urgent work;
+    # none before that. Not durable.
+    preempted_at: float | None = None
 
     @property
     def state(self) -> str:
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -18,7 +18,7 @@
 from kcr_jobs import runners
 from kcr_jobs import step_choice
 
-# Registered order in which waiting jobs get capacity.
+# Registered order in which waiting jobs get capacity, without shares.
 ORDER_NAME = 'deadline'
 # Time after which a job with no running task is placed on any runner that it
 # fits, in seconds; the users allow 3 s where there is capacity.
@@ -53,14 +53,19 @@
     )
     # Steps for which no runner has capacity.
     waits: list[WaitingStep] = dataclasses.field(default_factory=list)
+    # First task of each step without a runner, in the order of the jobs.
+    unplaced: list[job_table.Task] = dataclasses.field(default_factory=list)
 
 
 class Planner:
     """Choose the tasks to start."""
 
     def __init__(
-        self, interference: interference_model.InterferenceModel
+        self,
+        interference: interference_model.InterferenceModel,
+        order_name: str = ORDER_NAME,
     ) -> None:
+        self._order = ordering.ORDERS.get(order_name)
         # Estimates of what fillers add to the latency of serving tasks.
         self._interference = interference
         # Tickets of advised steps, and the requests for them.
@@ -87,11 +92,10 @@
             placement.make_candidate(r, now, r in suspects, self._interference)
             for r in schedulable
         ]
-        order = ordering.ORDERS.get(ORDER_NAME)
         plan = Plan()
         rejected = step_choice.RejectedDemands()
         self.advice.begin_plan()
-        for job in sorted(jobs, key=lambda j: order(j, now)):
+        for job in sorted(jobs, key=lambda j: self._order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
         plan.requests = self.advice.finish_plan(now)
         return plan
@@ -138,6 +142,7 @@
             if candidate is None:
                 # All tasks of a step have the same demand.
                 blocked.add(key)
+                plan.unplaced.append(task)
                 self._log_waiting(task, candidates, now, plan, steps_ahead)
                 continue
             _assign(task, candidate, plan)
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -155,6 +155,8 @@
             )
             runner.record_end(end.how)
             self._state.durations.record_end(task, end.how, now)
+            if end.how == 'done':
+                self._state.admission.record_end(task, now)
             if end.how == 'failed':
                 task.failed_on.add(runner.name)
             self._state.log_event(
@@ -214,7 +216,7 @@
                 self._stop_unknown_run(runner, run)
                 continue
             self._state.durations.advance(task, now)
-            _update_task(task, run)
+            _update_task(task, run, now)
         pending = set(msg.unanswered)
         lost = []
         for task in list(runner.tasks.values()):
@@ -251,8 +253,10 @@
         )  # fmt: skip
 
 
-def _update_task(task: job_table.Task, run: types.ReportedRun) -> None:
+def _update_task(
+    task: job_table.Task, run: types.ReportedRun, now: float
+) -> None:
     task.listed = True
     task.percent, task.usage = run.percent, run.usage
-    if run.saved:
-        task.checkpoint = run.saved
+    if run.saved and run.saved != task.checkpoint:
+        task.checkpoint, task.checkpointed_at = run.saved, now
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -10,7 +10,9 @@
 from kcr_jobs import effects
 from kcr_jobs import job_table
 from kcr_jobs import messages
+from kcr_jobs import planning
 from kcr_jobs import records
+from kcr_jobs import runners
 from kcr_jobs import tickets
 
 
@@ -41,9 +43,49 @@
         ]
         if not schedulable:
             return
+        if self._state.overload.shares:
+            self._state.shares.mark(
+                self._state.open_jobs.values(),
+                self._state.runners.values(),
+                now,
+            )
         plan = self._state.planner.plan(
             self._state.open_jobs.values(), schedulable, now
         )
+        self._report(plan, len(schedulable))
+        if plan.starts:
+            rows = tuple(
+                records.StartRow(
+                    t.name, t.attempt + 1, t.instance, t.incarnation
+                )
+                for t in plan.starts
+            )
+            self._state.append(records.Started(rows))
+            for task in plan.starts:
+                self._order_start(task, now)
+        if self._state.overload.preempts:
+            self._preempt(plan.unplaced, schedulable, now)
+
+    def _preempt(
+        self,
+        unplaced: list[job_table.Task],
+        schedulable: list[runners.RunnerState],
+        now: float,
+    ) -> None:
+        """Stop tasks for a more urgent one, if that is worthwhile."""
+        found = self._state.preemption.choose(unplaced, schedulable, now)
+        if found is None:
+            return
+        for task in found.victims:
+            self._state.log_event(
+                'task preempted', task=task.name, node=task.instance,
+                by=found.task.name, gain_core_s=round(found.gain, 1),
+                loss_core_s=round(found.loss, 1),
+            )  # fmt: skip
+            self._state.stop(task, now)
+
+    def _report(self, plan: planning.Plan, schedulable: int) -> None:
+        """Send the requests for tickets, and log why steps wait."""
         for request in plan.requests:
             self._state.immediate.append(request)
             self._state.log_event(
@@ -54,19 +96,10 @@
             )  # fmt: skip
         for waiting in plan.waits:
             self._state.log_event(
-                'step waits', step=waiting.step, runners=len(schedulable),
+                'step waits', step=waiting.step, runners=schedulable,
                 steps_ahead=waiting.steps_ahead,
                 **{k.replace(' ', '_'): n for k, n in waiting.reasons.items()},
             )  # fmt: skip
-        if not plan.starts:
-            return
-        rows = tuple(
-            records.StartRow(t.name, t.attempt + 1, t.instance, t.incarnation)
-            for t in plan.starts
-        )
-        self._state.append(records.Started(rows))
-        for task in plan.starts:
-            self._order_start(task, now)
 
     def record_advice(
         self, request: effects.RequestAdvice, reply: tickets.Reply, now: float
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -52,6 +52,11 @@
     grace_s: float = pydantic.Field(
         6.0, description='time between SIGTERM and SIGKILL, in seconds', gt=0
     )
+    overload: bool = pydantic.Field(
+        False,
+        description='refuse jobs that would end too late, share scarce '
+        'capacity between queues, and stop tasks for urgent ones',
+    )
     max_connections: int = pydantic.Field(
         2000, description='connections accepted at the same time', ge=1
     )
--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -10,6 +10,7 @@
 import typing
 
 from kcr_core import retry_budget
+from kcr_jobs import admission
 from kcr_jobs import messages
 from kcr_jobs import submissions
 from kcr_jobs import types
@@ -22,8 +23,8 @@
 # Time that a call waits for an owner before it is refused, in seconds; it is
 # better for the caller to retry than to wait until an election has ended.
 NO_OWNER_TIMEOUT_S = 0.15
-# Retry-After without an owner, in milliseconds; an election takes about that
-# long.
+# Shortest Retry-After without an owner, in milliseconds; an election takes
+# about that long.
 NO_OWNER_RETRY_AFTER_MS = 1000
 # Time between scans of the waiting calls, in seconds.
 SCAN_INTERVAL_S = 0.05
@@ -107,7 +108,7 @@
         )
         pending = _Pending(msg, sent, now, now + call.timeout_s)
         if len(self._pending) >= MAX_CALLS:
-            self._refuse(pending, 'too many calls', NO_OWNER_RETRY_AFTER_MS)
+            self._refuse_for_now(pending, 'too many calls')
             return
         self._pending[token] = pending
         self._budget.deposit()
@@ -130,6 +131,13 @@
         else:
             self.send(self._route, session.Send(msg))
 
+    def _refuse_for_now(self, pending: _Pending, detail: str) -> None:
+        """Refuse a call; the callers do not return at the same time."""
+        retry_ms = admission.infer_retry_ms(
+            pending.msg.job_id, NO_OWNER_RETRY_AFTER_MS
+        )
+        self._refuse(pending, detail, retry_ms)
+
     def _refuse(self, pending: _Pending, detail: str, number: int) -> None:
         """Refuse a call, unless its job may be accepted all the same.
 
@@ -236,7 +244,7 @@
         if not pending.route:
             if now - pending.received_at >= NO_OWNER_TIMEOUT_S:
                 del self._pending[token]
-                self._refuse(pending, 'no owner', NO_OWNER_RETRY_AFTER_MS)
+                self._refuse_for_now(pending, 'no owner')
             return
         if now >= pending.deadline:
             del self._pending[token]
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -11,6 +11,7 @@
 import typing
 
 from kcr_jobs import controller
+from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import election
 from kcr_jobs import messages
@@ -212,7 +213,7 @@
         epoch = self._jobs.table.epoch
         self.controller = controller.Controller(
             self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
-            self._jobs.size,
+            self._jobs.size, self._make_overload(),
         )  # fmt: skip
         self.log.info(
             'leading',
@@ -225,6 +226,10 @@
         self.ctx.metrics.count('ownership_gained')
         self.send(addresses.MESH, events.OwnershipGained(epoch))
 
+    def _make_overload(self) -> controller_state.Overload:
+        enabled: bool = self.ctx.cfg.overload
+        return controller_state.Overload(enabled, enabled, enabled)
+
     def end_ownership(self) -> None:
         """Drop the controller, whose state may be ahead of the log."""
         self._term += 1
@@ -389,6 +394,9 @@
         for log_event in ctl.log_events:
             self.log.info(log_event.event, **log_event.fields)
             self.ctx.metrics.count('decision', kind=log_event.event)
+        for count in ctl.counts:
+            self.ctx.metrics.count(count.name, effect=count.effect)
+        ctl.counts.clear()
         immediate, ctl.immediate, ctl.log_events = ctl.immediate, [], []
         for effect in immediate:
             self._carry_out(effect)
