--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -36,8 +36,9 @@
         now: float,
         log_bytes: int = 0,
         remote_factor: float = 1.0,
+        overload: controller_state.Overload = controller_state.Overload(),
     ) -> None:
-        super().__init__(table, epoch, lease_s, now, remote_factor)
+        super().__init__(table, epoch, lease_s, now, remote_factor, overload)
         requests = caller_requests.CallerRequests(self)
         self.submit = requests.submit
         self.refuse = requests.refuse
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from kcr_jobs import admission
 from kcr_jobs import conditions
 from kcr_jobs import durations
 from kcr_jobs import effects
@@ -16,10 +17,13 @@
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import messages
+from kcr_jobs import ordering
 from kcr_jobs import planning
+from kcr_jobs import preemption
 from kcr_jobs import records
 from kcr_jobs import regions
 from kcr_jobs import runners
+from kcr_jobs import shares
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +38,27 @@
     fields: dict[str, typing.Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Count:
+    """Store one increment of a metric."""
+
+    name: str
+    # Value of the label `effect`.
+    effect: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Overload:
+    """Select what the owner does when capacity is scarce."""
+
+    # Whether jobs are refused that would end too late.
+    refuses: bool = False
+    # Whether queues and sizes of jobs get shares.
+    shares: bool = False
+    # Whether urgent jobs may stop tasks of others.
+    preempts: bool = False
+
+
 class State:
     """Store the jobs and runners of one ownership."""
 
@@ -44,6 +69,7 @@
         lease_s: float,
         now: float,
         remote_factor: float = 1.0,
+        overload: Overload = Overload(),
     ) -> None:
         # State of all jobs; ahead of the log by `pending_records`.
         self.table = table
@@ -55,6 +81,8 @@
         self.began_at = now
         # Where tasks may start.
         self.conditions = conditions.Conditions()
+        # What is done when capacity is scarce.
+        self.overload = overload
         # Runners by the name of their instance.
         self.runners: dict[str, runners.RunnerState] = {}
         # Records to append to the log.
@@ -65,16 +93,24 @@
         self.immediate: list[effects.Effect] = []
         # Lines for the log.
         self.log_events: list[LogEvent] = []
-        # Metrics to count, each with the value of its label `effect`.
-        self.counts: list[tuple[str, str]] = []
+        # Increments of metrics.
+        self.counts: list[Count] = []
         # Jobs that may have tasks to start, by id.
         self.open_jobs: dict[str, job_table.Job] = {}
         # Estimates of what fillers add to the latency of serving tasks.
         self.interference = interference_model.InterferenceModel()
         # Learnt run times of tasks.
         self.durations = durations.Durations()
+        order_name = 'shares' if overload.shares else planning.ORDER_NAME
         self.planner = planning.Planner(
-            self.interference, self.durations, remote_factor
+            self.interference, self.durations, remote_factor, order_name
+        )
+        self.shares = shares.Shares(self.durations)
+        self.admission = admission.Admission(
+            self.durations, self.shares, ordering.ORDERS.get(order_name)
+        )
+        self.preemption = preemption.Preemption(
+            self.durations, self.interference
         )
         # Whether jobs or reservations have changed since the last plan.
         self.changed = True
@@ -91,9 +127,9 @@
         """Add a line for the log."""
         self.log_events.append(LogEvent(event, fields))
 
-    def count(self, metric: str, effect: str) -> None:
-        """Count an effect of a decision in a metric."""
-        self.counts.append((metric, effect))
+    def count(self, name: str, effect: str) -> None:
+        """Add an increment of a metric."""
+        self.counts.append(Count(name, effect))
 
     def is_evacuated(self, runner: runners.RunnerState) -> bool:
         """Return whether the zone of a runner is evacuated."""
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -182,6 +182,8 @@
             )
             runner.record_end(end.how)
             self._state.durations.record_end(task, end.how, now)
+            if end.how == 'done':
+                self._state.admission.record_end(task, now)
             if end.how == 'failed':
                 task.failed_on.add(runner.name)
             self._state.log_event(
@@ -278,8 +280,8 @@
             self._state.durations.advance(task, now)
             task.listed = True
             task.percent, task.usage = run.percent, run.usage
-            if run.saved:
-                task.checkpoint = run.saved
+            if run.saved and run.saved != task.checkpoint:
+                task.checkpoint, task.checkpointed_at = run.saved, now
         return unknown
 
     def _stop_unknown_run(
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -11,6 +11,7 @@
 import typing
 
 from kcr_jobs import controller
+from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import election
 from kcr_jobs import evacuation
@@ -232,6 +233,7 @@
         self.controller = controller.Controller(
             self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
             self._jobs.size, self.ctx.cfg.remote_factor,
+            self._make_overload(),
         )  # fmt: skip
         if self._evacuation is not None:
             self.controller.set_evacuation(self._evacuation)
@@ -247,6 +249,10 @@
         self.ctx.metrics.count('ownership_gained')
         self.send(addresses.MESH, events.OwnershipGained(epoch))
 
+    def _make_overload(self) -> controller_state.Overload:
+        enabled: bool = self.ctx.cfg.overload
+        return controller_state.Overload(enabled, enabled, enabled)
+
     def end_ownership(self) -> None:
         """Drop the controller, whose state may be ahead of the log."""
         self._term += 1
@@ -433,8 +439,8 @@
         for log_event in ctl.log_events:
             self.log.info(log_event.event, **log_event.fields)
             self.ctx.metrics.count('decision', kind=log_event.event)
-        for metric, effect_name in ctl.counts:
-            self.ctx.metrics.count(metric, effect=effect_name)
+        for count in ctl.counts:
+            self.ctx.metrics.count(count.name, effect=count.effect)
         ctl.counts.clear()
         for effect_name, n in ctl.planner.locality.take_counts().items():
             self.ctx.metrics.count('rack_wait', n, effect=effect_name)
--- a/tests/jobs/test_evacuation.py
+++ b/tests/jobs/test_evacuation.py
@@ -8,6 +8,7 @@
 
 from kcr_jobs import caller_requests
 from kcr_jobs import conditions
+from kcr_jobs import controller_state
 from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import types
@@ -101,7 +102,8 @@
         harness.step()
     assert not harness.find_placements('j')
     assert harness.ctl.runners['a'].failure_rate == 0.0
-    assert ('zone_evacuations', 'start_withdrawn') in harness.ctl.counts
+    withdrawn = controller_state.Count('zone_evacuations', 'start_withdrawn')
+    assert withdrawn in harness.ctl.counts
     evacuate(harness, 2)
     harness.step()
     harness.step()
--- a/tests/scheduler/scheduler_harness.py
+++ b/tests/scheduler/scheduler_harness.py
@@ -30,6 +30,7 @@
     lease_s = 6.0
     zone_regions: tuple[str, ...] = ()
     remote_factor = 1.0
+    overload = False
 
 
 class FakeStore:
