--- a/tests/platform/test_config_check.py
+++ b/tests/platform/test_config_check.py
@@ -154,3 +154,25 @@
     status, value = run(capsys, old, '--against', new)
     assert status == 1
     assert value['findings'][0]['path'] == 'Version'
+
+
+def test_region_without_a_zone_is_found(
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guard against a route whose jobs no runner may run."""
+    file = write(tmp_path, 'c', make({'AllowedRegions': ['r1', 'r9']}))
+    path = tmp_path / 'settings.toml'
+    path.write_text(
+        'NodeName = "n"\nIp = "127.0.0.1"\nZone = "z"\nRegion = "r1"\n'
+        '[Listen]\n[platform]\nAddr = "127.0.0.1:9"\n[Zones]\nz = "r1"\n'
+    )
+    monkeypatch.setenv('KINGCUPROUTER_CONFIG', str(path))
+    status, value = run(capsys, file)
+    found = [item['path'] for item in value['findings']]
+    assert (status, found) == (1, ['Routes[0].AllowedRegions[1]'])
+    monkeypatch.setenv('KINGCUPROUTER_CONFIG', str(tmp_path / 'none'))
+    assert run(capsys, file)[0] == 2
+    monkeypatch.delenv('KINGCUPROUTER_CONFIG')
+    assert config_check.check(pathlib.Path(file).read_bytes())[1] == []
