--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -645,3 +645,22 @@
     assert harness.runner.count('start') == 1
     assert harness.runner.count('stop') == 1
     assert harness.list_unanswered() == ()
+
+
+def test_list_that_does_not_fit_is_reported_in_parts() -> None:
+    """Guard against a report that is too large to be sent, and is lost."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.running = tuple(
+        types.ReportedRun(f'r{n}', 1, 'x' * 4096) for n in range(300)
+    )
+    harness.runner.ended = make_ends(1, 3)
+    harness.list_unanswered()
+    harness.advance(0.6)
+    harness.runner.answer_all()
+    harness.advance(0.0)
+    reports = harness.owner.pop_all(messages.RunnerReport)
+    assert [report.part for report in reports] == [1, 2, 3]
+    assert [report.complete for report in reports] == [False, False, True]
+    assert sum(len(report.running) for report in reports) == 300
+    assert len(reports[0].ended) == 3
