Let tasks wait up to twice the expected time for their rack

Cause: the first tasks that wait for a rack expect the shortest wait. If the place became free a little later, they had just left, and a task that waits for a shorter time got it.

Change: a wait ends after twice the expected time, at least 0.6 s and at most what the run elsewhere takes longer; the time is still computed once, when the wait begins, and is logged as `longest_s`.

--- a/packages/jobs/src/kcr_jobs/locality.py
+++ b/packages/jobs/src/kcr_jobs/locality.py
@@ -42,6 +42,8 @@
     rack: str
     # Expected wait of the last of its tasks that wait, in seconds.
     wait_s: float
+    # Time that is left until this task stops waiting, in seconds.
+    longest_s: float
     # Expected run time there and elsewhere, in seconds.
     local_s: float
     remote_s: float
@@ -175,8 +177,9 @@
             member.awaited_rack = choice.rack
             if member.rack_wait is None:
                 member.rack_wait = job_table.RackWait(
-                    choice.rack, now, free_at
-                )
+                    choice.rack, now, choice.find_patience(free_at, now),
+                    free_at - now,
+                )  # fmt: skip
                 self._counts['waited'] += 1
         self._explain(choice, task, free_at - now, len(members), now)
         return True
@@ -192,9 +195,12 @@
         step = task.step_name
         if step in self.waits:
             tasks += self.waits[step].tasks
+        assert task.rack_wait is not None
+        longest_s = task.rack_wait.until - now
         learnt_at = self._model.updated_at(task)
         wait = self.waits[step] = StepWait(
-            step, choice.rack, round(wait_s, 3), round(choice.local_s, 3),
+            step, choice.rack, round(wait_s, 3), round(longest_s, 3),
+            round(choice.local_s, 3),
             round(choice.remote_s, 3), self._model.samples(task),
             -1.0 if learnt_at is None else round(now - learnt_at, 3), tasks,
         )  # fmt: skip
@@ -369,7 +375,7 @@
         bias = self._find_bias(wait.rack, now)
         ratio = LEFT_FACTOR
         if placed:
-            ratio = (now - wait.since) / max(wait.until - wait.since, 1e-3)
+            ratio = (now - wait.since) / max(wait.expected_s, 1e-3)
         bias += BIAS_WEIGHT * (ratio * bias - bias)
         self._biases[wait.rack] = (min(max(1.0, bias), MAX_BIAS), now)
 
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -55,9 +55,9 @@
         for wait in self._state.planner.locality.new_waits:
             self._state.log_event(
                 'task waits for rack', step=wait.step, rack=wait.rack,
-                wait_s=wait.wait_s, local_s=wait.local_s,
-                remote_s=wait.remote_s, samples=wait.samples,
-                age_s=wait.age_s,
+                wait_s=wait.wait_s, longest_s=wait.longest_s,
+                local_s=wait.local_s, remote_s=wait.remote_s,
+                samples=wait.samples, age_s=wait.age_s,
             )  # fmt: skip
         for waiting in plan.waits:
             self._state.log_event(
--- a/tests/jobs/test_locality.py
+++ b/tests/jobs/test_locality.py
@@ -108,7 +108,7 @@
     racks.fill(1, 1.0)
     racks.submit(dataclasses.replace(NEAR, count=2))
     racks.harness.step(0.1)
-    until = racks.find_events('task waits for rack')[0]['wait_s']
+    until = racks.find_events('task waits for rack')[0]['longest_s']
     began = racks.harness.now
     while len(racks.find_racks()) < 2:
         racks.harness.step(0.1)
