--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -9,6 +9,7 @@
 from kcr_jobs import admission
 from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import job_work
 from kcr_jobs import records
@@ -20,6 +21,9 @@
 MAX_OPEN_JOBS = 4000
 # Time after which a caller may retry a refused job, in milliseconds.
 RETRY_AFTER_MS = 1000
+# Time after a takeover in which the agents find the owner, in seconds; until
+# then the known runners may be those of one zone only.
+DISCOVERY_S = 2.0
 
 
 class CallerRequests:
@@ -39,6 +43,10 @@
         if len(self._state.open_jobs) >= MAX_OPEN_JOBS:
             self.refuse(ref, spec.job_id, 'too many open jobs')
             return
+        reason = self._find_refusal(spec.queue, now)
+        if reason:
+            self.refuse(ref, spec.job_id, reason)
+            return
         draft = job_work.make_draft(spec, now)
         if self._is_useless(ref, draft, now):
             return
@@ -60,6 +68,28 @@
             open_jobs=len(self._state.open_jobs),
         )
 
+    def _find_refusal(self, queue: types.Queue, now: float) -> str:
+        """Return why no runner may start jobs of a queue; else empty.
+
+        A service without a known runner refuses nothing if its route has no
+        list, as its agents may be on their way to this owner.
+        """
+        if now - self._state.began_at < DISCOVERY_S:
+            return ''
+        limits = self._state.conditions
+        zones = {
+            runner.info.zone
+            for runner in self._state.runners.values()
+            if runner.info is not None and runner.info.service == queue.service
+        }
+        allowed = {z for z in zones if limits.region_rules.allows(queue, z)}
+        if not allowed and limits.region_rules.find_allowed(queue):
+            return 'no runner in the allowed regions'
+        if evacuation.forbids_all(limits.evacuation_view, allowed):
+            self._state.count('zone_evacuations', 'job_refused')
+            return 'all zones are evacuated'
+        return ''
+
     def refuse(
         self,
         ref: typing.Any,
@@ -87,8 +117,9 @@
         if not state.overload.refuses:
             return False
         verdict = state.admission.decide(
-            draft, state.open_jobs.values(), state.runners.values(), now
-        )
+            draft, state.open_jobs.values(), state.runners.values(), now,
+            state.conditions.evacuation_view,
+        )  # fmt: skip
         state.count('admission', verdict.effect)
         if verdict.effect != admission.REFUSED:
             return False
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -35,9 +35,10 @@
         lease_s: float,
         now: float,
         log_bytes: int = 0,
+        remote_factor: float = 1.0,
         overload: controller_state.Overload = controller_state.Overload(),
     ) -> None:
-        super().__init__(table, epoch, lease_s, overload)
+        super().__init__(table, epoch, lease_s, now, remote_factor, overload)
         requests = caller_requests.CallerRequests(self)
         self.submit = requests.submit
         self.refuse = requests.refuse
@@ -49,6 +50,7 @@
         )
         self.attach = reports.attach
         self.detach = reports.detach
+        self.set_evacuation = reports.set_evacuation
         self.report = reports.report
         self.confirm_ends = reports.confirm_ends
         self._starts = starts.Starts(self, now)
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -10,8 +10,10 @@
 import typing
 
 from kcr_jobs import admission
+from kcr_jobs import conditions
 from kcr_jobs import durations
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import messages
@@ -19,6 +21,7 @@
 from kcr_jobs import planning
 from kcr_jobs import preemption
 from kcr_jobs import records
+from kcr_jobs import regions
 from kcr_jobs import runners
 from kcr_jobs import shares
 
@@ -35,15 +38,6 @@
     fields: dict[str, typing.Any]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Count:
-    """Store one increment of a metric."""
-
-    name: str
-    # Value of the label `effect`.
-    effect: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Overload:
     """Select what the owner does when capacity is scarce."""
@@ -64,6 +58,8 @@
         table: job_table.JobTable,
         epoch: int,
         lease_s: float,
+        now: float,
+        remote_factor: float = 1.0,
         overload: Overload = Overload(),
     ) -> None:
         # State of all jobs; ahead of the log by `pending_records`.
@@ -72,6 +68,10 @@
         self.epoch = epoch
         # Duration of a lease, in seconds.
         self.lease_s = lease_s
+        # Time at which this ownership began.
+        self.began_at = now
+        # Where tasks may start.
+        self.conditions = conditions.Conditions()
         # What is done when capacity is scarce.
         self.overload = overload
         # Runners by the name of their instance.
@@ -84,8 +84,8 @@
         self.immediate: list[effects.Effect] = []
         # Lines for the log.
         self.log_events: list[LogEvent] = []
-        # Increments of metrics.
-        self.counts: list[Count] = []
+        # Metrics to count, each with the value of its label `effect`.
+        self.counts: list[tuple[str, str]] = []
         # Jobs that may have tasks to start, by id.
         self.open_jobs: dict[str, job_table.Job] = {}
         # Estimates of what fillers add to the latency of serving tasks.
@@ -93,7 +93,9 @@
         # Learnt run times of tasks.
         self.durations = durations.Durations()
         order_name = 'shares' if overload.shares else planning.ORDER_NAME
-        self.planner = planning.Planner(self.interference, order_name)
+        self.planner = planning.Planner(
+            self.interference, self.durations, remote_factor, order_name
+        )
         self.shares = shares.Shares(self.durations)
         self.admission = admission.Admission(
             self.durations, self.shares, ordering.ORDERS.get(order_name)
@@ -116,9 +118,30 @@
         """Add a line for the log."""
         self.log_events.append(LogEvent(event, fields))
 
-    def count(self, name: str, effect: str) -> None:
-        """Add an increment of a metric."""
-        self.counts.append(Count(name, effect))
+    def count(self, metric: str, effect: str) -> None:
+        """Count an effect of a decision in a metric."""
+        self.counts.append((metric, effect))
+
+    def is_evacuated(self, runner: runners.RunnerState) -> bool:
+        """Return whether the zone of a runner is evacuated."""
+        return runner.info is not None and evacuation.forbids(
+            self.conditions.evacuation_view, runner.info.zone
+        )
+
+    def is_in_region(
+        self, task: job_table.Task, runner: runners.RunnerState
+    ) -> bool:
+        """Return whether a runner is in an allowed region of a task."""
+        return runner.info is not None and self.conditions.region_rules.allows(
+            task.job.spec.queue, runner.info.zone
+        )
+
+    def set_regions(self, rules: regions.Rules) -> None:
+        """Apply the regions of zones and routes."""
+        self.conditions = dataclasses.replace(
+            self.conditions, region_rules=rules
+        )
+        self.changed = True
 
     def append(self, rec: records.Record) -> None:
         """Apply a record, and add it to those to append to the log."""
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -44,6 +44,11 @@
     entries: tuple[Text, ...] = ()
     # Number of records that the sender has read for a claim; -1 for none.
     claiming: Int = -1
+    # Offset up to which the sender's view of the evacuated zones was read, -1
+    # for no view; the zones; and the generation of the topic.
+    evacuation_offset: Int = -1
+    evacuated_zones: tuple[Text, ...] = ()
+    evacuation_generation: Count = 0
 
 
 @message_base.message('job_resign')
@@ -156,9 +161,10 @@
     seq: Count
     # Self-description of the runner.
     info: types.RunnerInfo
-    # Whether `running` and `ended` are the complete lists.
+    # Whether `running` and `ended` are the complete lists, with the parts
+    # before this one. Tasks may be missing in the lists of other reports.
     complete: bool
-    # The running tasks.
+    # The running tasks; empty in a report of new ends only.
     running: tuple[types.ReportedRun, ...]
     # Ended runs that the owner has not confirmed.
     ended: tuple[types.ReportedEnd, ...]
@@ -166,6 +172,9 @@
     orders: Count = 0
     # Tasks whose start the runner has not answered yet.
     unanswered: tuple[Text, ...] = ()
+    # Number of this part of a complete list, from 1; 0 if the list is not in
+    # parts. Only the last part is complete.
+    part: Count = 0
 
 
 @message_base.message('runner_report_ack')
@@ -183,6 +192,9 @@
     # Number of the last ended run whose record is durable; the runner may
     # drop the ended runs up to it.
     cursor: Count
+    # Whether the runner gets no starts, as its zone is evacuated; unanswered
+    # starts are given up.
+    starts_closed: bool = False
 
 
 @message_base.message('start_run')
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -11,6 +11,8 @@
 import dataclasses
 
 from kcr_core import registry
+from kcr_jobs import conditions
+from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import runners
@@ -36,6 +38,9 @@
 # Pressure up to which fillers are placed beside serving tasks; throttling
 # begins a little above it.
 MAX_PRESSURE = 0.75
+# Penalty of a runner in a rack for which other tasks wait; idle processors
+# and pressure differ by up to 1.
+AWAITED_PENALTY = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,8 +65,14 @@
     # Serving tasks with their pressure (see throttling), raised by what the
     # fillers that are being started will add.
     pressures: list[tuple[job_table.Task, float]]
+    # Where tasks may start.
+    limits: conditions.Conditions = conditions.Conditions()
     # Number of reservations that were made.
     version: int = 0
+    # Tasks that are being started.
+    started: list[job_table.Task] = dataclasses.field(default_factory=list)
+    # Whether tasks wait for its rack (see locality).
+    awaited: bool = False
 
     @property
     def runner_id(self) -> str:
@@ -75,9 +86,16 @@
         assert self.runner.info is not None
         return self.runner.info.incarnation
 
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Return the kind and the rack of the runner."""
+        assert self.runner.info is not None
+        return self.runner.info.labels
+
     def reserve(self, task: job_table.Task) -> None:
         """Reserve capacity for a task."""
         self.version += 1
+        self.started.append(task)
         demand = task.spec.demand
         self.mem_mb -= demand.mem_mb
         self.gpu -= demand.gpu
@@ -150,6 +168,7 @@
     now: float,
     suspect: bool,
     interference: interference_model.InterferenceModel,
+    limits: conditions.Conditions = conditions.Conditions(),
 ) -> Candidate:
     """Return a runner as a candidate; a suspect one gets few starts."""
     assert runner.info is not None
@@ -167,6 +186,7 @@
         1_000_000,
         interference,
         _infer_pressures(runner, interference, now),
+        limits,
     )
     for task in runner.tasks.values():
         step = (task.job.spec.job_id, task.occurrence, task.step)
@@ -186,6 +206,12 @@
     demand = spec.demand
     if info.service != task.job.spec.queue.service:
         return 'service'
+    if evacuation.forbids(candidate.limits.evacuation_view, info.zone):
+        return 'zone evacuated'
+    if not candidate.limits.region_rules.allows(
+        task.job.spec.queue, info.zone
+    ):
+        return 'region'
     if candidate.starts_left <= 0:
         return 'failing runner'
     if demand.mem_mb > candidate.mem_mb:
@@ -200,6 +226,8 @@
         step = (task.job.spec.job_id, task.occurrence, task.step)
         if candidate.tasks_per_step.get(step, 0) >= spec.max_per_runner:
             return 'tasks of its step'
+    if task.awaited_rack and task.awaited_rack not in info.labels:
+        return 'waits for rack'
     return ''
 
 
@@ -334,6 +362,9 @@
         score += 2.0
     if spec.near_rack and spec.near_rack not in runner.info.labels:
         score += 1.0
+    if candidate.awaited and spec.near_rack not in runner.info.labels:
+        # The next free place there is better used by a task that waits.
+        score += AWAITED_PENALTY
     return score
 
 
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -14,8 +14,10 @@
 from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import election
+from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import records
+from kcr_jobs import regions
 from kcr_jobs import tickets
 from kcr_runtime import store
 from kcr_runtime import task
@@ -77,6 +79,14 @@
             ctx
         )
         self._ownership = ownership.OWNERSHIP(self)
+        # Evacuated zones; none before they are known. Where and when the
+        # newest change was read.
+        self._evacuation: evacuation.View | None = None
+        self._evacuation_source = ''
+        self._evacuation_at = 0.0
+        # Regions of zones and routes.
+        self._zone_regions = regions.parse_zones(ctx.cfg.zone_regions)
+        self._regions = regions.make_rules(self._zone_regions, None)
         # Number of claims and ownerships; results of older ones are dropped.
         self._term = 0
         # Records of the controller for the next append, and the effects that
@@ -94,6 +104,7 @@
         """Start the ticks and read which process has claimed the jobs."""
         self.after(TICK_INTERVAL_S, _Tick())
         self.after(FOLLOW_INTERVAL_S, _Follow())
+        self.send(addresses.WATCH, events.ConfigQuery(self.address))
         self.spawn(self._look_up_owner(self._term))
 
     def _make_job_log(self) -> job_log.JobLog:
@@ -107,11 +118,19 @@
         """Return the phase, the jobs and, as `nodes`, the runners."""
         out = {**super().dump(), 'phase': self.phase, 'end': self._jobs.end}
         ctl = self.controller
+        if self._evacuation is not None:
+            out['evacuation'] = {
+                'zones': sorted(self._evacuation.zones),
+                'offset': self._evacuation.offset,
+                'source': self._evacuation_source,
+                'age_s': round(self.now() - self._evacuation_at, 3),
+            }
         if ctl is not None:
             out['epoch'] = ctl.epoch
             out['jobs'] = len(ctl.table.jobs)
             out['open_jobs'] = len(ctl.open_jobs)
             out['advice'] = ctl.describe_advice()
+            out['rack_waits'] = ctl.planner.locality.explain()
             out['nodes'] = {
                 runner.name: {
                     'runs': len(runner.tasks),
@@ -213,8 +232,12 @@
         epoch = self._jobs.table.epoch
         self.controller = controller.Controller(
             self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
-            self._jobs.size, self._make_overload(),
+            self._jobs.size, self.ctx.cfg.remote_factor,
+            self._make_overload(),
         )  # fmt: skip
+        if self._evacuation is not None:
+            self.controller.set_evacuation(self._evacuation)
+        self.controller.set_regions(self._regions)
         self.log.info(
             'leading',
             epoch=epoch,
@@ -254,6 +277,28 @@
         self._snapshot_offsets.clear()
         self.send(addresses.MESH, events.NotOwner(epoch, owner))
 
+    @task.handles(events.ConfigInForce)
+    def _on_config(self, event: events.ConfigInForce) -> None:
+        rules = regions.make_rules(self._zone_regions, event.config)
+        if rules == self._regions:
+            return
+        self._regions = rules
+        if self.controller is not None:
+            self.controller.set_regions(rules)
+            self._schedule_soon()
+
+    @task.handles(events.EvacuationInForce)
+    def _on_evacuation(self, event: events.EvacuationInForce) -> None:
+        view = evacuation.merge(self._evacuation, event.view)
+        if view is not event.view:
+            return
+        self._evacuation, self._evacuation_source = view, event.source
+        self._evacuation_at = self.now()
+        if self.controller is not None:
+            self.controller.set_evacuation(view)
+            self._schedule_soon()
+            self._flush()
+
     @task.handles(events.StepDown)
     def _on_step_down(self, event: events.StepDown) -> None:
         if self.controller is not None:
@@ -394,9 +439,11 @@
         for log_event in ctl.log_events:
             self.log.info(log_event.event, **log_event.fields)
             self.ctx.metrics.count('decision', kind=log_event.event)
-        for count in ctl.counts:
-            self.ctx.metrics.count(count.name, effect=count.effect)
+        for metric, effect_name in ctl.counts:
+            self.ctx.metrics.count(metric, effect=effect_name)
         ctl.counts.clear()
+        for effect_name, n in ctl.planner.locality.take_counts().items():
+            self.ctx.metrics.count('rack_wait', n, effect=effect_name)
         immediate, ctl.immediate, ctl.log_events = ctl.immediate, [], []
         for effect in immediate:
             self._carry_out(effect)
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+import pytest
 import recorder
 from twisted.internet import defer
 from twisted.internet import task as twisted_task
@@ -31,6 +32,7 @@
 
     process = 'n'
     runner = 'model'
+    service = ''
 
 
 class FakeRunner:
@@ -42,8 +44,11 @@
             collections.deque()
         )
         self.born_ms = 5
+        # Id; empty if it is not answered.
+        self.runner_id = 'i'
         self.running: tuple[types.ReportedRun, ...] = ()
         self.ended: tuple[types.ReportedEnd, ...] = ()
+        self.truncated = False
         self.lease_calls: list[defer.Deferred[typing.Any]] = []
 
     def _order(self, *call: typing.Any) -> defer.Deferred[typing.Any]:
@@ -55,7 +60,7 @@
 
     def start(
         self,
-        runner_id: str,
+        info: types.RunnerInfo,
         token: int,
         task: str,
         attempt: int,
@@ -68,20 +73,25 @@
         return self._order('start', token, task, attempt, deadline_ms)
 
     def stop(
-        self, runner_id: str, token: int, task: str, attempt: int
+        self, info: types.RunnerInfo, token: int, task: str, attempt: int
     ) -> defer.Deferred[typing.Any]:
         """Record a stop."""
         return self._order('stop', token, task, attempt)
 
     def throttle(
-        self, runner_id: str, token: int, task: str, attempt: int, percent: int
+        self,
+        info: types.RunnerInfo,
+        token: int,
+        task: str,
+        attempt: int,
+        percent: int,
     ) -> defer.Deferred[typing.Any]:
         """Record a throttle."""
         return self._order('throttle', token, task, attempt, percent)
 
     def extend_lease(
         self,
-        runner_id: str,
+        info: types.RunnerInfo,
         token: int,
         cursor: int,
         deadline_ms: int | None,
@@ -92,6 +102,13 @@
         self.lease_calls.append(defer.Deferred())
         return self.lease_calls[-1]
 
+    def identify(self, info: types.RunnerInfo) -> defer.Deferred[typing.Any]:
+        """Return whether the runner has an id."""
+        self.calls.append(('identify', info.runner_id))
+        return defer.succeed(
+            info.runner_id == self.runner_id if self.runner_id else None
+        )
+
     def answer(self) -> None:
         """Answer the last extension of the lease."""
         self.lease_calls[-1].callback(self._list())
@@ -103,7 +120,9 @@
                 call.callback(self._list())
 
     def _list(self) -> client.RunList:
-        return client.RunList(self.born_ms, 1000, self.running, self.ended)
+        return client.RunList(
+            self.born_ms, 1000, self.running, self.ended, self.truncated
+        )
 
     def count(self, kind: str) -> int:
         """Return the number of calls of a kind."""
@@ -431,3 +450,198 @@
     ]
     assert kinds == ['start', 'throttle']
     assert ('throttle', 7, 't', 1, 30) in harness.runner.calls
+
+
+def test_unanswered_start_is_given_up_in_an_evacuated_zone() -> None:
+    """Guard against starts after an evacuation, and one that stays open."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.order_start()
+    harness.receive(messages.RunnerReportAck(7, 0, 0, 0, True))
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    assert harness.control.dump()['starts_closed']
+    for _ in range(6):
+        harness.advance(0.1)
+        harness.runner.answer_all()
+    harness.order_start('u', 2)
+    assert harness.runner.count('start') == 1
+    assert harness.runner.count('stop') == 2
+    assert 'u' not in harness.control.lease.start_orders
+    harness.receive(messages.RunnerReportAck(7, 0, 0, 0))
+    harness.order_start('v', 3)
+    assert harness.runner.count('start') == 2
+
+
+def test_restarted_runner_is_not_attached_before_its_heartbeat() -> None:
+    """Guard against a lease for an incarnation that has ended."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.born_ms = 6
+    harness.runner.answer()
+    harness.owner.pop_all(messages.Attach)
+    harness.advance(1.0)
+    assert harness.owner.pop_all(messages.Attach) == []
+    restarted = dataclasses.replace(INFO, born_ms=6)
+    harness.post(events.RunnerHeartbeat(restarted, 1))
+    assert harness.owner.pop_all(messages.Attach)[0].info == restarted
+
+
+def test_start_that_was_not_sent_is_sent_without_a_list() -> None:
+    """Guard against a list for each start that waits for a connection."""
+    harness = Harness()
+    harness.lease()
+    lists = harness.runner.count('extend_lease')
+    harness.runner.outcomes.extend([client.NotSent('full')] * 3)
+    harness.order_start()
+    harness.advance(0.4)
+    assert harness.runner.count('start') == 4
+    assert harness.runner.count('extend_lease') <= lists + 1
+
+
+def make_ends(first: int, last: int) -> tuple[types.ReportedEnd, ...]:
+    """Return ends with the numbers from `first` to `last`."""
+    return tuple(
+        types.ReportedEnd(n, f't{n}', 1, 'done')
+        for n in range(first, last + 1)
+    )
+
+
+def test_truncated_list_gives_no_complete_report() -> None:
+    """Guard against ends beyond the limit that count as lost (review/1)."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.running = (types.ReportedRun('r', 1),)
+    harness.runner.ended, harness.runner.truncated = make_ends(1, 500), True
+    for _ in range(12):
+        harness.advance(0.1)
+        harness.runner.answer_all()
+        harness.advance(0.0)
+    reports = harness.owner.pop_all(messages.RunnerReport)
+    assert not any(report.complete for report in reports)
+    whole = [report for report in reports if report.running]
+    assert len(whole) >= 2
+    assert all(len(report.ended) == 500 for report in whole)
+    harness.receive(messages.RunnerReportAck(7, reports[-1].seq, 6000, 500))
+    harness.runner.ended, harness.runner.truncated = make_ends(501, 505), False
+    harness.list_unanswered()
+    assert ('extend_lease', 7, 500) in [
+        call[:3] for call in harness.runner.calls
+    ]
+
+
+def test_start_is_not_repeated_while_its_end_may_be_beyond_the_limit() -> None:
+    """Guard against a start of a task that is done already."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.runner.ended, harness.runner.truncated = make_ends(1, 500), True
+    harness.order_start()
+    for _ in range(10):
+        harness.advance(0.1)
+        harness.runner.answer_all()
+    assert harness.runner.count('start') == 1
+    harness.runner.truncated = False
+    for _ in range(5):
+        harness.advance(0.1)
+        harness.runner.answer_all()
+    assert harness.runner.count('start') == 2
+
+
+def test_list_that_shows_the_same_ends_is_not_queried_at_once() -> None:
+    """Guard against lists without a pause while the store does not answer."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.ended = make_ends(1, 9)
+    for _ in range(16):
+        harness.runner.answer_all()
+        harness.advance(0.0)
+        harness.runner.answer_all()
+        harness.advance(0.05)
+    assert harness.runner.count('extend_lease') <= 12
+    queried = harness.runner.count('extend_lease')
+    harness.receive(messages.RunnerReportAck(7, 99, 6000, 9))
+    assert harness.runner.count('extend_lease') == queried + 1
+
+
+@pytest.mark.parametrize('configured', ['', 'svc'])
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'service': 'other', 'born_ms': 9},
+        {'service': 'other', 'runner_id': 'j', 'born_ms': 9},
+        {'runner_id': 'j', 'born_ms': 9},
+        {'runner_id': 'j', 'born_ms': 5, 'draining': True},
+    ],
+)
+def test_heartbeat_of_another_runner_changes_nothing(
+    fields: dict[str, typing.Any], configured: str
+) -> None:
+    """Guard against a lease that ends by the heartbeat of a stranger."""
+    harness = Harness()
+    harness.ctx.cfg.service = configured
+    harness.lease()
+    harness.owner.pop_all(messages.Attach)
+    for seq in (3, 4):
+        other = dataclasses.replace(INFO, **fields)
+        harness.post(events.RunnerHeartbeat(other, seq))
+    assert harness.control.info == INFO
+    assert harness.control.lease.token == 7
+    assert harness.owner.pop_all(messages.Attach) == []
+    harness.order_start()
+    assert harness.runner.count('start') == 1
+
+
+def test_first_heartbeat_of_another_service_is_ignored() -> None:
+    """Guard against an agent that reports the runner of another service."""
+    harness = Harness()
+    harness.ctx.cfg.service = 'svc'
+    harness.post(events.OwnerSessionChanged('s'))
+    other = dataclasses.replace(INFO, service='other')
+    harness.post(events.RunnerHeartbeat(other, 1))
+    assert harness.control.info is None
+    harness.post(events.RunnerHeartbeat(INFO, 1))
+    assert harness.owner.pop_all(messages.Attach)[0].info == INFO
+
+
+def test_runner_that_was_replaced_is_taken_once_it_has_the_new_id() -> None:
+    """Guard against an agent that stays with a runner that is gone.
+
+    The clock of the instance may have been set back, so `born` of the new id
+    may be lower.
+    """
+    harness = Harness()
+    harness.lease()
+    harness.owner.pop_all(messages.Attach)
+    new = dataclasses.replace(INFO, runner_id='j', born_ms=2)
+    harness.runner.runner_id = ''
+    harness.post(events.RunnerHeartbeat(new, 1))
+    assert harness.control.info == INFO
+    harness.runner.runner_id = 'j'
+    harness.post(events.RunnerHeartbeat(new, 2))
+    assert harness.control.info == new
+    assert harness.owner.pop_all(messages.Attach)[0].info == new
+    harness.runner.runner_id = 'j'
+    harness.post(events.RunnerHeartbeat(INFO, 99))
+    assert harness.control.info == new
+
+
+@pytest.mark.parametrize('leaves', [False, True])
+def test_unanswered_start_is_not_repeated_once_the_runner_drains(
+    leaves: bool,
+) -> None:
+    """Guard against a start on a runner whose drain is known."""
+    harness = Harness()
+    harness.lease()
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.order_start()
+    leaving = dataclasses.replace(INFO, draining=True, remaining_ms=3000)
+    if leaves:
+        harness.post(events.RunnerLeft('i'))
+    else:
+        harness.post(events.RunnerHeartbeat(leaving, 2))
+    harness.list_unanswered()
+    harness.advance(0.5)
+    assert harness.runner.count('start') == 1
+    assert harness.runner.count('stop') == 1
+    assert harness.list_unanswered() == ()
--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -6,8 +6,10 @@
 from kcr_jobs import controller
 from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import messages
+from kcr_jobs import regions
 from kcr_jobs import types
 
 LEASE_S = 6.0
@@ -106,8 +108,11 @@
 class Harness:
     """Connect a controller with a log and fake runners."""
 
-    def __init__(self, *runners: FakeRunner) -> None:
+    def __init__(
+        self, *runners: FakeRunner, remote_factor: float = 1.0
+    ) -> None:
         self.now = 0.0
+        self.remote_factor = remote_factor
         self.log: list[typing.Any] = []
         self.replies: list[effects.Reply] = []
         self.log_events: list[controller_state.LogEvent] = []
@@ -115,6 +120,8 @@
         self.store_available = True
         self.deferred: list[effects.Effect] = []
         self.epoch = 0
+        self.evacuation = evacuation.View(0)
+        self.regions = regions.Rules()
         self.take_over()
         self.attach_all()
 
@@ -124,7 +131,12 @@
         table = job_table.JobTable()
         job_table.fold(self.log, table)
         self.deferred.clear()
-        self.ctl = controller.Controller(table, self.epoch, LEASE_S, self.now)
+        self.ctl = controller.Controller(
+            table, self.epoch, LEASE_S, self.now,
+            remote_factor=self.remote_factor,
+        )  # fmt: skip
+        self.ctl.set_evacuation(self.evacuation)
+        self.ctl.set_regions(self.regions)
 
     def attach_all(self) -> None:
         """Attach every connected runner and deliver its report."""
--- a/tests/jobs/overload_harness.py
+++ b/tests/jobs/overload_harness.py
@@ -155,6 +155,7 @@
             self.ctl.table, self.epoch, job_harness.LEASE_S, self.now,
             overload=self.overload,
         )  # fmt: skip
+        self.ctl.set_evacuation(self.evacuation)
 
     def find_task(self, name: str) -> job_table.Task:
         """Return a task by its name."""
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -12,7 +12,9 @@
 import dataclasses
 from http import server
 import json
+import math
 import random
+import socket
 import struct
 import sys
 import threading
@@ -38,6 +40,21 @@
     protocol_version = 'HTTP/1.1'
     disable_nagle_algorithm = True
 
+    def setup(self) -> None:
+        """Note the incarnation to which the connection leads."""
+        super().setup()
+        http_server: typing.Any = self.server
+        fake = http_server.fake
+        fake.connection.generation = fake.generation
+        fake.sockets.add(self.connection)
+
+    def finish(self) -> None:
+        """Forget the connection."""
+        http_server: typing.Any = self.server
+        http_server.fake.sockets.discard(self.connection)
+        with contextlib.suppress(OSError):
+            super().finish()
+
     def handle_any(self) -> None:
         """Answer one request."""
         size = int(self.headers.get('content-length') or 0)
@@ -89,6 +106,11 @@
         self.lock = threading.Condition()
         # Number of connections that were accepted.
         self.connections = 0
+        # Number of restarts, now and when the connection of the present
+        # thread was accepted. Open connections.
+        self.generation = 0
+        self.connection = threading.local()
+        self.sockets: set[socket.socket] = set()
         self.http = Server(('127.0.0.1', 0), Handler)
         vars(self.http)['fake'] = self
         self.address = f'127.0.0.1:{self.http.server_port}'
@@ -104,6 +126,20 @@
         """Return status and body; subclasses override it."""
         raise NotImplementedError
 
+    def drop_connections(self) -> None:
+        """Close all connections, as the end of a process does."""
+        self.generation += 1
+        for item in list(self.sockets):
+            with contextlib.suppress(OSError):
+                item.shutdown(socket.SHUT_RDWR)
+
+    def is_dropped(self) -> bool:
+        """Return whether the thread's connection is of an older process."""
+        return bool(
+            getattr(self.connection, 'generation', self.generation)
+            != self.generation
+        )
+
     def close(self) -> None:
         """Close the port."""
         self.http.shutdown()
@@ -146,6 +182,12 @@
             self.topics[topic].append(record + json.dumps(value).encode())
             self.lock.notify_all()
 
+    def remove(self, topic: str, key: str) -> None:
+        """Delete a key, as an operator does."""
+        with self.lock:
+            self.topics[topic].append(bytes((len(key),)) + key.encode())
+            self.lock.notify_all()
+
     def answer(
         self,
         path: str,
@@ -242,6 +284,7 @@
     def __init__(self, name: str, checker: 'RunChecker') -> None:
         super().__init__()
         self.runner_id = f'i-{name}'
+        self.zone = 'z'
         self.checker = checker
         # One lock for all runners, as the checker compares them.
         self.lock = threading.Condition(checker.lock)
@@ -263,6 +306,7 @@
     def start_incarnation(self) -> None:
         """Start a new incarnation without any state of the old one."""
         with self.lock:
+            self.drop_connections()
             for task in list(vars(self).get('running', ())):
                 self.checker.running.pop(task, None)
             self.born_ms = int(time.time() * 1000)
@@ -289,6 +333,8 @@
         headers: abc.Mapping[str, str],
     ) -> tuple[int, typing.Any]:
         """Carry out an order of the agent, some of them late."""
+        if path == '/-/run-start':
+            self.checker.record_start_order(self)
         delay_s = self._take_late_start() if path == '/-/run-start' else 0.0
         if delay_s:
             time.sleep(delay_s)
@@ -319,7 +365,7 @@
         headers: abc.Mapping[str, str],
     ) -> tuple[int, typing.Any]:
         with self.lock:
-            if self.unreachable:
+            if self.unreachable or self.is_dropped():
                 return NO_ANSWER
             if headers.get('X-Expect-Instance') != self.runner_id:
                 return 421, {}
@@ -416,7 +462,7 @@
         body = {
             'Service': 'svc',
             'Addr': self.address,
-            'Zone': 'z',
+            'Zone': self.zone,
             'Version': 'v1',
             'Slots': 8,
             'State': 'ready',
@@ -449,10 +495,26 @@
         self.first_start: dict[str, float] = {}
         self.started: dict[str, float] = {}
         self.first_done: dict[str, float] = {}
+        # Time from which a start order for a runner of a zone is a violation,
+        # by zone, and number of start orders that runners of a zone got.
+        self.closed_from: dict[str, float] = {}
+        self.start_orders: collections.Counter[str] = collections.Counter()
         # Descriptions of the rules that were violated.
         self.violations: list[str] = []
         self._ends: dict[str, list[EndedRun]] = collections.defaultdict(list)
 
+    def record_start_order(self, runner: Runner) -> None:
+        """Record a start order, which the runner may carry out late."""
+        with self.lock:
+            self.start_orders[runner.zone] += 1
+            closed_from = self.closed_from.get(runner.zone, math.inf)
+            late_s = time.monotonic() - closed_from
+            if late_s > 0.0:
+                self.violations.append(
+                    f'{runner.runner_id} in evacuated zone {runner.zone} got'
+                    f' a start {late_s:.1f} s after the bound'
+                )
+
     def record_start(self, task: str, runner: Runner) -> None:
         """Record the start of a run."""
         other = self.running.get(task)
