Guard the spread of calls without an owner, and stops for memory

Cause: no test showed that callers refused without an owner return apart, and none that a filler is stopped for its memory.

Change: a test of each.

Result: with one job id for all calls the first one fails; without preemption the second one does.

--- a/tests/jobs/test_preemption.py
+++ b/tests/jobs/test_preemption.py
@@ -118,3 +118,22 @@
         submit_urgent(harness)
     harness.play((), 3.0)
     assert len(find_preempted(harness)) == 1
+
+
+def test_filler_is_stopped_for_its_memory() -> None:
+    """Guard against fillers that hold the memory an urgent job needs."""
+    harness = overload_harness.Harness(
+        overload_harness.ON, runners=1, stragglers=0.0
+    )
+    harness.play((overload_harness.Kind('short', 0.7),), 20.0)
+    harness.play((), 10.0)
+    filler = types.Step(
+        1, types.Demand(2000, 63_950), checkpointing=True, fills=True
+    )
+    kind = overload_harness.Kind('filler', 0.0, BATCH, (filler,), LONG_S)
+    harness.make_caller(kind, harness.now)
+    harness.play((), 5.0)
+    caller = submit_urgent(harness)
+    harness.play((), 10.0)
+    assert len(find_preempted(harness)) == 1
+    assert caller.infer_value() > 0.0
--- a/tests/scheduler/test_calls.py
+++ b/tests/scheduler/test_calls.py
@@ -49,6 +49,19 @@
     assert answers(harness) == ['refused']
 
 
+def test_callers_without_an_owner_do_not_return_together() -> None:
+    """Guard against a wave of calls at the owner after its election."""
+    harness, _ = make()
+    for number in range(50):
+        call = calls.Call('state', 'q', f'job{number}', None, 3.0)
+        harness.post(addresses.CALLS, query.Query('t', 'front', call))
+    harness.advance(0.25)
+    found = harness.recorders['front'].pop_all(query.Reply)
+    seconds = [round(answer.value.number / 1000) for answer in found]
+    assert len(seconds) == 50
+    assert min(seconds) >= 1 and len(set(seconds)) > 2
+
+
 def test_call_is_sent_again_to_the_next_owner() -> None:
     """Guard against a call that is lost with the owner it was sent to."""
     harness, _ = make()
