--- a/packages/jobs/src/kcr_jobs/admission.py
+++ b/packages/jobs/src/kcr_jobs/admission.py
@@ -15,6 +15,7 @@
 
 from kcr_jobs import drain_rate
 from kcr_jobs import durations
+from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import job_work
 from kcr_jobs import ordering
@@ -176,6 +177,7 @@
         jobs: abc.Iterable[job_table.Job],
         known: abc.Iterable[runners.RunnerState],
         now: float,
+        evacuated: evacuation.View | None = None,
     ) -> Verdict:
         """Return whether a job may be accepted, with the estimate."""
         spec = draft.spec
@@ -187,7 +189,7 @@
             return Verdict(FEW_SAMPLES)
         if now - self._refreshed_at >= REFRESH_S:
             self._refreshed_at = now
-            self._refresh(list(jobs), list(known), now)
+            self._refresh(list(jobs), list(known), now, evacuated)
         verdict = self._estimate(draft, now)
         if verdict.effect != REFUSED:
             self._add(draft, now)
@@ -276,12 +278,15 @@
         jobs: list[job_table.Job],
         known: list[runners.RunnerState],
         now: float,
+        evacuated: evacuation.View | None,
     ) -> None:
         """Look at the capacity and at the work that is waiting."""
         for pool in self._pools.values():
             pool.cores = pool.free = pool.ready = 0.0
         for runner in known:
-            self._add_runner(runner)
+            zone = runner.info.zone if runner.info is not None else ''
+            if not evacuation.forbids(evacuated, zone):
+                self._add_runner(runner)
         running = job_work.count_running(known)
         rows: dict[tuple[str, bool], list[tuple[Order, float]]] = {
             key: [] for key in self._pools
--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -117,8 +117,9 @@
         if not state.overload.refuses:
             return False
         verdict = state.admission.decide(
-            draft, state.open_jobs.values(), state.runners.values(), now
-        )
+            draft, state.open_jobs.values(), state.runners.values(), now,
+            state.conditions.evacuation_view,
+        )  # fmt: skip
         state.count('admission', verdict.effect)
         if verdict.effect != admission.REFUSED:
             return False
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -38,15 +38,6 @@
     fields: dict[str, typing.Any]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Count:
-    """Store one increment of a metric."""
-
-    name: str
-    # Value of the label `effect`.
-    effect: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Overload:
     """Select what the owner does when capacity is scarce."""
@@ -93,8 +84,8 @@
         self.immediate: list[effects.Effect] = []
         # Lines for the log.
         self.log_events: list[LogEvent] = []
-        # Increments of metrics.
-        self.counts: list[Count] = []
+        # Metrics to count, each with the value of its label `effect`.
+        self.counts: list[tuple[str, str]] = []
         # Jobs that may have tasks to start, by id.
         self.open_jobs: dict[str, job_table.Job] = {}
         # Estimates of what fillers add to the latency of serving tasks.
@@ -127,9 +118,9 @@
         """Add a line for the log."""
         self.log_events.append(LogEvent(event, fields))
 
-    def count(self, name: str, effect: str) -> None:
-        """Add an increment of a metric."""
-        self.counts.append(Count(name, effect))
+    def count(self, metric: str, effect: str) -> None:
+        """Count an effect of a decision in a metric."""
+        self.counts.append((metric, effect))
 
     def is_evacuated(self, runner: runners.RunnerState) -> bool:
         """Return whether the zone of a runner is evacuated."""
--- a/packages/jobs/src/kcr_jobs/preemption.py
+++ b/packages/jobs/src/kcr_jobs/preemption.py
@@ -13,6 +13,7 @@
 import itertools
 import math
 
+from kcr_jobs import conditions
 from kcr_jobs import durations
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
@@ -69,6 +70,8 @@
     ) -> None:
         self._run_times = run_times
         self._interference = interference
+        # Where tasks may start, at the last look.
+        self._limits = conditions.Conditions()
         # Victims that have not ended yet, with the attempt that is stopped.
         self._ending: list[tuple[job_table.Task, int]] = []
         self._chosen_at = self._looked_at = -math.inf
@@ -78,6 +81,7 @@
         unplaced: abc.Iterable[job_table.Task],
         schedulable: list[runners.RunnerState],
         now: float,
+        limits: conditions.Conditions = conditions.Conditions(),
     ) -> VictimSet | None:
         """Return the tasks to stop; none if that is not worthwhile.
 
@@ -97,6 +101,7 @@
         if not urgent or not schedulable:
             return None
         self._looked_at = now
+        self._limits = limits
         suspects = runners.find_suspects(schedulable)
         usable = [r for r in schedulable if r not in suspects]
         # What waits ahead takes the first places; the longest waits are at the
@@ -147,7 +152,7 @@
         fitting = []
         for runner in usable:
             candidate = placement.make_candidate(
-                runner, now, False, self._interference
+                runner, now, False, self._interference, self._limits
             )
             reason = placement.find_rejection_reason(task, candidate)
             if not reason:
@@ -187,7 +192,7 @@
         candidates = {}
         for runner in fitting:
             candidates[runner.name] = placement.make_candidate(
-                runner, now, False, self._interference
+                runner, now, False, self._interference, self._limits
             )
             for running in runner.tasks.values():
                 if not running.spec.lasts:
@@ -221,7 +226,7 @@
             key=lambda row: row[:2],
         )
         candidate = placement.make_candidate(
-            runner, now, False, self._interference
+            runner, now, False, self._interference, self._limits
         )
         victims: list[job_table.Task] = []
         loss = 0.0
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -77,7 +77,9 @@
         now: float,
     ) -> None:
         """Stop tasks for a more urgent one, if that is worthwhile."""
-        found = self._state.preemption.choose(unplaced, schedulable, now)
+        found = self._state.preemption.choose(
+            unplaced, schedulable, now, self._state.conditions
+        )
         if found is None:
             return
         for task in found.victims:
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -439,8 +439,8 @@
         for log_event in ctl.log_events:
             self.log.info(log_event.event, **log_event.fields)
             self.ctx.metrics.count('decision', kind=log_event.event)
-        for count in ctl.counts:
-            self.ctx.metrics.count(count.name, effect=count.effect)
+        for metric, effect_name in ctl.counts:
+            self.ctx.metrics.count(metric, effect=effect_name)
         ctl.counts.clear()
         for effect_name, n in ctl.planner.locality.take_counts().items():
             self.ctx.metrics.count('rack_wait', n, effect=effect_name)
