Limit the starts on cold runners, and prefer warm ones for urgent work

Cause: runners that are slow after their start got as many tasks as others and became the stragglers of the steps in a burst.

Change: heartbeats carry ColdRemainingMs, services ColdStartS and ColdPerS, the settings ColdOverrun and ColdSlack. A cold runner gets starts from a token bucket. Urgent work and the last tasks of steps go to warm runners first; if none has capacity, a cold one takes them only where no other task of the job is on a warm runner.

--- a/packages/jobs/src/kcr_jobs/conditions.py
+++ b/packages/jobs/src/kcr_jobs/conditions.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from kcr_jobs import cold_runners
 from kcr_jobs import evacuation
 from kcr_jobs import regions
 
@@ -18,3 +19,5 @@
     evacuation_view: evacuation.View | None = None
     # Regions of zones and routes.
     region_rules: regions.Rules = regions.Rules()
+    # Starts on runners that are slow after their start.
+    cold_rules: cold_runners.Rules = cold_runners.Rules()
--- a/packages/jobs/src/kcr_jobs/config.py
+++ b/packages/jobs/src/kcr_jobs/config.py
@@ -23,6 +23,16 @@
     timeout_ms: int = 3000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """Describe the runners of a service."""
+
+    # Time for which a runner is slow after its start, in seconds.
+    cold_start_s: float = 0.0
+    # Starts per second that a cold runner should get; 0 for no limit.
+    cold_per_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
     """Store the bounds of what callers may send."""
@@ -43,6 +53,8 @@
     routes: dict[str, tuple[Route, ...]]
     # Limits for callers.
     limits: Limits = Limits()
+    # Services by name.
+    services: dict[str, Service] = dataclasses.field(default_factory=dict)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, if any."""
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -85,6 +85,7 @@
 
         The owner task calls it periodically.
         """
+        self.wall_offset_s = wall_ms / 1000.0 - now
         for runner in list(self.runners.values()):
             if now >= runner.expires_at:
                 self._expire_lease(runner, now)
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -9,6 +9,7 @@
 import dataclasses
 import typing
 
+from kcr_jobs import cold_runners
 from kcr_jobs import conditions
 from kcr_jobs import effects
 from kcr_jobs import evacuation
@@ -47,6 +48,9 @@
         self.lease_s = lease_s
         # Time at which this ownership began.
         self.began_at = now
+        # Difference between the time of day and the clock of the owner, in
+        # seconds; none before the first tick.
+        self.wall_offset_s: float | None = None
         # Where tasks may start.
         self.conditions = conditions.Conditions()
         # Runners by the name of their instance.
@@ -106,6 +110,13 @@
         )
         self.changed = True
 
+    def set_cold_rules(self, rules: cold_runners.Rules) -> None:
+        """Apply the rules for runners that are slow after their start."""
+        self.conditions = dataclasses.replace(
+            self.conditions, cold_rules=rules
+        )
+        self.changed = True
+
     def append(self, rec: records.Record) -> None:
         """Apply a record, and add it to those to append to the log."""
         self.changed = True
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -9,6 +9,7 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from kcr_core import registry
 from kcr_jobs import conditions
@@ -38,6 +39,9 @@
 # Pressure up to which fillers are placed beside serving tasks; throttling
 # begins a little above it.
 MAX_PRESSURE = 0.75
+# Part of the score of a cold runner; a warm one is preferred until half of its
+# processors are more in use than those of the cold one.
+COLD_SCORE = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,6 +68,9 @@
     pressures: list[tuple[job_table.Task, float]]
     # Where tasks may start.
     limits: conditions.Conditions = conditions.Conditions()
+    # Whether it is slow after its start, and the starts that it may get.
+    cold: bool = False
+    cold_starts_left: float = math.inf
     # Number of reservations that were made.
     version: int = 0
 
@@ -93,6 +100,7 @@
         step = (task.job.spec.job_id, task.occurrence, task.step)
         self.tasks_per_step[step] = self.tasks_per_step.get(step, 0) + 1
         self.starts_left -= 1
+        self.cold_starts_left -= 1.0
         if task.spec.fills:
             self.pressures = [
                 (
@@ -179,6 +187,13 @@
         candidate.tasks_per_step[step] = (
             candidate.tasks_per_step.get(step, 0) + 1
         )
+    if now < runner.cold_until:
+        candidate.cold = True
+        rate = limits.cold_rules.find_rate(runner.info.service)
+        if rate:
+            candidate.cold_starts_left = runner.cold_budget.infer_level(
+                rate, limits.cold_rules.burst, now
+            )
     if suspect:
         waited = now - runner.last_start_at >= runners.PROBE_INTERVAL_S
         candidate.starts_left = 1 if waited and not runner.tasks else 0
@@ -200,6 +215,8 @@
         return 'region'
     if candidate.starts_left <= 0:
         return 'failing runner'
+    if candidate.cold_starts_left < 1.0:
+        return 'cold'
     if demand.mem_mb > candidate.mem_mb:
         return 'memory'
     if demand.gpu > candidate.gpu:
@@ -304,6 +321,8 @@
         candidate.cpu - task.spec.demand.cpu
     ) / candidate.runner.info.capacity.cpu
     score = PACKING_WEIGHT * left + candidate.runner.failure_rate
+    if candidate.cold:
+        score += COLD_SCORE
     if task.spec.image not in candidate.serving_images:
         usable = COMPATIBLE_SHARE ** len(candidate.serving_images)
         score += usable * (1.0 - COMPATIBLE_SHARE)
@@ -342,6 +361,8 @@
     runner, spec = candidate.runner, task.spec
     assert runner.info is not None
     score = runner.failure_rate
+    if candidate.cold:
+        score += COLD_SCORE
     if runner.name in task.failed_on:
         score += 2.0
     if spec.near_rack and spec.near_rack not in runner.info.labels:
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -109,7 +109,7 @@
         rejected: step_choice.RejectedDemands,
     ) -> None:
         blocked: set[tuple[int, int]] = set()
-        choices: dict[tuple[int, int], step_choice.StepChoice] = {}
+        choices = step_choice.JobChoices(job, candidates)
         gangs: dict[tuple[int, int], list[job_table.Task]] = {}
         for task in job.tasks.values():
             key = (task.occurrence, task.step)
@@ -131,10 +131,8 @@
                 candidate = placement.choose(task, allowed, now)
                 choices.clear()
             elif not rejected.covers(task):
-                if key not in choices:
-                    choices[key] = step_choice.StepChoice(task, allowed, now)
-                candidate = choices[key].choose(task)
-                if candidate is None:
+                candidate = choices.choose(task, now)
+                if candidate is None and not choices.kept_warm:
                     rejected.add(task)
             if candidate is None and _is_starved(job, now):
                 candidate = placement.choose_least_disturbed(task, allowed)
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -6,7 +6,9 @@
 """
 
 import dataclasses
+import math
 
+from kcr_jobs import cold_runners
 from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import evacuation
@@ -148,6 +150,40 @@
         if not info.draining:
             runner.draining_since = None
         runner.info = info
+        self._update_cold(runner, old, info, now)
+
+    def _update_cold(
+        self,
+        runner: runners.RunnerState,
+        old: types.RunnerInfo | None,
+        info: types.RunnerInfo,
+        now: float,
+    ) -> None:
+        """Update until when a runner is cold.
+
+        What an earlier owner has started on it is unknown, so its unused
+        starts count from the beginning of this ownership.
+        """
+        restarted = old is None or old.incarnation != info.incarnation
+        if restarted:
+            runner.cold_until = -math.inf
+            runner.cold_budget = cold_runners.StartBudget(self._state.began_at)
+        offset_s = self._state.wall_offset_s
+        # Without the time of day, the age of a runner is unknown.
+        if info.cold_remaining_ms < 0 and offset_s is None:
+            return
+        found = cold_runners.infer_cold_until(
+            info, self._state.conditions.cold_rules, now,
+            ((offset_s or 0.0) + now) * 1000.0,
+        )  # fmt: skip
+        if runner.cold_until != -math.inf:
+            runner.cold_until = min(runner.cold_until, found)
+            return
+        runner.cold_until = found
+        if found > now:
+            self._state.log_event(
+                'runner cold', node=runner.name, left_s=round(found - now, 3)
+            )
 
     def _record_ends(
         self, runner: runners.RunnerState, ended: tuple[types.ReportedEnd, ...]
--- a/packages/jobs/src/kcr_jobs/runners.py
+++ b/packages/jobs/src/kcr_jobs/runners.py
@@ -5,7 +5,9 @@
 """
 
 import dataclasses
+import math
 
+from kcr_jobs import cold_runners
 from kcr_jobs import job_table
 from kcr_jobs import types
 
@@ -63,6 +65,12 @@
     last_start_at: float = 0.0
     # Time since which it has been draining; none if it is not.
     draining_since: float | None = None
+    # Time until which it is slow after its start, and the starts that it may
+    # get until then.
+    cold_until: float = -math.inf
+    cold_budget: cold_runners.StartBudget = dataclasses.field(
+        default_factory=lambda: cold_runners.StartBudget(0.0)
+    )
 
     def reserved(self) -> types.Demand:
         """Return what its tasks reserve; fillers reserve no processors."""
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -147,6 +147,11 @@
         runner.tasks[task.name] = task
         runner.last_order += 1
         runner.last_start_at = now
+        if now < runner.cold_until and runner.info is not None:
+            rules = self._state.conditions.cold_rules
+            rate = rules.find_rate(runner.info.service)
+            if rate:
+                runner.cold_budget.take(rate, rules.burst, now)
         task.ordered_at = now
         task.throttled_at = task.not_stalled_at = now
         task.ordered_number = runner.last_order
--- a/packages/jobs/src/kcr_jobs/step_choice.py
+++ b/packages/jobs/src/kcr_jobs/step_choice.py
@@ -6,8 +6,10 @@
 larger ones.
 """
 
+import collections
 import heapq
 
+from kcr_jobs import cold_runners
 from kcr_jobs import job_table
 from kcr_jobs import placement
 from kcr_jobs import regions
@@ -63,6 +65,64 @@
         return None
 
 
+class JobChoices:
+    """Choose candidates for the tasks of one job in one plan."""
+
+    def __init__(
+        self, job: job_table.Job, candidates: list[placement.Candidate]
+    ) -> None:
+        # Whether the last task without a candidate waits for a warm runner,
+        # though a cold one has capacity.
+        self.kept_warm = False
+        self._candidates = candidates
+        self._warm = [c for c in candidates if not c.cold]
+        self._cold = {c.runner.name for c in candidates if c.cold}
+        # Choices by occurrence, step and whether only of warm runners.
+        self._choices: dict[tuple[int, int, bool], StepChoice] = {}
+        # Number of waiting tasks by occurrence and step; only with cold
+        # runners.
+        self._waiting: collections.Counter[tuple[int, int]] = (
+            collections.Counter()
+        )
+        if self._cold:
+            self._waiting.update(
+                (task.occurrence, task.step)
+                for task in job.tasks.values()
+                if not task.done and not task.instance
+            )
+
+    def clear(self) -> None:
+        """Drop the choices after a start that they did not choose."""
+        self._choices.clear()
+
+    def choose(
+        self, task: job_table.Task, now: float
+    ) -> placement.Candidate | None:
+        """Return the best candidate for a task; none without one."""
+        self.kept_warm = False
+        step = (task.occurrence, task.step)
+        waiting = self._waiting[step]
+        self._waiting[step] -= 1
+        if not self._cold or not cold_runners.needs_warm(task, waiting, now):
+            return self._choose(task, False, now)
+        found = self._choose(task, True, now)
+        if found is not None:
+            return found
+        if cold_runners.may_use_cold(task, self._cold, now):
+            return self._choose(task, False, now)
+        self.kept_warm = True
+        return None
+
+    def _choose(
+        self, task: job_table.Task, warm: bool, now: float
+    ) -> placement.Candidate | None:
+        key = (task.occurrence, task.step, warm)
+        if key not in self._choices:
+            candidates = self._warm if warm else self._candidates
+            self._choices[key] = StepChoice(task, candidates, now)
+        return self._choices[key].choose(task)
+
+
 class RejectedDemands:
     """Remember which demands no candidate takes while starts are chosen.
 
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -137,6 +137,8 @@
     draining: bool = False
     # Least time that is left until it stops, while it is draining.
     remaining_ms: Int = 0
+    # How much longer it is slow after its start; -1 if it does not report it.
+    cold_remaining_ms: Int = -1
 
     @property
     def incarnation(self) -> str:
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -52,6 +52,12 @@
     zone_regions: list[str] = pydantic.Field(
         [], description='region of each zone, as ZONE=REGION'
     )
+    cold_overrun: float = pydantic.Field(
+        1.5, description='factor of the starts of a cold runner', ge=0
+    )
+    cold_slack: float = pydantic.Field(
+        5.0, description='starts of a cold runner beyond its rate', ge=0
+    )
     grace_s: float = pydantic.Field(
         6.0, description='time between SIGTERM and SIGKILL, in seconds', gt=0
     )
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -7,9 +7,11 @@
 """
 
 import collections
+import dataclasses
 import time
 import typing
 
+from kcr_jobs import cold_runners
 from kcr_jobs import controller
 from kcr_jobs import effects
 from kcr_jobs import election
@@ -86,6 +88,10 @@
         # Regions of zones and routes.
         self._zone_regions = regions.parse_zones(ctx.cfg.zone_regions)
         self._regions = regions.make_rules(self._zone_regions, None)
+        # Rules for runners that are slow after their start.
+        self._cold_rules = cold_runners.Rules(
+            overrun=ctx.cfg.cold_overrun, slack=ctx.cfg.cold_slack
+        )
         # Number of claims and ownerships; results of older ones are dropped.
         self._term = 0
         # Records of the controller for the next append, and the effects that
@@ -235,6 +241,7 @@
         if self._evacuation is not None:
             self.controller.set_evacuation(self._evacuation)
         self.controller.set_regions(self._regions)
+        self.controller.set_cold_rules(self._cold_rules)
         self.log.info(
             'leading',
             epoch=epoch,
@@ -273,11 +280,13 @@
     @task.handles(events.ConfigInForce)
     def _on_config(self, event: events.ConfigInForce) -> None:
         rules = regions.make_rules(self._zone_regions, event.config)
-        if rules == self._regions:
-            return
         self._regions = rules
+        self._cold_rules = dataclasses.replace(
+            self._cold_rules, services=event.config.services
+        )
         if self.controller is not None:
             self.controller.set_regions(rules)
+            self.controller.set_cold_rules(self._cold_rules)
             self._schedule_soon()
 
     @task.handles(events.EvacuationInForce)
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -151,3 +151,15 @@
     options = settings.scheduler_options(settings.read())
     assert options['zone_regions'] == ['z1=r1', 'z2=r2']
     assert options['region'] == 'r1'
+
+
+def test_cold_runners_of_a_service_and_a_heartbeat() -> None:
+    """Guard against a cold runner that is taken for a warm one."""
+    service = {'Name': 'svc', 'ColdStartS': 8, 'ColdPerS': 1.5}
+    body = json.dumps({'Version': 1, 'Services': [service, {}]}).encode()
+    found = decode_jobs.read_config(body).services['svc']
+    assert (found.cold_start_s, found.cold_per_s) == (8.0, 1.5)
+    for change, expected in (({'ColdRemainingMs': 700}, 700), ({}, -1)):
+        beat = json.dumps({**BEAT, **change}).encode()
+        info = decode.read(decode_runner.HeartbeatBody, beat).to_info('i')
+        assert info.cold_remaining_ms == expected
--- a/tests/scheduler/scheduler_harness.py
+++ b/tests/scheduler/scheduler_harness.py
@@ -28,6 +28,7 @@
     link_mbps = 1000.0
     memory_mb = 300.0
     lease_s = 6.0
+    cold_overrun, cold_slack = 1.5, 5.0
     zone_regions: tuple[str, ...] = ()
 
 
--- a/tests/scheduler/test_owner.py
+++ b/tests/scheduler/test_owner.py
@@ -290,19 +290,26 @@
     assert count_starts(harness) == 1
 
 
-def test_published_regions_reach_the_controller() -> None:
-    """Guard against regions of a route that the owner never looks at."""
+def test_published_rules_reach_the_controller() -> None:
+    """Guard against regions and cold starts that the owner ignores."""
     scheduler_harness.Config.zone_regions = ('z=r1',)
     harness = scheduler_harness.Harness(addresses.MESH, addresses.CALLS, 's')
-    owner.Owner(harness.ctx, addresses.OWNER).begin()
+    running = owner.Owner(harness.ctx, addresses.OWNER)
+    running.begin()
     scheduler_harness.Config.zone_regions = ()
     put_evacuation(harness, 0)
     for version, region, starts in ((1, 'r2', 0), (2, 'r1', 1)):
         queue = types.Queue('q', 'svc', allowed_regions=(region,))
-        made = config.Config(version, {'h': (config.Route('h', '/', queue),)})
+        made = config.Config(
+            version, {'h': (config.Route('h', '/', queue),)},
+            services={'svc': config.Service(8.0, version)},
+        )  # fmt: skip
         harness.post(addresses.OWNER, events.ConfigInForce(made, b''))
         if version == 1:
             harness.post(addresses.OWNER, events.Campaign(0))
             submit(harness)
             attach(harness)
         assert count_starts(harness) == starts
+        assert running.controller is not None
+        rules = running.controller.conditions.cold_rules
+        assert rules.find_rate('svc') == version
