--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -103,9 +103,9 @@
         for wait in self._state.planner.locality.new_waits:
             self._state.log_event(
                 'task waits for rack', step=wait.step, rack=wait.rack,
-                wait_s=wait.wait_s, local_s=wait.local_s,
-                remote_s=wait.remote_s, samples=wait.samples,
-                age_s=wait.age_s,
+                wait_s=wait.wait_s, longest_s=wait.longest_s,
+                local_s=wait.local_s, remote_s=wait.remote_s,
+                samples=wait.samples, age_s=wait.age_s,
             )  # fmt: skip
         for waiting in plan.waits:
             self._state.log_event(
@@ -189,6 +189,11 @@
         runner.tasks[task.name] = task
         runner.last_order += 1
         runner.last_start_at = now
+        if now < runner.cold_until and runner.info is not None:
+            rules = self._state.conditions.cold_rules
+            rate = rules.find_rate(runner.info.service)
+            if rate:
+                runner.cold_budget.take(rate, rules.burst, now)
         task.ordered_at = now
         task.throttled_at = task.not_stalled_at = now
         task.ordered_number = runner.last_order
--- a/tests/jobs/overload_harness.py
+++ b/tests/jobs/overload_harness.py
@@ -156,6 +156,7 @@
             overload=self.overload,
         )  # fmt: skip
         self.ctl.set_evacuation(self.evacuation)
+        self.ctl.set_regions(self.regions)
 
     def find_task(self, name: str) -> job_table.Task:
         """Return a task by its name."""
