--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from kcr_jobs import advice_planning
+from kcr_jobs import conditions
 from kcr_jobs import durations
 from kcr_jobs import effects
 from kcr_jobs import interference_model
@@ -20,7 +21,7 @@
 from kcr_jobs import runners
 from kcr_jobs import step_choice
 
-# Registered order in which waiting jobs get capacity.
+# Registered order in which waiting jobs get capacity, without shares.
 ORDER_NAME = 'deadline'
 # Time after which a job with no running task is placed on any runner that it
 # fits, in seconds; the users allow 3 s where there is capacity.
@@ -55,6 +56,8 @@
     )
     # Steps for which no runner has capacity.
     waits: list[WaitingStep] = dataclasses.field(default_factory=list)
+    # First task of each step without a runner, in the order of the jobs.
+    unplaced: list[job_table.Task] = dataclasses.field(default_factory=list)
 
 
 class Planner:
@@ -65,7 +68,9 @@
         interference: interference_model.InterferenceModel,
         model: durations.Durations,
         remote_factor: float,
+        order_name: str = ORDER_NAME,
     ) -> None:
+        self._order = ordering.ORDERS.get(order_name)
         # Estimates of what fillers add to the latency of serving tasks.
         self._interference = interference
         # Tickets of advised steps, and the requests for them.
@@ -88,19 +93,21 @@
         jobs: abc.Iterable[job_table.Job],
         schedulable: list[runners.RunnerState],
         now: float,
+        limits: conditions.Conditions = conditions.Conditions(),
     ) -> Plan:
         """Choose starts job by job while runners have capacity."""
         suspects = runners.find_suspects(schedulable)
         candidates = [
-            placement.make_candidate(r, now, r in suspects, self._interference)
+            placement.make_candidate(
+                r, now, r in suspects, self._interference, limits
+            )
             for r in schedulable
         ]
-        order = ordering.ORDERS.get(ORDER_NAME)
         plan = Plan()
-        rejected = step_choice.RejectedDemands()
+        rejected = step_choice.RejectedDemands(limits.region_rules)
         self.advice.begin_plan()
         self.locality.begin_plan(candidates)
-        for job in sorted(jobs, key=lambda j: order(j, now)):
+        for job in sorted(jobs, key=lambda j: self._order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
         plan.requests = self.advice.finish_plan(now)
         return plan
@@ -154,6 +161,7 @@
             if candidate is None:
                 # All tasks of a step have the same demand.
                 blocked.add(key)
+                plan.unplaced.append(task)
                 self._log_waiting(task, candidates, now, plan, steps_ahead)
                 continue
             _assign(task, candidate, plan)
@@ -250,6 +258,7 @@
                 now,
                 candidate.starts_left <= 1,
                 self._interference,
+                candidate.limits,
             )
             for candidate in candidates
         ]
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -2,17 +2,20 @@
 
 An agent attaches to get a lease on its runner, then reports what runs and what
 has ended. A complete report is compared with the expected runs: what is
-missing is recorded as lost, and what is unknown is stopped.
+missing is recorded as lost, and what is unknown is stopped. Other reports,
+such as those of truncated lists, show only what they contain.
 """
 
 import dataclasses
 
 from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import filler_shares
 from kcr_jobs import job_table
 from kcr_jobs import messages
 from kcr_jobs import records
+from kcr_jobs import report_parts
 from kcr_jobs import runners
 from kcr_jobs import types
 
@@ -44,6 +47,7 @@
         runner.session = session
         self._update_info(runner, info, now)
         runner.reconciled = False
+        runner.parts = report_parts.Joiner()
         runner.last_order = runner.recorded_end = runner.durable_end = (
             runner.acked_seq
         ) = 0
@@ -89,13 +93,16 @@
         runner.reported_at = now
         self._update_info(runner, msg.info, now)
         self._record_ends(runner, msg.ended, now)
-        if msg.complete:
-            self._reconcile(runner, msg, now)
+        running = runner.parts.join(msg)
+        if running is not None:
+            self._reconcile(runner, msg, running, now)
+        else:
+            self._update_tasks(runner, msg.running, now)
         if lease_ms > 0:
             runner.extend_lease(runners.infer_expiry(now, lease_ms / 1000.0))
         runner.acked_seq = msg.seq
         self._acknowledge(runner, lease_ms)
-        if msg.complete:
+        if running is not None or (msg.running and not msg.part):
             self._fillers.adjust(runner, now)
 
     def _acknowledge(self, runner: runners.RunnerState, lease_ms: int) -> None:
@@ -104,11 +111,31 @@
             runner.acked_seq,
             max(0, lease_ms),
             runner.durable_end,
+            self._state.is_evacuated(runner),
         )
         self._state.immediate.append(
             effects.SendToAgent(runner.name, runner.token, ack)
         )
 
+    def set_evacuation(self, view: evacuation.View) -> None:
+        """Apply a view of the evacuated zones; inform the agents there.
+
+        An agent may be repeating a start that its runner has not answered, so
+        it is informed before its next report.
+        """
+        before = {
+            runner.name: self._state.is_evacuated(runner)
+            for runner in self._state.runners.values()
+        }
+        self._state.conditions = dataclasses.replace(
+            self._state.conditions, evacuation_view=view
+        )
+        self._state.changed = True
+        for runner in self._state.runners.values():
+            changed = self._state.is_evacuated(runner) != before[runner.name]
+            if changed and runner.session:
+                self._acknowledge(runner, 0)
+
     def _update_info(
         self, runner: runners.RunnerState, info: types.RunnerInfo, now: float
     ) -> None:
@@ -155,6 +182,8 @@
             )
             runner.record_end(end.how)
             self._state.durations.record_end(task, end.how, now)
+            if end.how == 'done':
+                self._state.admission.record_end(task, now)
             if end.how == 'failed':
                 task.failed_on.add(runner.name)
             self._state.log_event(
@@ -197,6 +226,7 @@
         self,
         runner: runners.RunnerState,
         msg: messages.RunnerReport,
+        listed: tuple[types.ReportedRun, ...],
         now: float,
     ) -> None:
         """Compare the runs of a complete report with the expected ones.
@@ -205,16 +235,11 @@
         listed, and whose start the report must already show, are recorded as
         lost.
         """
-        running = {run.task: run for run in msg.running}
-        runner.unknown_runs = 0
-        for run in msg.running:
-            task = runner.tasks.get(run.task)
-            if task is None or task.attempt != run.attempt:
-                runner.unknown_runs += 1
-                self._stop_unknown_run(runner, run)
-                continue
-            self._state.durations.advance(task, now)
-            _update_task(task, run)
+        running = {run.task for run in listed}
+        unknown = self._update_tasks(runner, listed, now)
+        runner.unknown_runs = len(unknown)
+        for run in unknown:
+            self._stop_unknown_run(runner, run)
         pending = set(msg.unanswered)
         lost = []
         for task in list(runner.tasks.values()):
@@ -224,9 +249,10 @@
                 continue
             lost.append(task)
         if lost:
-            if runner.reconciled:
+            if runner.reconciled and not self._state.is_evacuated(runner):
                 # The start failed. Under a new lease this is unknown: the
                 # run may have ended with an older incarnation of the runner.
+                # In an evacuated zone the start was withdrawn.
                 for task in lost:
                     if self._state.planner.advice.reject_ticket(task, now):
                         runner.record_end('failed')
@@ -238,6 +264,26 @@
                 'runner ready', node=runner.name, runs=len(running)
             )
 
+    def _update_tasks(
+        self,
+        runner: runners.RunnerState,
+        listed: tuple[types.ReportedRun, ...],
+        now: float,
+    ) -> list[types.ReportedRun]:
+        """Update the tasks that a list shows; return the unknown runs."""
+        unknown = []
+        for run in listed:
+            task = runner.tasks.get(run.task)
+            if task is None or task.attempt != run.attempt:
+                unknown.append(run)
+                continue
+            self._state.durations.advance(task, now)
+            task.listed = True
+            task.percent, task.usage = run.percent, run.usage
+            if run.saved and run.saved != task.checkpoint:
+                task.checkpoint, task.checkpointed_at = run.saved, now
+        return unknown
+
     def _stop_unknown_run(
         self, runner: runners.RunnerState, run: types.ReportedRun
     ) -> None:
@@ -249,10 +295,3 @@
             'unknown run stopped', node=runner.name, task=run.task,
             run=run.attempt,
         )  # fmt: skip
-
-
-def _update_task(task: job_table.Task, run: types.ReportedRun) -> None:
-    task.listed = True
-    task.percent, task.usage = run.percent, run.usage
-    if run.saved:
-        task.checkpoint = run.saved
--- a/tests/jobs/job_harness.py
+++ b/tests/jobs/job_harness.py
@@ -6,8 +6,10 @@
 from kcr_jobs import controller
 from kcr_jobs import controller_state
 from kcr_jobs import effects
+from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import messages
+from kcr_jobs import regions
 from kcr_jobs import types
 
 LEASE_S = 6.0
@@ -118,6 +120,8 @@
         self.store_available = True
         self.deferred: list[effects.Effect] = []
         self.epoch = 0
+        self.evacuation = evacuation.View(0)
+        self.regions = regions.Rules()
         self.take_over()
         self.attach_all()
 
@@ -131,6 +135,8 @@
             table, self.epoch, LEASE_S, self.now,
             remote_factor=self.remote_factor,
         )  # fmt: skip
+        self.ctl.set_evacuation(self.evacuation)
+        self.ctl.set_regions(self.regions)
 
     def attach_all(self) -> None:
         """Attach every connected runner and deliver its report."""
--- a/tests/platform/test_store_reads.py
+++ b/tests/platform/test_store_reads.py
@@ -9,6 +9,7 @@
 import platform_fakes
 import proxy
 import pytest
+import reactor_thread as reactor_thread_calls
 from twisted.internet import defer
 from twisted.internet import reactor as twisted_reactor
 from twisted.internet import tcp
@@ -19,7 +20,8 @@
 from kcr_runtime import store
 
 # Time to wait for an outcome, in seconds.
-WAIT_S = 30.0
+WAIT_S = reactor_thread_calls.WAIT_S
+run = reactor_thread_calls.run
 # Timeout of requests on connections that have become silent, in seconds.
 SILENT_TIMEOUT_S = 1.0
 
@@ -50,29 +52,10 @@
 @pytest.fixture(scope='module')
 def reactor_thread() -> typing.Iterator[None]:
     """Run the reactor in a thread."""
-    reactor: typing.Any = twisted_reactor
-    thread = threading.Thread(
-        target=reactor.run, kwargs={'installSignalHandlers': False}
-    )
-    thread.daemon = True
-    thread.start()
+    reactor_thread_calls.start()
     yield
 
 
-def run(call: typing.Callable[[], defer.Deferred[typing.Any]]) -> typing.Any:
-    """Run a call in the thread of the reactor; return its outcome."""
-    done = threading.Event()
-    found: list[typing.Any] = []
-
-    def begin() -> None:
-        call().addBoth(found.append).addBoth(lambda _: done.set())
-
-    reactor: typing.Any = twisted_reactor
-    reactor.callFromThread(begin)
-    assert done.wait(WAIT_S)
-    return found[0]
-
-
 def is_connected(address: str) -> bool:
     """Return whether the reactor has a connection to an address."""
     reactor: typing.Any = twisted_reactor
@@ -143,6 +126,29 @@
     fake.close()
 
 
+class EndlessStore(platform_fakes.LogStore):
+    """Report more values after an empty page, or after the same page."""
+
+    def __init__(self, items: list[dict[str, typing.Any]]) -> None:
+        super().__init__()
+        self._items = items
+
+    def _newest(self, partition: list[bytes]) -> typing.Any:
+        return {'items': self._items, 'HasMore': True, 'EndOffset': 5}
+
+
+@pytest.mark.parametrize('items', [[], [{'Key': 'k', 'Offset': 1}]])
+def test_page_that_does_not_advance_is_not_complete(
+    reactor_thread: None, items: list[dict[str, typing.Any]]
+) -> None:
+    """Guard against a part of the keys that counts as all of them."""
+    fake = EndlessStore(items)
+    client = make_client(fake.address)
+    got = run(lambda: client.newest('keyed.op'))
+    assert isinstance(got, store.NoAnswer), got
+    fake.close()
+
+
 def test_silent_connections_cost_two_timeouts_at_most(
     reactor_thread: None,
 ) -> None:
@@ -244,3 +250,41 @@
 
     send()
     return ended
+
+
+class OddStore(platform_fakes.LogStore):
+    """Return the newest values of a topic as another writer left them."""
+
+    values: tuple[typing.Any, ...] = ('e30=', None, 7, '%', '')
+
+    def _newest(self, partition: list[bytes]) -> typing.Any:
+        rows = [
+            {'Key': f'evacuate/z{number}', 'Value': value, 'Offset': number}
+            for number, value in enumerate(self.values)
+        ]
+        return {'items': rows, 'HasMore': False, 'EndOffset': 5}
+
+
+def test_value_that_can_not_be_decoded_keeps_its_key(
+    reactor_thread: None,
+) -> None:
+    """Guard against an evacuation that is hidden by its value."""
+    fake = OddStore()
+    client = make_client(fake.address)
+    got = run(lambda: client.newest('keyed.op'))
+    assert isinstance(got, store.Items)
+    found = [(item.value, item.malformed) for item in got.items]
+    assert found == [
+        (b'{}', False), (b'', False), (b'', True), (b'', True), (b'', False),
+    ]  # fmt: skip
+    fake.close()
+
+
+def test_topic_with_a_lower_end_is_read_anew(reactor_thread: None) -> None:
+    """Guard against reads that wait at an offset of a deleted topic."""
+    fake = platform_fakes.LogStore()
+    fake.topics['keyed.op'] += [b'\x01kx']
+    client = make_client(fake.address)
+    got = run(lambda: client.read_keyed('keyed.op', 5, 0.0))
+    assert got == store.Trimmed(1)
+    fake.close()
