--- a/tests/jobs/test_locality.py
+++ b/tests/jobs/test_locality.py
@@ -7,6 +7,7 @@
 import pytest
 
 from kcr_jobs import durations
+from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import rack_choice
 from kcr_jobs import types
@@ -140,7 +141,9 @@
     assert racks.find_racks('j') == ['rack-1'] * 8
 
 
-@pytest.mark.parametrize('case', ['draining', 'lost', 'none', 'small'])
+@pytest.mark.parametrize(
+    'case', ['draining', 'lost', 'evacuated', 'none', 'small']
+)
 def test_no_wait_for_place_that_does_not_become_free(case: str) -> None:
     """Guard against a wait for a rack whose runners take no tasks."""
     racks = Racks()
@@ -155,6 +158,11 @@
         elif case == 'lost':
             runner.connected = False
             racks.harness.ctl.detach(f's-{runner.name}')
+        elif case == 'evacuated':
+            runner.info = dataclasses.replace(runner.info, zone='z1')
+            racks.harness.ctl.set_evacuation(
+                evacuation.View(1, frozenset(['z1']))
+            )
         elif case == 'small':
             capacity = types.Demand(16000, 90)
             runner.info = dataclasses.replace(runner.info, capacity=capacity)
