Evacuate zones in the fault soak

Change: runners of the soak are in two zones. Evacuations begin and end at times of their own random numbers, so that the other faults of a seed stay the same; one is in force while the jobs end, and jobs that are submitted 5 s after the last fault must end without a start in that zone. The callers know the ids of these jobs, as they know the first one of the soak.

During the faults a start is a violation only 13 s after the write (EvacuateMs and MaxStretchMs), which runs of 15 s hardly reach; the check binds after the last fault.

--- a/tests/platform/callers.py
+++ b/tests/platform/callers.py
@@ -58,6 +58,8 @@
         self.deployment = deployment
         self.jobs: list[Job] = []
         # Descriptions of the guarantees that were violated.
+        # Ids of the jobs that the soak submits itself.
+        self.soak_jobs = {'f' * 16}
         self.violations: list[str] = []
         self._seed = seed
         self._submitting_stopped = threading.Event()
@@ -241,7 +243,7 @@
     def check_end(self) -> None:
         """Check what is only certain after all faults have ended."""
         checker = self.deployment.checker
-        submitted: set[str] = {'f' * 16}
+        submitted = set(self.soak_jobs)
         for job in list(self.jobs):
             submitted.add(job.job_id)
             started = [t for t in job.list_tasks() if t in checker.started]
--- a/tests/platform/fault_soak.py
+++ b/tests/platform/fault_soak.py
@@ -31,6 +31,16 @@
 # Time after the last fault in which the newest configuration must be in force
 # everywhere, in seconds; ConfigApplyMs and MaxStretchMs of the requirements.
 CONFIG_TIMEOUT_S = 12.0
+# Time after the evacuation of a zone in which its runners may get starts:
+# EvacuateMs and MaxStretchMs of the requirements, as faults overlap; and the
+# time once all faults have ended, in seconds.
+EVACUATE_STRETCHED_S = 13.0
+EVACUATE_S = 5.0
+# Bounds of the time between changes of the evacuated zone, in seconds.
+EVACUATION_INTERVAL_S = (1.0, 6.0)
+ZONES = ('z1', 'z2')
+# Jobs that are submitted once no runner of the evacuated zone may get a start.
+LATE_JOBS = tuple(f'{number:016x}' for number in range(0xE0, 0xE4))
 # Log events that a process without an internal error does not write.
 FAILED_EVENTS = ('task failed', 'supervisor gives up', 'cannot go on')
 
@@ -67,6 +77,14 @@
         self.deployment.publish_next()
         self.callers = callers.Callers(self.deployment, seed)
         self.injected: collections.Counter[str] = collections.Counter()
+        for number, runner in enumerate(self.deployment.runners.values()):
+            runner.zone = ZONES[number % len(ZONES)]
+        # Evacuations have their own choices, so that the other faults of a
+        # seed stay the same.
+        self.zone_rng = random.Random(f'zones {seed}')
+        self.next_evacuation_at = self.zone_rng.uniform(*EVACUATION_INTERVAL_S)
+        # Evacuated zone; empty for none.
+        self.zone = ''
 
     def run(self, duration_s: float) -> Result:
         """Inject faults, end them all, and check the guarantees."""
@@ -106,6 +124,8 @@
                 continue
             if elapsed >= duration_s:
                 return
+            if elapsed >= self.next_evacuation_at:
+                self._change_evacuation()
             if elapsed < next_at:
                 time.sleep(0.02)
                 continue
@@ -118,10 +138,36 @@
             heals.append((ends, sum(self.injected.values()), heal))
             next_at += self.rng.uniform(*FAULT_INTERVAL_S)
 
+    def _change_evacuation(self) -> None:
+        """End the evacuation under way, or evacuate a zone."""
+        self.next_evacuation_at += self.zone_rng.uniform(
+            *EVACUATION_INTERVAL_S
+        )
+        if self.zone:
+            self.deployment.end_evacuation(self.zone)
+            self.zone = ''
+            return
+        self._evacuate()
+
+    def _evacuate(self) -> None:
+        self.zone = self.zone_rng.choice(ZONES)
+        self.injected['evacuate'] += 1
+        self.deployment.evacuate(self.zone, EVACUATE_STRETCHED_S)
+
     def _check_end(self) -> None:
         healed = time.monotonic()
         deployment, checker = self.deployment, self.deployment.checker
+        # The jobs end while a zone is evacuated.
+        if not self.zone:
+            self._evacuate()
+        checker.closed_from[self.zone] = min(
+            checker.closed_from[self.zone], healed + EVACUATE_S
+        )
         self._wait(self._find_stale, healed + CONFIG_TIMEOUT_S)
+        time.sleep(max(0.0, healed + EVACUATE_S - time.monotonic()))
+        self.callers.soak_jobs.update(LATE_JOBS)
+        for job in LATE_JOBS:
+            deployment.submit(job, count=10)
         self._wait(self._find_unfinished, healed + COMPLETION_TIMEOUT_S)
         for name, item in deployment.processes.items():
             if item.poll() is not None:
@@ -139,7 +185,12 @@
             time.sleep(0.2)
 
     def _find_unfinished(self) -> list[str]:
-        return [
+        late = [
+            f'job {job}, submitted during an evacuation, is not completed'
+            for job in LATE_JOBS
+            if not self.deployment.is_completed(job)
+        ]
+        return late + [
             f'job {job.job_id} is {state or "unknown"}, not completed'
             for job in self.callers.list_expected()
             if (state := self.callers.query_state(job)) != 'completed'
