Bound what callers occupy at every HTTP and control listener

Cause, measured at each listener (docs/design/callers.md): bodies without a length or with a large one were spooled to temporary files without a limit, two descriptors each; the errors of all wrong items of a list were built as objects to describe three of them, so that one body of 262 KB took 171 MB and a heartbeat of 4 MB 1,798 MB; pipelined requests were answered although no response was read; trailers took 12 times their bytes; control connections held an open frame of 1 MB before any hello, and pongs without a limit.

Change: one HTTP server in kcr_runtime for callers, readiness, heartbeats, metrics and the entry role; the decisions in kcr_core.caller_budget without I/O. Bodies stay in one buffer in memory. 413, 431, 408 and 503 as soon as a limit or the budget shows it; the connection that has sent least recently is closed first; handled requests count at eight times their body and are never closed; nothing is parsed while a response is unread. Lists of callers are checked up to their first wrong item. Control connections are bounded before the hello, in unread pongs and in queued bytes. The 413 of the entry role now comes from the server.

--- a/packages/entry/src/kcr_entry/fleet/supervisor.py
+++ b/packages/entry/src/kcr_entry/fleet/supervisor.py
@@ -5,10 +5,12 @@
 
 from collections import abc
 
+from kcr_core import caller_budget
 from kcr_core import messages
 from kcr_entry import addresses
 from kcr_entry.fleet import membership
 from kcr_entry.fleet import peers
+from kcr_runtime import http_server
 from kcr_runtime import supervisor
 from kcr_runtime import task
 from kcr_runtime.wire import listener
@@ -85,7 +87,12 @@
         host,
         int(port),
         addresses.SESSIONS,
-        ctx.cfg.max_connections,
+        min(
+            ctx.cfg.max_connections,
+            caller_budget.derive_connections(
+                ctx.cfg.max_fds, http_server.CONTROL_SHARE
+            ),
+        ),
     )
 
 
--- a/packages/entry/src/kcr_entry/front/http.py
+++ b/packages/entry/src/kcr_entry/front/http.py
@@ -10,12 +10,12 @@
 
 import klein
 from twisted.internet import defer
-from twisted.protocols import policies
 from twisted.python import failure
 from twisted.web import http
 from twisted.web import iweb
-from twisted.web import server
 
+from kcr_core import caller_budget
+from kcr_core import message_base
 from kcr_core import outcomes
 from kcr_entry import addresses
 from kcr_entry.configuration import queries
@@ -26,6 +26,7 @@
 from kcr_entry.front import task_routes
 from kcr_entry.work import explanations
 from kcr_entry.work import submitted_request
+from kcr_runtime import http_server
 from kcr_runtime import process
 from kcr_runtime import query
 from kcr_runtime import task
@@ -44,6 +45,10 @@
 # Time after its deadline for which the outcome of a request is awaited, in
 # seconds.
 OUTCOME_GRACE_S = 5.0
+# Limits of a request; a connection without a request is closed after a minute.
+LIMITS = caller_budget.Limits(
+    body_bytes=message_base.MAX_BODY_BYTES, idle_s=60.0
+)
 
 
 class Drain:
@@ -64,9 +69,7 @@
     def __init__(self, ctx: task.Context, address: str) -> None:
         super().__init__(ctx, address)
         self._app = klein.Klein()
-        self._port: typing.Any = None
-        # Protocol factory that tracks the open connections.
-        self._connections: typing.Any = None
+        self._server: http_server.Server | None = None
         self._pending: dict[str, defer.Deferred[typing.Any]] = {}
         self._last_token = 0
         # Tokens differ after a restart of the front end; otherwise a reply to
@@ -79,20 +82,16 @@
 
     def started(self) -> None:
         """Bind the port."""
-        host, port = self.ctx.cfg.http.rsplit(':', 1)
-        site = server.Site(self._app.resource(), timeout=60)
-        self._connections = policies.WrappingFactory(site)
-        self._port = self.ctx.reactor.listenTCP(
-            int(port), self._connections, interface=host
-        )
+        self._server = http_server.Server(
+            self.ctx, 'callers', self._app.resource(),
+            http_server.CALLERS_SHARE, LIMITS,
+        )  # fmt: skip
+        self._server.listen(self.ctx.cfg.http)
         self.send(addresses.IN_FORCE, queries.GetReadiness())
 
-    def stopped(self) -> defer.Deferred[None]:
+    def stopped(self) -> defer.Deferred[None] | None:
         """Close the port and the open connections."""
-        closed = defer.maybeDeferred(self._port.stopListening)
-        for connection in list(self._connections.protocols):
-            connection.loseConnection()
-        return closed
+        return None if self._server is None else self._server.close()
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the number of open requests and whether it is draining."""
@@ -100,6 +99,7 @@
             **super().dump(),
             'open_requests': self._open_requests,
             'draining': self._draining,
+            'callers': self._server.dump() if self._server else None,
         }
 
     def _add_routes(self) -> None:
@@ -128,7 +128,8 @@
 
     @task.handles(_CloseListener)
     def _on_close_listener(self, msg: _CloseListener) -> None:
-        self._port.stopListening()
+        if self._server is not None:
+            self._server.stop_listening()
         self.post(_CheckIdle())
 
     @task.handles(_CheckIdle)
--- a/packages/entry/src/kcr_entry/front/replies.py
+++ b/packages/entry/src/kcr_entry/front/replies.py
@@ -7,7 +7,7 @@
 import pydantic
 from twisted.web import iweb
 
-from kcr_core import message_base
+from kcr_runtime import http_channel
 from kcr_runtime.wire import codec
 
 M = typing.TypeVar('M', bound=pydantic.BaseModel)
@@ -30,11 +30,7 @@
 
 def read(req: iweb.IRequest, model: type[M]) -> M | bytes:
     """Return the validated body, or the body of an error response."""
-    content = typing.cast(typing.Any, req).content
-    body = content.read(message_base.MAX_BODY_BYTES + 1)
-    if len(body) > message_base.MAX_BODY_BYTES:
-        limit = message_base.MAX_BODY_BYTES
-        return respond(req, 413, {'error': f'body exceeds {limit} bytes'})
+    body = http_channel.take_body(req)
     try:
         return model.model_validate_json(body)
     except pydantic.ValidationError as exc:
--- a/packages/jobs/src/kcr_jobs/config.py
+++ b/packages/jobs/src/kcr_jobs/config.py
@@ -31,6 +31,11 @@
     body_bytes: int = 262144
     # Time after which an idle connection is closed, in milliseconds.
     idle_ms: int = 15000
+    # Largest head of a request, in bytes.
+    head_bytes: int = 16384
+    # Time from the first byte of a request to the end of its head, in
+    # milliseconds.
+    head_ms: int = 3000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/runtime/src/kcr_runtime/metrics_page.py
+++ b/packages/runtime/src/kcr_runtime/metrics_page.py
@@ -8,8 +8,8 @@
 
 from twisted.internet import defer
 from twisted.web import resource
-from twisted.web import server
 
+from kcr_runtime import http_server
 from kcr_runtime import metrics
 from kcr_runtime import task
 
@@ -65,20 +65,18 @@
 
     def __init__(self, ctx: task.Context, address: str) -> None:
         super().__init__(ctx, address)
-        self._port: typing.Any = None
+        self._server: http_server.Server | None = None
 
     def started(self) -> None:
         """Bind the port if an address is configured."""
         if not self.ctx.cfg.metrics:
             return
-        host, port = self.ctx.cfg.metrics.rsplit(':', 1)
-        site = server.Site(_Page(self.ctx.metrics), timeout=30)
-        self._port = self.ctx.reactor.listenTCP(
-            int(port), site, interface=host
-        )
+        self._server = http_server.Server(
+            self.ctx, 'metrics', _Page(self.ctx.metrics),
+            http_server.PAGE_SHARE, http_server.PAGE_LIMITS,
+        )  # fmt: skip
+        self._server.listen(self.ctx.cfg.metrics)
 
     def stopped(self) -> defer.Deferred[None] | None:
         """Close the port."""
-        if self._port is None:
-            return None
-        return defer.maybeDeferred(self._port.stopListening)
+        return None if self._server is None else self._server.close()
--- a/packages/runtime/src/kcr_runtime/settings.py
+++ b/packages/runtime/src/kcr_runtime/settings.py
@@ -60,6 +60,17 @@
     metrics: str = pydantic.Field(
         '', description='address that serves metrics; empty for none'
     )
+    process_mb: float = pydantic.Field(
+        1024.0,
+        description='memory of the process in MiB; bounds what callers use',
+        gt=0,
+        allow_inf_nan=False,
+    )
+    max_fds: int = pydantic.Field(
+        4096,
+        description='descriptors of the process; bounds the connections',
+        ge=256,
+    )
     seed: int = pydantic.Field(
         0, description='seed of the jitter; 0 draws one', ge=0
     )
--- a/packages/runtime/src/kcr_runtime/wire/codec.py
+++ b/packages/runtime/src/kcr_runtime/wire/codec.py
@@ -17,6 +17,8 @@
 
 # Number of validation errors that an exception text lists.
 MAX_ERRORS = 5
+# Number of errors above which none is described: each takes about 1 KB.
+MAX_DESCRIBED_ERRORS = 1000
 # Length of the text of an error of a library.
 MAX_ERROR_CHARS = 200
 # What the CBOR library raises for bytes that other writers may send: besides
@@ -90,6 +92,8 @@
 
 def describe(exc: pydantic.ValidationError) -> str:
     """Return a text with field, cause and value of the first errors."""
+    if exc.error_count() > MAX_DESCRIBED_ERRORS:
+        return f'{exc.error_count()} errors'
     parts = []
     for error in exc.errors(include_url=False)[:MAX_ERRORS]:
         path = '.'.join(str(item) for item in error['loc'])
--- a/packages/runtime/src/kcr_runtime/wire/connection.py
+++ b/packages/runtime/src/kcr_runtime/wire/connection.py
@@ -26,6 +26,12 @@
 
 # Maximum number of messages queued while the transport is paused.
 MAX_QUEUED_MESSAGES = 256
+# Maximum size of the messages queued, in bytes, if there is more than one.
+MAX_QUEUED_BYTES = 8 * 1024 * 1024
+# Bytes that a peer may send without a hello: the handshake and one message.
+MAX_GREETING_BYTES = 16 * 1024
+# Bytes of pongs that may wait for a peer that does not read.
+MAX_UNREAD_BYTES = 64 * 1024
 
 
 @zope.interface.implementer(interfaces.IPushProducer)
@@ -47,9 +53,15 @@
         self._on_open = on_open
         self._on_message = on_message
         self._on_close = on_close
+        # Whether the peer has sent a hello.
+        self.greeted = False
+        self._lost = False
         self._paused = False
         self._open = False
         self._waiting: collections.deque[bytes] = collections.deque()
+        self._waiting_bytes = 0
+        # Bytes written since the transport was paused.
+        self._unread_bytes = 0
         self._ws: client.ClientProtocol | server.ServerProtocol
         if dialed is None:
             self._ws = server.ServerProtocol(
@@ -77,23 +89,38 @@
         for event in self._ws.events_received():
             self._handle(event)
         self._flush()
+        too_long = not self.greeted and self.bytes_in > MAX_GREETING_BYTES
+        if too_long or self._unread_bytes > MAX_UNREAD_BYTES:
+            self.abort()
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """Report that the connection has ended."""
         self._open = False
-        self._waiting.clear()
+        self._lost = True
+        self._clear_waiting()
         clean = reason.check(error.ConnectionDone) is not None
         self._on_close('closed' if clean else reason.getErrorMessage())
 
+    @property
+    def done_greeting(self) -> bool:
+        """Return whether the peer has sent a hello or is gone."""
+        return self.greeted or self._lost
+
     def send(self, msg: message_base.Message) -> bool:
         """Send or queue a message; return False if closed or queue full."""
         if not self._open:
             return False
         if self._paused and len(self._waiting) >= MAX_QUEUED_MESSAGES:
             return False
-        self._waiting.append(codec.encode(msg))
+        frame = codec.encode(msg)
+        if self._waiting and (
+            self._waiting_bytes + len(frame) > MAX_QUEUED_BYTES
+        ):
+            return False
+        self._waiting.append(frame)
+        self._waiting_bytes += len(frame)
         if not self._paused:
             self._flush_waiting()
         return True
@@ -120,11 +147,16 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Send the queued messages."""
         self._paused = False
+        self._unread_bytes = 0
         self._flush_waiting()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Discard the queued messages."""
+        self._clear_waiting()
+
+    def _clear_waiting(self) -> None:
         self._waiting.clear()
+        self._waiting_bytes = 0
 
     def _handle(self, event: typing.Any) -> None:
         if isinstance(event, http11.Request):
@@ -155,12 +187,15 @@
         except codec.BadFrame as exc:
             self.close(str(exc))
             return
+        self.greeted = self.greeted or isinstance(msg, message_base.Hello)
         self._on_message(msg)
 
     def _flush_waiting(self) -> None:
         while self._waiting and not self._paused:
+            frame = self._waiting.popleft()
+            self._waiting_bytes -= len(frame)
             try:
-                self._ws.send_binary(self._waiting.popleft())
+                self._ws.send_binary(frame)
             except exceptions.InvalidState:
                 return
             self._flush()
@@ -172,6 +207,8 @@
         for data in self._ws.data_to_send():
             if data:
                 self.bytes_out += len(data)
+                if self._paused:
+                    self._unread_bytes += len(data)
                 transport.write(data)
             else:
                 transport.loseConnection()
--- a/packages/runtime/src/kcr_runtime/wire/listener.py
+++ b/packages/runtime/src/kcr_runtime/wire/listener.py
@@ -3,6 +3,7 @@
 The supervisors of entries and schedulers start the listener.
 """
 
+import collections
 import typing
 
 from twisted.internet import defer
@@ -38,6 +39,10 @@
         # Maximum number of concurrent connections.
         self.limit = limit
         self._listening: typing.Any = None
+        # Connections without a hello at the last look, oldest first.
+        self._greeting: collections.deque[connection.Connection] = (
+            collections.deque()
+        )
         self._accepted = 0
         # Sessions keep running when the listener is restarted, so their names
         # must differ from those of earlier incarnations.
@@ -63,6 +68,7 @@
     def _accept(self) -> connection.Connection:
         if self.ctx.directory.count_children(self.sessions) >= self.limit:
             self.ctx.metrics.count('connection_refused')
+            self._close_oldest()
             return typing.cast(connection.Connection, None)
         self._accepted += 1
         created: list[session.Session] = []
@@ -75,4 +81,16 @@
         name = f'{self._name_prefix}-{self._accepted}'
         spec = supervisor.ChildSpec(name, factory, True)
         self.send(self.sessions, supervisor.StartChild(spec))
-        return created[0].build_connection()
+        conn = created[0].build_connection()
+        while self._greeting and self._greeting[0].done_greeting:
+            self._greeting.popleft()
+        self._greeting.append(conn)
+        return conn
+
+    def _close_oldest(self) -> None:
+        """Make room for the next peer by closing one without a hello."""
+        while self._greeting:
+            conn = self._greeting.popleft()
+            if not conn.done_greeting:
+                conn.abort()
+                return
--- a/packages/runtime/src/kcr_runtime/wire/session.py
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -25,6 +25,9 @@
 
 # Timeout for the hello of the peer, in seconds.
 HELLO_TIMEOUT_S = 5.0
+# Timeout for the handshake and the hello of an accepted connection, in
+# seconds.
+GREETING_TIMEOUT_S = 2 * HELLO_TIMEOUT_S
 # Timeout for establishing a dialed connection, in seconds.
 CONNECT_TIMEOUT_S = 3.0
 # Bounds of the delay before dialing again, without jitter, in seconds.
@@ -151,6 +154,10 @@
     refused: bool
 
 
+class _GreetingTimeout:
+    pass
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _HelloTimeout:
     conn: connection.Connection
@@ -227,6 +234,8 @@
         """Dial if there is a target."""
         if self.target is not None:
             self.post(_Dial())
+        else:
+            self.after(GREETING_TIMEOUT_S, _GreetingTimeout())
 
     def stopped(self) -> None:
         """Close the connection."""
@@ -309,6 +318,12 @@
         if self._conn is msg.conn and self._hello is None:
             msg.conn.close('no hello in time')
 
+    @task.handles(_GreetingTimeout)
+    def _on_greeting_timeout(self, msg: _GreetingTimeout) -> None:
+        # The handshake, which comes before the hello, may be incomplete.
+        if self._conn is not None and not self._conn.greeted:
+            self._conn.abort()
+
     @task.handles(_Incoming)
     def _on_incoming(self, event: _Incoming) -> None:
         msg = event.msg
--- a/packages/scheduler/src/kcr_scheduler/fleet/supervisor.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/supervisor.py
@@ -2,6 +2,8 @@
 
 from collections import abc
 
+from kcr_core import caller_budget
+from kcr_runtime import http_server
 from kcr_runtime import supervisor
 from kcr_runtime import task
 from kcr_runtime.wire import listener
@@ -45,5 +47,10 @@
         host,
         int(port),
         addresses.SESSIONS,
-        ctx.cfg.max_connections,
+        min(
+            ctx.cfg.max_connections,
+            caller_budget.derive_connections(
+                ctx.cfg.max_fds, http_server.CONTROL_SHARE
+            ),
+        ),
     )
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -21,6 +21,8 @@
 import platform_fakes
 import proxy
 
+from kcr_platform import settings
+
 # Timeout of waiting for an expected state, in seconds; long, as the test
 # machine may be busy.
 WAIT_TIMEOUT_S = 60.0
@@ -92,8 +94,11 @@
             lambda store: None
         ),
         store_rate: int = 0,
+        extra_settings: str = '',
     ) -> None:
         self.folder = folder
+        # Tables that are added to each settings file.
+        self._extra_settings = extra_settings
         # Bytes a second between each scheduler and the store; 0 for any
         # number.
         self._store_rate = store_rate
@@ -110,6 +115,8 @@
         self.runners: dict[str, platform_fakes.Runner] = {}
         self.controls: dict[str, str] = {}
         self.settings: dict[str, tuple[str, pathlib.Path]] = {}
+        # Address of each listener by name, by process.
+        self._listeners: dict[str, dict[str, str]] = {}
         self.network = proxy.Network() if linked else None
         # Links by name, such as `store of a1`; a scheduler's is its own name.
         self.links: dict[str, proxy.Link] = {}
@@ -171,10 +178,21 @@
                 control=f'{ip}:{ports[2]}',
                 store=self._link(f'store of {name}', self.store.address),
             )
+            + self._extra_settings
         )
+        self._listeners[name] = {
+            'front': f'{ip}:{ports[0]}',
+            'ready': f'{ip}:{ports[1]}',
+            'control': f'{ip}:{ports[2]}',
+            'metrics': f'{ip}:{settings.METRICS_PORT}',
+        }
         self.settings[name] = (role, path)
         self.start(name)
 
+    def find_listener(self, name: str, listener: str) -> str:
+        """Return the address of a listener of a process."""
+        return self._listeners[name][listener]
+
     def start(self, name: str) -> None:
         """Start one process."""
         role, path = self.settings[name]
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -125,3 +125,20 @@
         decode.read(decode_jobs.JobBody, data).to_spec(
             'j', types.Queue('q', 's')
         )
+
+
+@pytest.mark.parametrize(
+    ('model', 'body'),
+    [
+        (decode_jobs.JobBody, {'Phases': [0] * 5000}),
+        (decode_jobs.JobBody, {'Phases': [{'DependsOn': [-1] * 5000}]}),
+        (decode_runner.HeartbeatBody, {**BEAT, 'Labels': [0] * 5000}),
+    ],
+)
+def test_only_the_first_wrong_item_is_described(
+    model: type[decode.Body], body: typing.Any
+) -> None:
+    """Guard against a list of errors that takes 600 times the body."""
+    with pytest.raises(decode.BadBody) as caught:
+        decode.read(model, json.dumps(body).encode())
+    assert str(caught.value).count('Input should be') == 1
--- a/tests/runtime/test_session.py
+++ b/tests/runtime/test_session.py
@@ -40,6 +40,7 @@
 
     def __init__(self) -> None:
         self.written = b''
+        self.aborted = False
 
     def write(self, data: bytes) -> None:
         """Record the bytes."""
@@ -61,6 +62,10 @@
     def loseConnection(self) -> None:  # noqa: N802
         """Ignore the end of the connection."""
 
+    def abortConnection(self) -> None:  # noqa: N802
+        """Record that the connection was aborted."""
+        self.aborted = True
+
 
 class Pair:
     """Connect a session under test to a connection without a session."""
@@ -201,3 +206,50 @@
         for _ in range(connection.MAX_QUEUED_MESSAGES + 3)
     ]
     assert results.count(False) == 3
+
+
+def test_large_messages_do_not_grow_the_queue() -> None:
+    """Guard against a queue that is bounded in messages but not in bytes."""
+    pair = Pair()
+    pair.send(HELLO)
+    pair.server.pauseProducing()
+    count = connection.MAX_QUEUED_BYTES // 1_000_000
+    msg = messages.Leaving('x' * 1_000_000)
+    results = [pair.server.send(msg) for _ in range(count + 3)]
+    assert results == [True] * count + [False] * 3
+
+
+def test_peer_that_sends_much_before_its_hello_is_closed() -> None:
+    """Guard against open frames of peers that are not identified."""
+    pair = Pair()
+    server, transport = pair.ends[1]
+    size = (2**20).to_bytes(8, 'big')
+    server.dataReceived(b'\x82\xff' + size + bytes(4))
+    assert not transport.aborted
+    server.dataReceived(b'x' * connection.MAX_GREETING_BYTES)
+    assert transport.aborted
+
+
+def test_peer_that_reads_no_pongs_is_closed() -> None:
+    """Guard against responses to pings that nobody reads."""
+    pair = Pair()
+    pair.send(HELLO)
+    server, transport = pair.ends[1]
+    server.pauseProducing()
+    ping = b'\x89\xfd' + bytes(4) + b'x' * 125
+    server.dataReceived(ping * 500)
+    assert not transport.aborted
+    server.dataReceived(ping * 50)
+    assert transport.aborted
+
+
+def test_peer_without_a_handshake_is_closed() -> None:
+    """Guard against connections that never begin."""
+    pair = Pair()
+    conn = pair.session.build_connection()
+    transport = FakeTransport()
+    conn.transport = typing.cast(typing.Any, transport)
+    conn.connectionMade()
+    pair.clock.advance(session.GREETING_TIMEOUT_S)
+    pair.clock.advance(0)
+    assert transport.aborted
