--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,11 @@
 bench: install
 	$(BIN)/python -m kcr_emulator.bench --seed $(SEED)
 	$(BIN)/python tests/jobs/bench_planner.py
+	$(BIN)/python tests/jobs/bench_overload.py
+	$(BIN)/python tests/jobs/bench_rack_wait.py
 	PYTHONPATH=tests/support $(BIN)/python tests/scheduler/bench_takeover.py
+	PYTHONPATH=tests/jobs:tests/support $(BIN)/python \
+	    tests/platform/bench_lists.py
 
 capacity: install
 	$(BIN)/python -m kcr_emulator.capacity
--- a/packages/agent/src/kcr_agent/runner/orders.py
+++ b/packages/agent/src/kcr_agent/runner/orders.py
@@ -69,12 +69,8 @@
         while state.is_current(term) and not order.withdrawn:
             sent_at = state.now()
             deadline_ms = state.lease.deadline_ms(sent_at)
-            if deadline_ms is None or state.starts_closed:
-                reason = (
-                    'zone is evacuated'
-                    if state.starts_closed
-                    else 'lease has expired'
-                )
+            reason = _find_obstacle(state, deadline_ms)
+            if reason or deadline_ms is None:
                 await self._settle(msg, order, term, reason, unanswered)
                 return
             got = await state.runner.start(
@@ -184,6 +180,9 @@
         state = self._state
         await state.pause(START_RETRY_S)
         while state.is_current(term) and not order.withdrawn:
+            if state.is_leaving():
+                # It is not repeated; the start forbids the attempt.
+                return order.answered_at is None
             queried_at = state.now()
             got = await self._lists.query(queried_at, 0)
             if not state.is_current(term):
@@ -259,3 +258,12 @@
             if not isinstance(got, client.NoAnswer):
                 return
         state.log.warning('pace failed', task=msg.task, percent=msg.percent)
+
+
+def _find_obstacle(state: control_state.State, deadline_ms: int | None) -> str:
+    """Return why a start must not be sent now; empty if it may be."""
+    if state.starts_closed:
+        return 'zone is evacuated'
+    if deadline_ms is None:
+        return 'lease has expired'
+    return 'runner is draining' if state.is_leaving() else ''
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -35,8 +35,10 @@
         lease_s: float,
         now: float,
         log_bytes: int = 0,
+        remote_factor: float = 1.0,
+        overload: controller_state.Overload = controller_state.Overload(),
     ) -> None:
-        super().__init__(table, epoch, lease_s, now)
+        super().__init__(table, epoch, lease_s, now, remote_factor, overload)
         requests = caller_requests.CallerRequests(self)
         self.submit = requests.submit
         self.refuse = requests.refuse
@@ -85,6 +87,7 @@
 
         The owner task calls it periodically.
         """
+        self.wall_offset_s = wall_ms / 1000.0 - now
         for runner in list(self.runners.values()):
             if now >= runner.expires_at:
                 self._expire_lease(runner, now)
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -23,6 +23,18 @@
 RUNNING = 'running'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RackWait:
+    """Describe the wait of a task for a place in a rack (see locality)."""
+
+    rack: str
+    # Time of the decision to wait, and the time until which it waits.
+    since: float
+    until: float
+    # Expected wait at that time, in seconds.
+    expected_s: float
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Task:
     """Store one task of one occurrence of a job."""
@@ -68,6 +80,9 @@
     throttle_percent: int = 100
     throttled_at: float = 0.0
     not_stalled_at: float = 0.0
+    # Time at which its newest checkpoint was first reported; none before that.
+    # Not durable.
+    checkpointed_at: float | None = None
     # Time that the run has had at full share until `worked_until`, in seconds
     # (see durations), and whether it resumed from a checkpoint. Not durable.
     work_s: float = 0.0
@@ -75,6 +90,10 @@
     resumed: bool = False
     # Factor by which its place prolongs the run. Not durable.
     slowdown: float = 1.0
+    # Rack of which it waits for a place in the current plan; empty for none.
+    # The wait itself; none before a decision to wait. Not durable.
+    awaited_rack: str = ''
+    rack_wait: RackWait | None = None
 
     @property
     def spec(self) -> types.Step:
@@ -135,6 +154,22 @@
     # Monotonic time since which no runner has capacity for its tasks while
     # none of them runs. Not durable.
     starved_since: float | None = None
+    # Target time and expected time of the remaining chain of steps by learnt
+    # run times, in seconds; 0 before they are inferred. Not durable.
+    target_s: float = 0.0
+    chain_left_s: float = 0.0
+    # Whether its queue has its share without this job, and whether jobs of
+    # its size are served too rarely; set by `shares`. Not durable.
+    beyond_share: bool = False
+    size_behind: bool = False
+    # Whether it was accepted although it is expected to miss its target; it
+    # does not delay jobs that are not. Not durable.
+    expected_late: bool = False
+    # Whether it counts as served or as useless for its size. Not durable.
+    size_counted: bool = False
+    # Time at which one of its tasks was last stopped for more urgent work;
+    # none before that. Not durable.
+    preempted_at: float | None = None
 
     @property
     def state(self) -> str:
--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -9,8 +9,11 @@
 
 from collections import abc
 import dataclasses
+import math
 
 from kcr_core import registry
+from kcr_jobs import conditions
+from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
 from kcr_jobs import runners
@@ -36,6 +39,12 @@
 # Pressure up to which fillers are placed beside serving tasks; throttling
 # begins a little above it.
 MAX_PRESSURE = 0.75
+# Penalty of a runner in a rack for which other tasks wait; idle processors
+# and pressure differ by up to 1.
+AWAITED_PENALTY = 1.0
+# Part of the score of a cold runner; a warm one is preferred until half of its
+# processors are more in use than those of the cold one.
+COLD_SCORE = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,10 +69,17 @@
     # Serving tasks with their pressure (see throttling), raised by what the
     # fillers that are being started will add.
     pressures: list[tuple[job_table.Task, float]]
-    # Whether the zone of the runner is evacuated.
-    evacuated: bool = False
+    # Where tasks may start.
+    limits: conditions.Conditions = conditions.Conditions()
+    # Whether it is slow after its start, and the starts that it may get.
+    cold: bool = False
+    cold_starts_left: float = math.inf
     # Number of reservations that were made.
     version: int = 0
+    # Tasks that are being started.
+    started: list[job_table.Task] = dataclasses.field(default_factory=list)
+    # Whether tasks wait for its rack (see locality).
+    awaited: bool = False
 
     @property
     def runner_id(self) -> str:
@@ -77,9 +93,16 @@
         assert self.runner.info is not None
         return self.runner.info.incarnation
 
+    @property
+    def labels(self) -> tuple[str, ...]:
+        """Return the kind and the rack of the runner."""
+        assert self.runner.info is not None
+        return self.runner.info.labels
+
     def reserve(self, task: job_table.Task) -> None:
         """Reserve capacity for a task."""
         self.version += 1
+        self.started.append(task)
         demand = task.spec.demand
         self.mem_mb -= demand.mem_mb
         self.gpu -= demand.gpu
@@ -91,6 +114,7 @@
         step = (task.job.spec.job_id, task.occurrence, task.step)
         self.tasks_per_step[step] = self.tasks_per_step.get(step, 0) + 1
         self.starts_left -= 1
+        self.cold_starts_left -= 1.0
         if task.spec.fills:
             self.pressures = [
                 (
@@ -152,7 +176,7 @@
     now: float,
     suspect: bool,
     interference: interference_model.InterferenceModel,
-    evacuated: bool = False,
+    limits: conditions.Conditions = conditions.Conditions(),
 ) -> Candidate:
     """Return a runner as a candidate; a suspect one gets few starts."""
     assert runner.info is not None
@@ -170,13 +194,20 @@
         1_000_000,
         interference,
         _infer_pressures(runner, interference, now),
-        evacuated,
+        limits,
     )
     for task in runner.tasks.values():
         step = (task.job.spec.job_id, task.occurrence, task.step)
         candidate.tasks_per_step[step] = (
             candidate.tasks_per_step.get(step, 0) + 1
         )
+    if now < runner.cold_until:
+        candidate.cold = True
+        rate = limits.cold_rules.find_rate(runner.info.service)
+        if rate:
+            candidate.cold_starts_left = runner.cold_budget.infer_level(
+                rate, limits.cold_rules.burst, now
+            )
     if suspect:
         waited = now - runner.last_start_at >= runners.PROBE_INTERVAL_S
         candidate.starts_left = 1 if waited and not runner.tasks else 0
@@ -190,10 +221,16 @@
     demand = spec.demand
     if info.service != task.job.spec.queue.service:
         return 'service'
-    if candidate.evacuated:
+    if evacuation.forbids(candidate.limits.evacuation_view, info.zone):
         return 'zone evacuated'
+    if not candidate.limits.region_rules.allows(
+        task.job.spec.queue, info.zone
+    ):
+        return 'region'
     if candidate.starts_left <= 0:
         return 'failing runner'
+    if candidate.cold_starts_left < 1.0:
+        return 'cold'
     if demand.mem_mb > candidate.mem_mb:
         return 'memory'
     if demand.gpu > candidate.gpu:
@@ -206,6 +243,8 @@
         step = (task.job.spec.job_id, task.occurrence, task.step)
         if candidate.tasks_per_step.get(step, 0) >= spec.max_per_runner:
             return 'tasks of its step'
+    if task.awaited_rack and task.awaited_rack not in info.labels:
+        return 'waits for rack'
     return ''
 
 
@@ -298,6 +337,8 @@
         candidate.cpu - task.spec.demand.cpu
     ) / candidate.runner.info.capacity.cpu
     score = PACKING_WEIGHT * left + candidate.runner.failure_rate
+    if candidate.cold:
+        score += COLD_SCORE
     if task.spec.image not in candidate.serving_images:
         usable = COMPATIBLE_SHARE ** len(candidate.serving_images)
         score += usable * (1.0 - COMPATIBLE_SHARE)
@@ -336,10 +377,15 @@
     runner, spec = candidate.runner, task.spec
     assert runner.info is not None
     score = runner.failure_rate
+    if candidate.cold:
+        score += COLD_SCORE
     if runner.name in task.failed_on:
         score += 2.0
     if spec.near_rack and spec.near_rack not in runner.info.labels:
         score += 1.0
+    if candidate.awaited and spec.near_rack not in runner.info.labels:
+        # The next free place there is better used by a task that waits.
+        score += AWAITED_PENALTY
     return score
 
 
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -10,16 +10,18 @@
 import dataclasses
 
 from kcr_jobs import advice_planning
+from kcr_jobs import conditions
+from kcr_jobs import durations
 from kcr_jobs import effects
-from kcr_jobs import evacuation
 from kcr_jobs import interference_model
 from kcr_jobs import job_table
+from kcr_jobs import locality
 from kcr_jobs import ordering
 from kcr_jobs import placement
 from kcr_jobs import runners
 from kcr_jobs import step_choice
 
-# Registered order in which waiting jobs get capacity.
+# Registered order in which waiting jobs get capacity, without shares.
 ORDER_NAME = 'deadline'
 # Time after which a job with no running task is placed on any runner that it
 # fits, in seconds; the users allow 3 s where there is capacity.
@@ -54,24 +56,34 @@
     )
     # Steps for which no runner has capacity.
     waits: list[WaitingStep] = dataclasses.field(default_factory=list)
+    # First task of each step without a runner, in the order of the jobs.
+    unplaced: list[job_table.Task] = dataclasses.field(default_factory=list)
 
 
 class Planner:
     """Choose the tasks to start."""
 
     def __init__(
-        self, interference: interference_model.InterferenceModel
+        self,
+        interference: interference_model.InterferenceModel,
+        model: durations.Durations,
+        remote_factor: float,
+        order_name: str = ORDER_NAME,
     ) -> None:
+        self._order = ordering.ORDERS.get(order_name)
         # Estimates of what fillers add to the latency of serving tasks.
         self._interference = interference
         # Tickets of advised steps, and the requests for them.
         self.advice = advice_planning.AdvicePlanner()
+        # Decides whether tasks wait for a place in a rack.
+        self.locality = locality.Locality(model, remote_factor)
         # Time of the last log event of why a step waits, by its name.
         self._logged_at: dict[str, float] = {}
 
     def forget(self, job: job_table.Job) -> None:
         """Discard the tickets of a job and the times of its log events."""
         self.advice.forget(job)
+        self.locality.forget(job)
         for step in list(self._logged_at):
             if step.startswith(f'{job.spec.job_id}.'):
                 self._logged_at.pop(step)
@@ -81,26 +93,21 @@
         jobs: abc.Iterable[job_table.Job],
         schedulable: list[runners.RunnerState],
         now: float,
-        evacuated: evacuation.View | None = None,
+        limits: conditions.Conditions = conditions.Conditions(),
     ) -> Plan:
         """Choose starts job by job while runners have capacity."""
         suspects = runners.find_suspects(schedulable)
         candidates = [
             placement.make_candidate(
-                r,
-                now,
-                r in suspects,
-                self._interference,
-                r.info is not None
-                and evacuation.forbids(evacuated, r.info.zone),
-            )  # fmt: skip
+                r, now, r in suspects, self._interference, limits
+            )
             for r in schedulable
         ]
-        order = ordering.ORDERS.get(ORDER_NAME)
         plan = Plan()
-        rejected = step_choice.RejectedDemands()
+        rejected = step_choice.RejectedDemands(limits.region_rules)
         self.advice.begin_plan()
-        for job in sorted(jobs, key=lambda j: order(j, now)):
+        self.locality.begin_plan(candidates)
+        for job in sorted(jobs, key=lambda j: self._order(j, now)):
             self._plan_job(job, candidates, now, plan, rejected)
         plan.requests = self.advice.finish_plan(now)
         return plan
@@ -114,7 +121,7 @@
         rejected: step_choice.RejectedDemands,
     ) -> None:
         blocked: set[tuple[int, int]] = set()
-        choices: dict[tuple[int, int], step_choice.StepChoice] = {}
+        choices = step_choice.JobChoices(job, candidates)
         gangs: dict[tuple[int, int], list[job_table.Task]] = {}
         for task in job.tasks.values():
             key = (task.occurrence, task.step)
@@ -126,6 +133,7 @@
             if task.spec.gang:
                 gangs.setdefault(key, []).append(task)
                 continue
+            task.awaited_rack = ''
             allowed = candidates
             candidate: placement.Candidate | None = None
             steps_ahead = self.advice.steps_ahead
@@ -136,20 +144,26 @@
                 candidate = placement.choose(task, allowed, now)
                 choices.clear()
             elif not rejected.covers(task):
-                if key not in choices:
-                    choices[key] = step_choice.StepChoice(task, allowed, now)
-                candidate = choices[key].choose(task)
-                if candidate is None:
+                candidate = choices.choose(task, now)
+                if candidate is None and not choices.kept_warm:
                     rejected.add(task)
+            if candidate is not None and self.locality.applies(task):
+                candidate = self.locality.choose(task, candidate, now)
+                if candidate is None:
+                    # Another task of the step may be placed elsewhere.
+                    self._log_waiting(task, candidates, now, plan, steps_ahead)
+                    continue
             if candidate is None and _is_starved(job, now):
                 candidate = placement.choose_least_disturbed(task, allowed)
                 choices.clear()
             if candidate is None:
                 # All tasks of a step have the same demand.
                 blocked.add(key)
+                plan.unplaced.append(task)
                 self._log_waiting(task, candidates, now, plan, steps_ahead)
                 continue
             _assign(task, candidate, plan)
+            self.locality.record_start(task, candidate, now)
         for members in gangs.values():
             self._plan_gang(members, candidates, now, plan)
 
@@ -187,12 +201,19 @@
         first = members[0]
         if len(members) < first.spec.count:
             return
+        for task in members:
+            task.awaited_rack = ''
         advised = bool(first.job.spec.queue.ticket_ms)
         steps_ahead = self.advice.steps_ahead
         allowed = candidates
         if advised:
             allowed = self.advice.find_allowed_for_gang(first, candidates, now)
-        chosen = self._choose_for_gang(members, allowed, now, plan)
+        chosen = self._choose_rack_for_gang(members, now, plan)
+        if chosen is None:
+            chosen = self._choose_for_gang(members, allowed, now, plan)
+            if chosen is not None and self.locality.applies(first):
+                if self.locality.gang_waits(members, now):
+                    chosen = None
         if chosen is None:
             if advised and self.advice.may_request(first, now):
                 self._request_for_gang(members, allowed, candidates, now, plan)
@@ -203,6 +224,23 @@
         for task, candidate in zip(members, chosen):
             task.attempt, task.checkpoint = attempt, saved
             _assign(task, candidate, plan)
+        for task, candidate in zip(members, chosen):
+            self.locality.record_start(task, candidate, now)
+
+    def _choose_rack_for_gang(
+        self,
+        members: list[job_table.Task],
+        now: float,
+        plan: Plan,
+    ) -> list[placement.Candidate] | None:
+        """Return a candidate for each member in one rack; none without."""
+        if not self.locality.applies(members[0]):
+            return None
+        for rack in self.locality.find_racks(members[0]):
+            chosen = self._choose_for_gang(members, rack, now, plan)
+            if chosen is not None:
+                return chosen
+        return None
 
     def _choose_for_gang(
         self,
@@ -218,7 +256,7 @@
                 now,
                 candidate.starts_left <= 1,
                 self._interference,
-                candidate.evacuated,
+                candidate.limits,
             )
             for candidate in candidates
         ]
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -7,7 +7,9 @@
 """
 
 import dataclasses
+import math
 
+from kcr_jobs import cold_runners
 from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import evacuation
@@ -127,7 +129,9 @@
             runner.name: self._state.is_evacuated(runner)
             for runner in self._state.runners.values()
         }
-        self._state.evacuation = view
+        self._state.conditions = dataclasses.replace(
+            self._state.conditions, evacuation_view=view
+        )
         self._state.changed = True
         for runner in self._state.runners.values():
             changed = self._state.is_evacuated(runner) != before[runner.name]
@@ -152,6 +156,40 @@
         if not info.draining:
             runner.draining_since = None
         runner.info = info
+        self._update_cold(runner, old, info, now)
+
+    def _update_cold(
+        self,
+        runner: runners.RunnerState,
+        old: types.RunnerInfo | None,
+        info: types.RunnerInfo,
+        now: float,
+    ) -> None:
+        """Update until when a runner is cold.
+
+        What an earlier owner has started on it is unknown, so its unused
+        starts count from the beginning of this ownership.
+        """
+        restarted = old is None or old.incarnation != info.incarnation
+        if restarted:
+            runner.cold_until = -math.inf
+            runner.cold_budget = cold_runners.StartBudget(self._state.began_at)
+        offset_s = self._state.wall_offset_s
+        # Without the time of day, the age of a runner is unknown.
+        if info.cold_remaining_ms < 0 and offset_s is None:
+            return
+        found = cold_runners.infer_cold_until(
+            info, self._state.conditions.cold_rules, now,
+            ((offset_s or 0.0) + now) * 1000.0,
+        )  # fmt: skip
+        if runner.cold_until != -math.inf:
+            runner.cold_until = min(runner.cold_until, found)
+            return
+        runner.cold_until = found
+        if found > now:
+            self._state.log_event(
+                'runner cold', node=runner.name, left_s=round(found - now, 3)
+            )
 
     def _record_ends(
         self,
@@ -180,6 +218,8 @@
             )
             runner.record_end(end.how)
             self._state.durations.record_end(task, end.how, now)
+            if end.how == 'done':
+                self._state.admission.record_end(task, now)
             if end.how == 'failed':
                 task.failed_on.add(runner.name)
             self._state.log_event(
@@ -276,8 +316,8 @@
             self._state.durations.advance(task, now)
             task.listed = True
             task.percent, task.usage = run.percent, run.usage
-            if run.saved:
-                task.checkpoint = run.saved
+            if run.saved and run.saved != task.checkpoint:
+                task.checkpoint, task.checkpointed_at = run.saved, now
         return unknown
 
     def _stop_unknown_run(
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -10,7 +10,9 @@
 from kcr_jobs import effects
 from kcr_jobs import job_table
 from kcr_jobs import messages
+from kcr_jobs import planning
 from kcr_jobs import records
+from kcr_jobs import runners
 from kcr_jobs import tickets
 
 
@@ -32,7 +34,7 @@
         """Start the waiting tasks for which a runner has capacity."""
         if not self._state.changed and now < self._next_plan_at:
             return
-        if self._state.evacuation is None:
+        if self._state.conditions.evacuation_view is None:
             # A zone may be evacuated that this process does not know of yet.
             return
         self._state.changed = False
@@ -44,10 +46,52 @@
         ]
         if not schedulable:
             return
+        if self._state.overload.shares:
+            self._state.shares.mark(
+                self._state.open_jobs.values(),
+                self._state.runners.values(),
+                now,
+            )
         plan = self._state.planner.plan(
             self._state.open_jobs.values(), schedulable, now,
-            self._state.evacuation,
+            self._state.conditions,
         )  # fmt: skip
+        self._report(plan, len(schedulable))
+        if plan.starts:
+            rows = tuple(
+                records.StartRow(
+                    t.name, t.attempt + 1, t.instance, t.incarnation
+                )
+                for t in plan.starts
+            )
+            self._state.append(records.Started(rows))
+            for task in plan.starts:
+                self._order_start(task, now)
+        if self._state.overload.preempts:
+            self._preempt(plan.unplaced, schedulable, now)
+
+    def _preempt(
+        self,
+        unplaced: list[job_table.Task],
+        schedulable: list[runners.RunnerState],
+        now: float,
+    ) -> None:
+        """Stop tasks for a more urgent one, if that is worthwhile."""
+        found = self._state.preemption.choose(
+            unplaced, schedulable, now, self._state.conditions
+        )
+        if found is None:
+            return
+        for task in found.victims:
+            self._state.log_event(
+                'task preempted', task=task.name, node=task.instance,
+                by=found.task.name, gain_core_s=round(found.gain, 1),
+                loss_core_s=round(found.loss, 1),
+            )  # fmt: skip
+            self._state.stop(task, now)
+
+    def _report(self, plan: planning.Plan, schedulable: int) -> None:
+        """Send the requests for tickets, and log why steps wait."""
         for request in plan.requests:
             self._state.immediate.append(request)
             self._state.log_event(
@@ -56,21 +100,19 @@
                 unanswered=self._state.planner.advice.window.unanswered,
                 steps_waiting=self._state.planner.advice.steps_ahead,
             )  # fmt: skip
+        for wait in self._state.planner.locality.new_waits:
+            self._state.log_event(
+                'task waits for rack', step=wait.step, rack=wait.rack,
+                wait_s=wait.wait_s, longest_s=wait.longest_s,
+                local_s=wait.local_s, remote_s=wait.remote_s,
+                samples=wait.samples, age_s=wait.age_s,
+            )  # fmt: skip
         for waiting in plan.waits:
             self._state.log_event(
-                'step waits', step=waiting.step, runners=len(schedulable),
+                'step waits', step=waiting.step, runners=schedulable,
                 steps_ahead=waiting.steps_ahead,
                 **{k.replace(' ', '_'): n for k, n in waiting.reasons.items()},
             )  # fmt: skip
-        if not plan.starts:
-            return
-        rows = tuple(
-            records.StartRow(t.name, t.attempt + 1, t.instance, t.incarnation)
-            for t in plan.starts
-        )
-        self._state.append(records.Started(rows))
-        for task in plan.starts:
-            self._order_start(task, now)
 
     def record_advice(
         self, request: effects.RequestAdvice, reply: tickets.Reply, now: float
@@ -108,8 +150,9 @@
 
         The owner task calls it when it sends the message. A start is withdrawn
         if, while it waited for the log, its runner has begun to drain, its
-        zone was evacuated, its job has ended, its ticket may have expired, or
-        another member of its gang was lost.
+        zone was evacuated, its region is not allowed any more, its job has
+        ended, its ticket may have expired, or another member of its gang was
+        lost.
         """
         runner = self._state.runners.get(effect.instance)
         if runner is None or runner.token != effect.token:
@@ -123,7 +166,10 @@
         expired = task is not None and self._state.planner.advice.has_expired(
             task, now
         )
-        closed = draining or evacuated
+        abroad = task is not None and not self._state.is_in_region(
+            task, runner
+        )
+        closed = draining or evacuated or abroad
         if task is None or task.stopping or closed or broken or expired:
             if evacuated:
                 self._state.count('zone_evacuations', 'start_withdrawn')
@@ -132,7 +178,7 @@
                 task.ordered_number = 0
             self._state.log_event(
                 'start withdrawn', task=effect.msg.task, node=runner.name,
-                draining=draining, zone_evacuated=evacuated,
+                draining=draining, zone_evacuated=evacuated, region=abroad,
                 gang_broken=broken, ticket_expired=expired,
             )  # fmt: skip
             return ''
@@ -143,6 +189,11 @@
         runner.tasks[task.name] = task
         runner.last_order += 1
         runner.last_start_at = now
+        if now < runner.cold_until and runner.info is not None:
+            rules = self._state.conditions.cold_rules
+            rate = rules.find_rate(runner.info.service)
+            if rate:
+                runner.cold_budget.take(rate, rules.burst, now)
         task.ordered_at = now
         task.throttled_at = task.not_stalled_at = now
         task.ordered_number = runner.last_order
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -43,6 +43,9 @@
     # runner that the request names.
     advice_ms: Number = 0.0
     advice_runner_ms: Number = 0.0
+    # Regions in which its tasks may start; empty for all. The configuration in
+    # force goes before this list.
+    allowed_regions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,18 +131,25 @@
     zone: str = ''
     # Total capacity of the runner.
     capacity: Demand = Demand()
-    # Kind and rack.
+    # Kind and rack, in this order.
     labels: tuple[str, ...] = ()
     # Whether it is shutting down and takes no new tasks.
     draining: bool = False
     # Least time that is left until it stops, while it is draining.
     remaining_ms: Int = 0
+    # How much longer it is slow after its start; -1 if it does not report it.
+    cold_remaining_ms: Int = -1
 
     @property
     def incarnation(self) -> str:
         """Return the name of this incarnation of the runner."""
         return f'{self.runner_id}@{self.born_ms}'
 
+    @property
+    def rack(self) -> str:
+        """Return the label of its rack; empty if it reports none."""
+        return self.labels[1] if len(self.labels) > 1 else ''
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReportedRun:
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -34,6 +34,12 @@
     lease_s: float = pydantic.Field(
         6.0, description='longest lease of a runner, in seconds', gt=0.5
     )
+    remote_factor: float = pydantic.Field(
+        1.0,
+        description='run time of a task away from its rack, as a multiple',
+        ge=1,
+        allow_inf_nan=False,
+    )
     cores: float = pydantic.Field(
         1.0, description='cores of the instance; more make a better owner'
     )
@@ -49,9 +55,23 @@
         gt=0,
         allow_inf_nan=False,
     )
+    zone_regions: list[str] = pydantic.Field(
+        [], description='region of each zone, as ZONE=REGION'
+    )
+    cold_overrun: float = pydantic.Field(
+        1.5, description='factor of the starts of a cold runner', ge=0
+    )
+    cold_slack: float = pydantic.Field(
+        5.0, description='starts of a cold runner beyond its rate', ge=0
+    )
     grace_s: float = pydantic.Field(
         6.0, description='time between SIGTERM and SIGKILL, in seconds', gt=0
     )
+    overload: bool = pydantic.Field(
+        False,
+        description='refuse jobs that would end too late, share scarce '
+        'capacity between queues, and stop tasks for urgent ones',
+    )
     max_connections: int = pydantic.Field(
         2000, description='connections accepted at the same time', ge=1
     )
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -7,15 +7,19 @@
 """
 
 import collections
+import dataclasses
 import time
 import typing
 
+from kcr_jobs import cold_runners
 from kcr_jobs import controller
+from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import election
 from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import records
+from kcr_jobs import regions
 from kcr_jobs import tickets
 from kcr_runtime import store
 from kcr_runtime import task
@@ -82,6 +86,13 @@
         self._evacuation: evacuation.View | None = None
         self._evacuation_source = ''
         self._evacuation_at = 0.0
+        # Regions of zones and routes.
+        self._zone_regions = regions.parse_zones(ctx.cfg.zone_regions)
+        self._regions = regions.make_rules(self._zone_regions, None)
+        # Rules for runners that are slow after their start.
+        self._cold_rules = cold_runners.Rules(
+            overrun=ctx.cfg.cold_overrun, slack=ctx.cfg.cold_slack
+        )
         # Number of claims and ownerships; results of older ones are dropped.
         self._term = 0
         # Records of the controller for the next append, and the effects that
@@ -125,6 +136,7 @@
             out['jobs'] = len(ctl.table.jobs)
             out['open_jobs'] = len(ctl.open_jobs)
             out['advice'] = ctl.describe_advice()
+            out['rack_waits'] = ctl.planner.locality.explain()
             out['nodes'] = {
                 runner.name: {
                     'runs': len(runner.tasks),
@@ -226,10 +238,13 @@
         epoch = self._jobs.table.epoch
         self.controller = controller.Controller(
             self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
-            self._jobs.size,
+            self._jobs.size, self.ctx.cfg.remote_factor,
+            self._make_overload(),
         )  # fmt: skip
         if self._evacuation is not None:
             self.controller.set_evacuation(self._evacuation)
+        self.controller.set_regions(self._regions)
+        self.controller.set_cold_rules(self._cold_rules)
         self.log.info(
             'leading',
             epoch=epoch,
@@ -241,6 +256,10 @@
         self.ctx.metrics.count('ownership_gained')
         self.send(addresses.MESH, events.OwnershipGained(epoch))
 
+    def _make_overload(self) -> controller_state.Overload:
+        enabled: bool = self.ctx.cfg.overload
+        return controller_state.Overload(enabled, enabled, enabled)
+
     def end_ownership(self) -> None:
         """Drop the controller, whose state may be ahead of the log."""
         self._term += 1
@@ -267,7 +286,15 @@
 
     @task.handles(events.ConfigInForce)
     def _on_config(self, event: events.ConfigInForce) -> None:
-        """Ignore it; a job keeps the queue of its acceptance."""
+        rules = regions.make_rules(self._zone_regions, event.config)
+        self._regions = rules
+        self._cold_rules = dataclasses.replace(
+            self._cold_rules, services=event.config.services
+        )
+        if self.controller is not None:
+            self.controller.set_regions(rules)
+            self.controller.set_cold_rules(self._cold_rules)
+            self._schedule_soon()
 
     @task.handles(events.EvacuationInForce)
     def _on_evacuation(self, event: events.EvacuationInForce) -> None:
@@ -424,6 +451,8 @@
         for metric, effect_name in ctl.counts:
             self.ctx.metrics.count(metric, effect=effect_name)
         ctl.counts.clear()
+        for effect_name, n in ctl.planner.locality.take_counts().items():
+            self.ctx.metrics.count('rack_wait', n, effect=effect_name)
         immediate, ctl.immediate, ctl.log_events = ctl.immediate, [], []
         for effect in immediate:
             self._carry_out(effect)
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -1,6 +1,7 @@
 """Test the decoding of heartbeats, configurations, jobs and store pages."""
 
 import json
+import pathlib
 import typing
 
 import pytest
@@ -12,6 +13,7 @@
 from kcr_platform import decode_jobs
 from kcr_platform import decode_runner
 from kcr_platform import log_store
+from kcr_platform import settings
 from kcr_runtime import store
 from kcr_scheduler.work import codec
 
@@ -142,3 +144,39 @@
     with pytest.raises(decode.BadBody) as caught:
         decode.read(model, json.dumps(body).encode())
     assert str(caught.value).count('Input should be') == 1
+
+
+def test_regions_of_a_route_and_of_zones(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    """Guard against a list of regions that is read as empty."""
+    route = {
+        'Name': 'r', 'PathPrefix': '/', 'Service': 's',
+        'AllowedRegions': ['r1', 'r2'],
+    }  # fmt: skip
+    body = json.dumps({'Version': 1, 'Routes': [route]}).encode()
+    found = decode_jobs.read_config(body)
+    queue = found.routes[''][0].queue
+    assert queue.allowed_regions == ('r1', 'r2')
+    path = tmp_path / 'settings.toml'
+    path.write_text(
+        'NodeName = "s"\nIp = "127.0.0.1"\nZone = "z1"\nRegion = "x"\n'
+        '[Listen]\n[platform]\nAddr = "127.0.0.1:1"\n'
+        '[Zones]\nz1 = "r1"\nz2 = "r2"\n'
+    )
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    options = settings.scheduler_options(settings.read())
+    assert options['zone_regions'] == ['z1=r1', 'z2=r2']
+    assert options['region'] == 'r1'
+
+
+def test_cold_runners_of_a_service_and_a_heartbeat() -> None:
+    """Guard against a cold runner that is taken for a warm one."""
+    service = {'Name': 'svc', 'ColdStartS': 8, 'ColdPerS': 1.5}
+    body = json.dumps({'Version': 1, 'Services': [service, {}]}).encode()
+    found = decode_jobs.read_config(body).services['svc']
+    assert (found.cold_start_s, found.cold_per_s) == (8.0, 1.5)
+    for change, expected in (({'ColdRemainingMs': 700}, 700), ({}, -1)):
+        beat = json.dumps({**BEAT, **change}).encode()
+        info = decode.read(decode_runner.HeartbeatBody, beat).to_info('i')
+        assert info.cold_remaining_ms == expected
