--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -69,8 +69,11 @@
     )
     overload: bool = pydantic.Field(
         False,
-        description='refuse jobs that would end too late, share scarce '
-        'capacity between queues, and stop tasks for urgent ones',
+        description='refuse jobs that would end too late, and share scarce '
+        'capacity between queues',
+    )
+    preempt: bool = pydantic.Field(
+        False, description='with `overload`, stop tasks for urgent ones'
     )
     max_connections: int = pydantic.Field(
         2000, description='connections accepted at the same time', ge=1
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -258,7 +258,9 @@
 
     def _make_overload(self) -> controller_state.Overload:
         enabled: bool = self.ctx.cfg.overload
-        return controller_state.Overload(enabled, enabled, enabled)
+        return controller_state.Overload(
+            enabled, enabled, enabled and self.ctx.cfg.preempt
+        )
 
     def end_ownership(self) -> None:
         """Drop the controller, whose state may be ahead of the log."""
--- a/tests/scheduler/scheduler_harness.py
+++ b/tests/scheduler/scheduler_harness.py
@@ -32,6 +32,7 @@
     zone_regions: tuple[str, ...] = ()
     remote_factor = 1.0
     overload = False
+    preempt = False
 
 
 class FakeStore:
