--- a/packages/runtime/src/kcr_runtime/http_client.py
+++ b/packages/runtime/src/kcr_runtime/http_client.py
@@ -276,9 +276,7 @@
         fields = http_headers.Headers({k: [v] for k, v in headers.items()})
         producer = _Body(body) if body else None
         sent_at = float(self.reactor.seconds())
-        agent = client.Agent(
-            self.reactor, pool=chosen, connectTimeout=CONNECT_TIMEOUT_S
-        )
+        agent = self._make_agent(chosen)
         fut = agent.request(method.encode(), url, fields, producer)
         fut.addTimeout(
             timeout_s,
@@ -313,6 +311,12 @@
         except Exception as exc:  # Twisted's HTTP client raises many types.
             return NoAnswer(f'{type(exc).__name__}: {exc}'[:300])
 
+    def _make_agent(self, pool: typing.Any) -> typing.Any:
+        """Return the library's client for one request."""
+        return client.Agent(
+            self.reactor, pool=pool, connectTimeout=CONNECT_TIMEOUT_S
+        )
+
     def _on_timeout(
         self, sent_at: float, result: typing.Any, timeout_s: float
     ) -> typing.Any:
--- a/tests/entry/log_harness.py
+++ b/tests/entry/log_harness.py
@@ -61,7 +61,8 @@
         if isinstance(client, log_client.LogClient):
             make_agent: typing.Any = testing.RequestTraversalAgent
             agent = make_agent(self.log.site().resource)
-            typing.cast(typing.Any, client)._http._agent = agent
+            http = typing.cast(typing.Any, client)._http
+            http._make_agent = lambda pool: agent
             self._agents.append(agent)
         component.begin()
 
