Move the operators' rules out of the owner task, and a choice out of the planner

Change: work/operator_rules.py keeps what operators publish and applies it to a controller; planning._choose chooses the runner of one task. The behaviour is the same.

--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -134,19 +134,11 @@
                 gangs.setdefault(key, []).append(task)
                 continue
             task.awaited_rack = ''
-            allowed = candidates
-            candidate: placement.Candidate | None = None
             steps_ahead = self.advice.steps_ahead
+            allowed = candidates
             if job.spec.queue.ticket_ms:
                 allowed = self.advice.find_allowed(task, candidates, now)
-                candidate = placement.choose(task, allowed, now)
-            elif task.failed_on or task.avoided_instance:
-                candidate = placement.choose(task, allowed, now)
-                choices.clear()
-            elif not rejected.covers(task):
-                candidate = choices.choose(task, now)
-                if candidate is None and not choices.kept_warm:
-                    rejected.add(task)
+            candidate = _choose(task, allowed, choices, rejected, now)
             if candidate is not None and self.locality.applies(task):
                 candidate = self.locality.choose(task, candidate, now)
                 if candidate is None:
@@ -293,6 +285,27 @@
             self.advice.request(members[0], unknown, now)
 
 
+def _choose(
+    task: job_table.Task,
+    allowed: list[placement.Candidate],
+    choices: step_choice.JobChoices,
+    rejected: step_choice.RejectedDemands,
+    now: float,
+) -> placement.Candidate | None:
+    """Return the best runner for a task, at little cost if it may be."""
+    if task.job.spec.queue.ticket_ms:
+        return placement.choose(task, allowed, now)
+    if task.failed_on or task.avoided_instance:
+        choices.clear()
+        return placement.choose(task, allowed, now)
+    if rejected.covers(task):
+        return None
+    candidate = choices.choose(task, now)
+    if candidate is None and not choices.kept_warm:
+        rejected.add(task)
+    return candidate
+
+
 def _is_starved(job: job_table.Job, now: float) -> bool:
     """Return whether a job has waited too long with no task running."""
     if any(task.instance for task in job.tasks.values()):
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import dataclasses
 import time
 import typing
 
@@ -16,10 +15,8 @@
 from kcr_jobs import controller_state
 from kcr_jobs import effects
 from kcr_jobs import election
-from kcr_jobs import evacuation
 from kcr_jobs import messages
 from kcr_jobs import records
-from kcr_jobs import regions
 from kcr_jobs import tickets
 from kcr_runtime import store
 from kcr_runtime import task
@@ -28,6 +25,7 @@
 from kcr_scheduler import events
 from kcr_scheduler.work import advice
 from kcr_scheduler.work import job_log
+from kcr_scheduler.work import operator_rules
 from kcr_scheduler.work import ownership
 
 # Time between ticks of the controller, in seconds.
@@ -81,17 +79,11 @@
             ctx
         )
         self._ownership = ownership.OWNERSHIP(self)
-        # Evacuated zones; none before they are known. Where and when the
-        # newest change was read.
-        self._evacuation: evacuation.View | None = None
-        self._evacuation_source = ''
-        self._evacuation_at = 0.0
-        # Regions of zones and routes.
-        self._zone_regions = regions.parse_zones(ctx.cfg.zone_regions)
-        self._regions = regions.make_rules(self._zone_regions, None)
-        # Rules for runners that are slow after their start.
-        self._cold_rules = cold_runners.Rules(
-            overrun=ctx.cfg.cold_overrun, slack=ctx.cfg.cold_slack
+        self._rules = operator_rules.OperatorRules(
+            ctx.cfg.zone_regions,
+            cold_runners.Rules(
+                overrun=ctx.cfg.cold_overrun, slack=ctx.cfg.cold_slack
+            ),
         )
         # Number of claims and ownerships; results of older ones are dropped.
         self._term = 0
@@ -124,13 +116,7 @@
         """Return the phase, the jobs and, as `nodes`, the runners."""
         out = {**super().dump(), 'phase': self.phase, 'end': self._jobs.end}
         ctl = self.controller
-        if self._evacuation is not None:
-            out['evacuation'] = {
-                'zones': sorted(self._evacuation.zones),
-                'offset': self._evacuation.offset,
-                'source': self._evacuation_source,
-                'age_s': round(self.now() - self._evacuation_at, 3),
-            }
+        out.update(self._rules.dump(self.now()))
         if ctl is not None:
             out['epoch'] = ctl.epoch
             out['jobs'] = len(ctl.table.jobs)
@@ -241,10 +227,7 @@
             self._jobs.size, self.ctx.cfg.remote_factor,
             self._make_overload(),
         )  # fmt: skip
-        if self._evacuation is not None:
-            self.controller.set_evacuation(self._evacuation)
-        self.controller.set_regions(self._regions)
-        self.controller.set_cold_rules(self._cold_rules)
+        self._rules.apply(self.controller)
         self.log.info(
             'leading',
             epoch=epoch,
@@ -288,25 +271,15 @@
 
     @task.handles(events.ConfigInForce)
     def _on_config(self, event: events.ConfigInForce) -> None:
-        rules = regions.make_rules(self._zone_regions, event.config)
-        self._regions = rules
-        self._cold_rules = dataclasses.replace(
-            self._cold_rules, services=event.config.services
-        )
+        self._rules.set_config(event.config, self.controller)
         if self.controller is not None:
-            self.controller.set_regions(rules)
-            self.controller.set_cold_rules(self._cold_rules)
             self._schedule_soon()
 
     @task.handles(events.EvacuationInForce)
     def _on_evacuation(self, event: events.EvacuationInForce) -> None:
-        view = evacuation.merge(self._evacuation, event.view)
-        if view is not event.view:
-            return
-        self._evacuation, self._evacuation_source = view, event.source
-        self._evacuation_at = self.now()
-        if self.controller is not None:
-            self.controller.set_evacuation(view)
+        ctl = self.controller
+        newer = self._rules.set_evacuation(event, ctl, self.now())
+        if newer and ctl is not None:
             self._schedule_soon()
             self._flush()
 
