--- a/tests/platform/test_restart_under_way.py
+++ b/tests/platform/test_restart_under_way.py
@@ -23,8 +23,6 @@
     """
     made = deployments.Deployment(tmp_path, schedulers=1, agents=1)
     try:
-        for name in (*made.fronts, *made.controls):
-            made.start(name)
         for number in range(3):
             made.submit(f'{number:016x}')
             made.wait_completed(f'{number:016x}')
