Rename the bounds of a wait for a rack

Cause: PATIENCE and _is_useless are no usual terms. Change: WAIT_LIMIT_FACTOR, MIN_WAIT_LIMIT_S, find_wait_limit and _refuse_if_too_late; names only.

--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -48,7 +48,7 @@
             self.refuse(ref, spec.job_id, reason)
             return
         draft = job_work.make_draft(spec, now)
-        if self._is_useless(ref, draft, now):
+        if self._refuse_if_too_late(ref, draft, now):
             return
         self._state.append(records.Accepted(spec, int(wall_ms)))
         job = self._state.table.jobs[spec.job_id]
@@ -106,7 +106,7 @@
         reply = effects.Reply(ref, 'refused', reason, retry_ms)
         self._state.immediate.append(reply)
 
-    def _is_useless(
+    def _refuse_if_too_late(
         self, ref: typing.Any, draft: job_table.Job, now: float
     ) -> bool:
         """Refuse a job that would end too late; return whether it was."""
--- a/packages/jobs/src/kcr_jobs/locality.py
+++ b/packages/jobs/src/kcr_jobs/locality.py
@@ -177,7 +177,7 @@
             member.awaited_rack = choice.rack
             if member.rack_wait is None:
                 member.rack_wait = job_table.RackWait(
-                    choice.rack, now, choice.find_patience(free_at, now),
+                    choice.rack, now, choice.find_wait_limit(free_at, now),
                 )  # fmt: skip
                 self._counts['waited'] += 1
         self._explain(choice, task, free_at - now, len(members), now)
--- a/packages/jobs/src/kcr_jobs/rack_choice.py
+++ b/packages/jobs/src/kcr_jobs/rack_choice.py
@@ -23,8 +23,8 @@
 # Longest wait of a task, as a multiple of the wait that was expected when it
 # began to wait, and its lower bound in seconds. Ends are reported up to half a
 # second later; a task that leaves earlier gives its place to a later one.
-PATIENCE = 2.0
-MIN_PATIENCE_S = 0.6
+WAIT_LIMIT_FACTOR = 2.0
+MIN_WAIT_LIMIT_S = 0.6
 # Part of the time that is left to a job, beyond the run in the rack, that it
 # may wait: it stays in time if the wait takes twice as long as expected.
 SLACK_SHARE = 0.5
@@ -65,9 +65,9 @@
             limit = min(limit, began + MAX_IDLE_WAIT_S)
         return limit
 
-    def find_patience(self, free_at: float, now: float) -> float:
+    def find_wait_limit(self, free_at: float, now: float) -> float:
         """Return the time until which a task waits that begins to wait."""
-        wait_s = max(MIN_PATIENCE_S, PATIENCE * (free_at - now))
+        wait_s = max(MIN_WAIT_LIMIT_S, WAIT_LIMIT_FACTOR * (free_at - now))
         return now + min(wait_s, self.remote_s - self.local_s)
 
 
