Log when the runs of an ended job are gone, and the job of an unknown run

Change: `runs of ended job gone` with the time since the end was durable, and `job_state` in `unknown run stopped`. No decision changes.

--- a/packages/jobs/src/kcr_jobs/job_ends.py
+++ b/packages/jobs/src/kcr_jobs/job_ends.py
@@ -51,9 +51,12 @@
     def forget_ended_jobs(self, now: float) -> None:
         """Drop the tasks of ended jobs, and later the jobs themselves."""
         for job_id, job in list(self._uncompacted.items()):
+            had_runs = bool(job.tasks) and not job.is_completed()
             if job.compact():
                 del self._uncompacted[job_id]
                 self._state.planner.forget(job)
+                if had_runs:
+                    self._log_stopped(job, now)
         while self._ended_jobs:
             job = self._ended_jobs[0]
             assert job.ended_at is not None
@@ -63,6 +66,14 @@
             self._ended_jobs.popleft()
             del self._state.table.jobs[job.spec.job_id]
 
+    def _log_stopped(self, job: job_table.Job, now: float) -> None:
+        """Log how long the runs of a cancelled or failed job went on."""
+        assert job.ended_at is not None
+        self._state.log_event(
+            'runs of ended job gone', job=job.spec.job_id, state=job.state,
+            after_s=round(now - job.ended_at, 3),
+        )  # fmt: skip
+
     def restate_jobs(self, now: float) -> None:
         """Add the records of a snapshot that are due."""
         number = self.snapshots.number
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -327,7 +327,8 @@
         self._state.immediate.append(
             effects.SendToAgent(runner.name, runner.token, stop)
         )
+        job = self._state.table.jobs.get(run.task.partition('.')[0])
         self._state.log_event(
             'unknown run stopped', node=runner.name, task=run.task,
-            run=run.attempt,
+            run=run.attempt, job_state=job.state if job else 'unknown',
         )  # fmt: skip
