Keep cancels that come before the submission of their job

Cause: the cancel of an unknown job left no trace. A copy of the submission that was still under way, in a scheduler that was suspended, on a connection that was interrupted or on its way to a replaced owner, was accepted afterwards, and nobody cancelled it again.

At most 10,000 are kept; further ones are refused with 503. Result: tests/jobs, tests/scheduler and the new tests pass.

--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -40,6 +40,9 @@
             self._state.log_event('job repeated', job=spec.job_id)
             self._state.deferred.append(effects.Reply(ref, 'accepted'))
             return
+        if spec.job_id in self._state.table.early_cancels:
+            self._accept_cancelled(ref, spec, now, wall_ms)
+            return
         if len(self._state.open_jobs) >= MAX_OPEN_JOBS:
             self.refuse(ref, spec.job_id, 'too many open jobs')
             return
@@ -68,6 +71,18 @@
             open_jobs=len(self._state.open_jobs),
         )
 
+    def _accept_cancelled(
+        self, ref: typing.Any, spec: types.JobSpec, now: float, wall_ms: float
+    ) -> None:
+        """Accept a job whose cancel came first; it is cancelled at once."""
+        self._state.append(records.Accepted(spec, int(wall_ms)))
+        self._state.table.jobs[spec.job_id].accepted_at = now
+        self._state.deferred.append(effects.FinalizeJob(spec.job_id))
+        self._state.deferred.append(effects.Reply(ref, 'accepted'))
+        self._state.log_event(
+            'job submitted after its cancel', job=spec.job_id
+        )
+
     def _find_refusal(self, queue: types.Queue, now: float) -> str:
         """Return why no runner may start jobs of a queue; else empty.
 
@@ -137,8 +152,7 @@
         """Cancel a job and stop its runs."""
         job = self._state.table.jobs.get(job_id)
         if job is None:
-            self._state.log_event('cancel of unknown job', job=job_id)
-            self._reply_unknown(ref)
+            self._cancel_unknown(ref, job_id, now)
             return
         if job.is_open():
             self._state.append(records.Cancelled(job_id))
@@ -146,6 +160,29 @@
             self._state.update_open_jobs(job, now)
         self._state.deferred.append(effects.Reply(ref, 'cancelled'))
 
+    def _cancel_unknown(
+        self, ref: typing.Any, job_id: str, now: float
+    ) -> None:
+        """Cancel a job that may be submitted later; reply that it is unknown.
+
+        A copy of its submission may still be under way, as through a scheduler
+        that is suspended or over a connection that was interrupted.
+        """
+        early = self._state.table.early_cancels
+        self._state.log_event(
+            'cancel of unknown job', job=job_id, early_cancels=len(early)
+        )
+        if job_id not in early:
+            if len(early) >= job_table.MAX_EARLY_CANCELS:
+                detail = 'too many cancels of unknown jobs'
+                retry_ms = admission.infer_retry_ms(job_id, RETRY_AFTER_MS)
+                reply = effects.Reply(ref, 'refused', detail, retry_ms)
+                self._state.immediate.append(reply)
+                return
+            self._state.append(records.Cancelled(job_id))
+            early[job_id] = now
+        self._reply_unknown(ref)
+
     def _reply_unknown(self, ref: typing.Any) -> None:
         """Reply that a job does not exist, once an append has proved it.
 
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -69,6 +69,8 @@
         A run may go on until a complete report of its runner omits it or the
         lease of the runner has expired; until then its task is not restarted.
         """
+        for job_id in self.table.early_cancels:
+            self.table.early_cancels[job_id] = now
         for job in self.table.jobs.values():
             job.accepted_at = now
             for task in job.tasks.values():
--- a/packages/jobs/src/kcr_jobs/job_ends.py
+++ b/packages/jobs/src/kcr_jobs/job_ends.py
@@ -50,6 +50,7 @@
 
     def forget_ended_jobs(self, now: float) -> None:
         """Drop the tasks of ended jobs, and later the jobs themselves."""
+        self._forget_early_cancels(now)
         for job_id, job in list(self._uncompacted.items()):
             had_runs = bool(job.tasks) and not job.is_completed()
             if job.compact():
@@ -74,6 +75,14 @@
             after_s=round(now - job.ended_at, 3),
         )  # fmt: skip
 
+    def _forget_early_cancels(self, now: float) -> None:
+        early = self._state.table.early_cancels
+        while early:
+            job_id, cancelled_at = next(iter(early.items()))
+            if now - cancelled_at <= job_table.ENDED_RETENTION_S:
+                return
+            del early[job_id]
+
     def restate_jobs(self, now: float) -> None:
         """Add the records of a snapshot that are due."""
         number = self.snapshots.number
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -15,6 +15,9 @@
 # Retention of an ended job, in seconds. The platform requires its state for
 # 120 s and may deliver a copy of the submission some seconds late.
 ENDED_RETENTION_S = 150.0
+# Maximum number of cancels of jobs that were not submitted; one takes 200
+# bytes. The owner refuses further ones, and a reader drops the oldest.
+MAX_EARLY_CANCELS = 10_000
 
 COMPLETED = 'completed'
 FAILED = 'failed'
@@ -238,6 +241,10 @@
     def __init__(self) -> None:
         # Jobs by id.
         self.jobs: dict[str, Job] = {}
+        # Ids of jobs that were cancelled before they were submitted, and the
+        # monotonic time at which this owner recorded or took over the cancel,
+        # which is not durable; the oldest first.
+        self.early_cancels: dict[str, float] = {}
         # Claim with the highest epoch so far; none before the first.
         self.claim: records.Claim | None = None
 
@@ -265,19 +272,30 @@
             for end in rec.rows:
                 self._end(end)
         elif isinstance(rec, records.Cancelled):
-            if rec.job_id in self.jobs:
-                self.jobs[rec.job_id].cancelled = True
+            self._cancel(rec.job_id)
         elif isinstance(rec, records.Restated):
             self._restate(rec)
 
     def _accept(self, rec: records.Accepted) -> None:
         if rec.spec.job_id in self.jobs:
             return
-        job = Job(rec.spec, rec.at_ms)
+        early = self.early_cancels.pop(rec.spec.job_id, None) is not None
+        job = Job(rec.spec, rec.at_ms, cancelled=early)
         self.jobs[rec.spec.job_id] = job
         if not rec.spec.repeat:
             job.make_occurrence()
 
+    def _cancel(self, job_id: str) -> None:
+        job = self.jobs.get(job_id)
+        if job is None:
+            while len(self.early_cancels) >= MAX_EARLY_CANCELS:
+                del self.early_cancels[next(iter(self.early_cancels))]
+            self.early_cancels[job_id] = 0.0
+        elif job.is_open():
+            # The owner may have forgotten an ended job that is still in the
+            # table of a reader.
+            job.cancelled = True
+
     def _start(self, row: records.StartRow) -> None:
         task = self._find_or_make(row.task)
         if task is None or row.attempt < task.attempt:
@@ -319,6 +337,7 @@
         return job.tasks.get(name)
 
     def _restate(self, rec: records.Restated) -> None:
+        self.early_cancels.pop(rec.spec.job_id, None)
         job = Job(rec.spec, rec.at_ms, rec.cancelled, rec.failed)
         self.jobs[rec.spec.job_id] = job
         if not rec.spec.repeat:
--- a/packages/jobs/src/kcr_jobs/records.py
+++ b/packages/jobs/src/kcr_jobs/records.py
@@ -109,7 +109,7 @@
 @record('cancelled')
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cancelled:
-    """Record the cancellation of a job."""
+    """Record the cancellation of a job, which may be submitted later."""
 
     job_id: str
 
--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -75,8 +75,11 @@
     ) -> abc.Sequence[records.Record]:
         self.number += 1
         self._begun_at, self._own_bytes = now, 0
-        self._remaining = collections.deque(table.jobs)
+        self._remaining = collections.deque(
+            (*table.jobs, *table.early_cancels)
+        )
         rows = sum(1 + len(job.tasks) for job in table.jobs.values())
+        rows += len(table.early_cancels)
         self._rows_per_step = max(MIN_ROWS_PER_STEP, rows // MAX_STEPS)
         begun: list[records.Record] = [records.SnapshotBegun(self.number)]
         if table.claim is not None:
@@ -89,10 +92,14 @@
         chosen: list[records.Record] = []
         rows = 0
         while remaining and rows < self._rows_per_step:
-            job = table.jobs.get(remaining.popleft())
+            job_id = remaining.popleft()
+            job = table.jobs.get(job_id)
             if job is not None:
                 chosen.append(job_table.restate(job))
                 rows += 1 + len(job.tasks)
+            elif job_id in table.early_cancels:
+                chosen.append(records.Cancelled(job_id))
+                rows += 1
         if not remaining:
             self._remaining = None
             self._last_bytes = self.growth_bytes = self._own_bytes
