Carry out cancels that were refused or unanswered

What callers see: a cancel got 503 or 504, as there was no owner; the caller did not try again, and its job ran to its end, or was started anew by the next owner (UNASKED, a cancel that is due). Cause: a scheduler dropped a cancel with its call. Evidence: without the change to calls.py, two new tests of tests/scheduler/test_calls.py and, with real processes, test_cancel_without_an_owner_is_carried_out_later fail. Result: tests/scheduler/test_calls.py and tests/platform/test_cancels.py pass.

--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -3,7 +3,8 @@
 The mesh task reports the route to the owner, which may be in this process. A
 call is idempotent by the id of its job, so one that was sent to an owner that
 failed is sent again to the next owner. Whether a submission may be refused is
-decided in kcr_jobs.submissions.
+decided in kcr_jobs.submissions. A cancel outlives its call until the owner has
+confirmed it (kcr_jobs.unconfirmed_cancels).
 """
 
 import dataclasses
@@ -14,6 +15,7 @@
 from kcr_jobs import messages
 from kcr_jobs import submissions
 from kcr_jobs import types
+from kcr_jobs import unconfirmed_cancels
 from kcr_runtime import query
 from kcr_runtime import task
 from kcr_runtime.wire import session
@@ -35,6 +37,9 @@
 RESEND_SHARE = 0.1
 # Maximum number of calls that may wait for a reply.
 MAX_CALLS = 5000
+# Begins the token of a cancel that is sent without its caller; the id of the
+# job follows.
+CANCEL_TOKEN_PREFIX = 'cancel/'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +89,8 @@
         self._pending: dict[str, _Pending] = {}
         # What was sent of each submission.
         self._submissions = submissions.Submissions()
+        # Cancels whose callers were not told that they are carried out.
+        self._cancels = unconfirmed_cancels.UnconfirmedCancels()
         # Limits the copies to an owner that does not reply.
         self._budget = retry_budget.RetryBudget(RESEND_SHARE)
         self._count = 0
@@ -95,7 +102,11 @@
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the number of waiting calls."""
-        return {**super().dump(), 'pending': len(self._pending)}
+        return {
+            **super().dump(),
+            'pending': len(self._pending),
+            'unconfirmed_cancels': len(self._cancels),
+        }
 
     @task.handles(query.Query)
     def _on_query(self, msg: query.Query) -> None:
@@ -126,6 +137,9 @@
             self._submissions.record_sent(
                 token, msg.job_id, self._route, self.now()
             )
+        self._send_to_owner(msg)
+
+    def _send_to_owner(self, msg: messages.JobCall) -> None:
         if self._route == addresses.OWNER:
             self.send(self._route, events.LocalCall(msg))
         else:
@@ -150,6 +164,8 @@
                 outcome = 'accepted'
             elif self._submissions.may_be_accepted(msg.job_id, self.now()):
                 outcome = 'unknown'
+        elif msg.verb == 'cancel':
+            self._keep_cancel(msg)
         self.log.info(
             'call refused' if outcome == 'refused' else 'call not refused',
             verb=msg.verb, job=msg.job_id, reason=detail, outcome=outcome,
@@ -157,6 +173,27 @@
         )  # fmt: skip
         self._reply(pending.caller_query, outcome, detail, number)
 
+    def _keep_cancel(self, msg: messages.JobCall) -> None:
+        """Send a cancel until the owner confirms it, without its caller."""
+        kept = self._cancels.add(msg.job_id, msg.queue, self.now())
+        self.ctx.metrics.count('unconfirmed_cancel')
+        if not kept:
+            self.log.warning('cancel dropped', job=msg.job_id)
+
+    def _send_cancels(self, now: float) -> None:
+        if not self._route:
+            return
+        for cancel in self._cancels.choose_due(now):
+            token = f'{CANCEL_TOKEN_PREFIX}{cancel.job_id}'
+            self._send_to_owner(
+                messages.JobCall(token, 'cancel', cancel.queue, cancel.job_id)
+            )
+
+    def _confirm_cancel(self, job_id: str, outcome: str) -> None:
+        if outcome in ('cancelled', 'unknown_job'):
+            if self._cancels.confirm(job_id):
+                self.log.info('kept cancel confirmed', job=job_id)
+
     def _reply(
         self,
         caller_query: query.Query,
@@ -176,6 +213,10 @@
         self._handle_reply(event.msg)
 
     def _handle_reply(self, msg: messages.JobReply) -> None:
+        if msg.token.startswith(CANCEL_TOKEN_PREFIX):
+            job_id = msg.token.removeprefix(CANCEL_TOKEN_PREFIX)
+            self._confirm_cancel(job_id, msg.outcome)
+            return
         if msg.outcome == 'not_owner':
             # The call is sent again once the owner is known.
             self._submissions.record_returned(msg.token)
@@ -205,6 +246,8 @@
         if msg.outcome == 'refused':
             self._refuse(pending, msg.detail, msg.number)
             return
+        if pending.msg.verb == 'cancel':
+            self._confirm_cancel(pending.msg.job_id, msg.outcome)
         self._reply(pending.caller_query, msg.outcome, msg.detail, msg.number)
 
     @task.handles(events.OwnerRouteChanged)
@@ -238,6 +281,7 @@
         now = self.now()
         for token, pending in list(self._pending.items()):
             self._check(token, pending, now)
+        self._send_cancels(now)
         self.after(SCAN_INTERVAL_S, _Scan())
 
     def _check(self, token: str, pending: _Pending, now: float) -> None:
@@ -252,6 +296,8 @@
                 'call unanswered', verb=pending.msg.verb,
                 job=pending.msg.job_id, route=pending.route,
             )  # fmt: skip
+            if pending.msg.verb == 'cancel':
+                self._keep_cancel(pending.msg)
             self._reply(pending.caller_query, 'unknown', 'owner is silent')
             return
         if self._route and now - pending.sent_at >= RESEND_AFTER_S:
--- a/tests/platform/test_cancels.py
+++ b/tests/platform/test_cancels.py
@@ -59,3 +59,39 @@
         assert made.checker.violations == []
     finally:
         made.close()
+
+
+def test_cancel_without_an_owner_is_carried_out_later(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against a job that runs on after a cancel that was refused.
+
+    The owner is killed while the store is away; the caller tries once.
+    """
+    made = deployments.Deployment(tmp_path)
+    step = {'Count': 2, 'Cpu': 500, 'MemMb': 10, 'LongRunning': True}
+    body = {'Spec': 'x', 'Phases': [step]}
+    job = 'a' * 16
+    try:
+        made.wait(lambda: made.call('POST', f'/q/{job}', body)[0] == 200)
+        made.wait(lambda: f'{job}.0.0.1' in made.checker.started)
+        owner = made.find_owner()
+        other = next(name for name in made.fronts if name != owner)
+        made.store.down = True
+        made.processes[owner].kill()
+        made.processes[owner].wait()
+        made.wait(lambda: '"owner lost"' in made.read_logs())
+        status, _ = http_calls.call_once(
+            made.fronts[other], 'DELETE', f'/q/{job}'
+        )
+        assert status == 503, made.read_logs()
+        made.store.down = False
+        made.wait(
+            lambda: (
+                made.call('GET', f'/q/{job}')[1].get('State') == 'cancelled'
+            )
+        )
+        made.wait(lambda: not made.checker.running)
+        assert made.checker.violations == []
+    finally:
+        made.close()
--- a/tests/scheduler/test_calls.py
+++ b/tests/scheduler/test_calls.py
@@ -7,6 +7,7 @@
 from kcr_core import types as core_types
 from kcr_jobs import messages
 from kcr_jobs import types
+from kcr_jobs import unconfirmed_cancels
 from kcr_runtime import query
 from kcr_runtime.wire import session
 from kcr_scheduler import addresses
@@ -255,3 +256,72 @@
     monkeypatch.setattr(calls, 'MAX_CALLS', 1)
     submit(harness, timeout_s=3.0)
     assert answers(harness) == ['unknown']
+
+
+def cancel(harness: scheduler_harness.Harness, timeout_s: float = 3.0) -> None:
+    """Cancel a job."""
+    call = calls.Call('cancel', 'q', 'j', None, timeout_s)
+    harness.post(addresses.CALLS, query.Query('t', 'front', call))
+
+
+def find_cancels(harness: scheduler_harness.Harness, route: str) -> list[str]:
+    """Return the tokens of the cancels that were sent over a route."""
+    sent = harness.recorders[route].pop_all(session.Send)
+    return [item.msg.token for item in sent if item.msg.verb == 'cancel']
+
+
+def test_refused_cancel_is_carried_out_by_the_next_owner() -> None:
+    """Guard against a job that runs on after the cancel of its caller.
+
+    The caller was refused for want of an owner and did not try again.
+    """
+    harness, _ = make()
+    cancel(harness)
+    harness.advance(0.25)
+    assert answers(harness) == ['refused']
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    harness.advance(0.1)
+    (token,) = find_cancels(harness, 'p1')
+    harness.post(addresses.CALLS, messages.JobReply(token, 'not_owner'))
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(2, 'p2'))
+    harness.advance(1.1)
+    (token,) = find_cancels(harness, 'p2')
+    harness.post(addresses.CALLS, messages.JobReply(token, 'cancelled'))
+    harness.advance(3.0)
+    assert find_cancels(harness, 'p2') == []
+    assert answers(harness) == []
+
+
+def test_unanswered_cancel_is_sent_until_it_is_confirmed() -> None:
+    """Guard against a cancel that is lost with the owner it was sent to."""
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    cancel(harness, timeout_s=0.5)
+    harness.advance(0.7)
+    assert answers(harness) == ['unknown']
+    harness.recorders['p1'].pop_all(session.Send)
+    harness.advance(1.1)
+    assert len(find_cancels(harness, 'p1')) == 1
+    # The caller tries again, and the owner replies to that.
+    cancel(harness)
+    token = find_cancels(harness, 'p1')[-1]
+    harness.post(addresses.CALLS, messages.JobReply(token, 'cancelled'))
+    assert answers(harness) == ['cancelled']
+    harness.advance(3.0)
+    assert find_cancels(harness, 'p1') == []
+
+
+def test_cancels_are_kept_for_a_bounded_time_and_number() -> None:
+    """Guard against callers whose cancels fill the memory of a scheduler."""
+    kept = unconfirmed_cancels.UnconfirmedCancels()
+    for number in range(unconfirmed_cancels.MAX_CANCELS):
+        assert kept.add(f'j{number}', 'q', 0.0)
+    assert not kept.add('j', 'q', 1.0)
+    assert kept.add('j0', 'q', 1.0)
+    first = kept.choose_due(1.0)
+    assert len(first) == unconfirmed_cancels.MAX_BATCH
+    assert not {c.job_id for c in kept.choose_due(1.1)} & {
+        c.job_id for c in first
+    }
+    assert kept.choose_due(unconfirmed_cancels.RETENTION_S) == []
+    assert len(kept) == 0
