Stop unknown runs also when the list of a runner is truncated

What callers see: a run of a cancelled job, or of an attempt that was recorded as lost, goes on until the lists of its runner are complete again (UNASKED). Cause: only complete reports were compared with the expected runs; what other reports show as running and is unknown was ignored without a log line, for as long as 500 ends wait for the store. Evidence: test_unknown_run_in_a_truncated_list_is_stopped fails without the change. Change: such runs are stopped whatever the report; what is missing still counts as lost in complete ones only.

--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -1,9 +1,9 @@
 """Grant leases and update the state with the reports of agents.
 
 An agent attaches to get a lease on its runner, then reports what runs and what
-has ended. A complete report is compared with the expected runs: what is
-missing is recorded as lost, and what is unknown is stopped. Other reports,
-such as those of truncated lists, show only what they contain.
+has ended. What a report shows as running and is unknown is stopped. A complete
+report is compared with the expected runs: what is missing is recorded as lost.
+Other reports, such as those of truncated lists, show only what they contain.
 """
 
 import dataclasses
@@ -99,7 +99,8 @@
         if running is not None:
             self._reconcile(runner, msg, running, now)
         else:
-            self._update_tasks(runner, msg.running, now)
+            for run in self._update_tasks(runner, msg.running, now):
+                self._stop_unknown_run(runner, run)
         if lease_ms > 0:
             runner.extend_lease(runners.infer_expiry(now, lease_ms / 1000.0))
         runner.acked_seq = msg.seq
--- a/tests/jobs/test_truncated_lists.py
+++ b/tests/jobs/test_truncated_lists.py
@@ -130,3 +130,18 @@
     assert [joiner.join(make(n + 6, n)) for n in (1, 2, 3)] == [
         None, None, tuple(rows[1:]),
     ]  # fmt: skip
+
+
+def test_unknown_run_in_a_truncated_list_is_stopped() -> None:
+    """Guard against a run of a cancelled job that goes on (UNASKED).
+
+    It began late, and no list of the runner is complete.
+    """
+    harness, runner = make_ended(660, lambda number: 'done')
+    harness.submit(job_harness.make_job('c', types.Step(1)))
+    harness.ctl.cancel(('', 'c'), 'c', harness.now)
+    runner.runs['c.0.0.0'] = job_harness.FakeRun(1)
+    harness.step()
+    assert not harness.store_available
+    assert ('c.0.0.0', 1) in runner.stops
+    assert not runner.runs
