Keep the owner and the readers of the log agreed on early cancels

What callers would see: a job that was submitted 150 s after a cancel of its id was accepted, ran, and was ended by the next owner; a job that was submitted 15 s after a second cancel ran. Cause: the owner forgets an early cancel, or an ended job, by time, the readers of the log do not, and a submission took its cancel from that state. A second cancel did not begin the retention anew. Each early cancel is recorded. An unknown run in a truncated list keeps starts off its runner, as in a complete one.

--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -75,7 +75,9 @@
         self, ref: typing.Any, spec: types.JobSpec, now: float, wall_ms: float
     ) -> None:
         """Accept a job whose cancel came first; it is cancelled at once."""
-        self._state.append(records.Accepted(spec, int(wall_ms)))
+        self._state.append(
+            records.Restated(spec, int(wall_ms), True, False, ())
+        )
         self._state.table.jobs[spec.job_id].accepted_at = now
         self._state.deferred.append(effects.FinalizeJob(spec.job_id))
         self._state.deferred.append(effects.Reply(ref, 'accepted'))
@@ -172,16 +174,16 @@
         self._state.log_event(
             'cancel of unknown job', job=job_id, early_cancels=len(early)
         )
-        if job_id not in early:
-            if len(early) >= job_table.MAX_EARLY_CANCELS:
-                detail = 'too many cancels of unknown jobs'
-                retry_ms = admission.infer_retry_ms(job_id, RETRY_AFTER_MS)
-                reply = effects.Reply(ref, 'refused', detail, retry_ms)
-                self._state.immediate.append(reply)
-                return
-            self._state.append(records.Cancelled(job_id))
-            early[job_id] = now
-        self._reply_unknown(ref)
+        if len(early) >= job_table.MAX_EARLY_CANCELS and job_id not in early:
+            detail = 'too many cancels of unknown jobs'
+            retry_ms = admission.infer_retry_ms(job_id, RETRY_AFTER_MS)
+            reply = effects.Reply(ref, 'refused', detail, retry_ms)
+            self._state.immediate.append(reply)
+            return
+        # A repeated cancel begins its retention anew.
+        self._state.append(records.Cancelled(job_id))
+        early[job_id] = now
+        self._state.deferred.append(effects.Reply(ref, 'unknown_job'))
 
     def _reply_unknown(self, ref: typing.Any) -> None:
         """Reply that a job does not exist, once an append has proved it.
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -277,24 +277,30 @@
             self._restate(rec)
 
     def _accept(self, rec: records.Accepted) -> None:
-        if rec.spec.job_id in self.jobs:
+        """Add a job.
+
+        The owner forgets ended jobs and early cancels by time, readers of the
+        log keep them. A record that accepts such an id is for a new job.
+        """
+        known = self.jobs.get(rec.spec.job_id)
+        if known is not None and known.is_open():
             return
-        early = self.early_cancels.pop(rec.spec.job_id, None) is not None
-        job = Job(rec.spec, rec.at_ms, cancelled=early)
+        self.early_cancels.pop(rec.spec.job_id, None)
+        job = Job(rec.spec, rec.at_ms)
         self.jobs[rec.spec.job_id] = job
         if not rec.spec.repeat:
             job.make_occurrence()
 
     def _cancel(self, job_id: str) -> None:
         job = self.jobs.get(job_id)
-        if job is None:
-            while len(self.early_cancels) >= MAX_EARLY_CANCELS:
-                del self.early_cancels[next(iter(self.early_cancels))]
-            self.early_cancels[job_id] = 0.0
-        elif job.is_open():
-            # The owner may have forgotten an ended job that is still in the
-            # table of a reader.
-            job.cancelled = True
+        if job is not None:
+            # An ended one may be forgotten by the owner, see above.
+            job.cancelled = job.cancelled or job.is_open()
+            return
+        self.early_cancels.pop(job_id, None)
+        while len(self.early_cancels) >= MAX_EARLY_CANCELS:
+            del self.early_cancels[next(iter(self.early_cancels))]
+        self.early_cancels[job_id] = 0.0
 
     def _start(self, row: records.StartRow) -> None:
         task = self._find_or_make(row.task)
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -99,7 +99,9 @@
         if running is not None:
             self._reconcile(runner, msg, running, now)
         else:
-            for run in self._update_tasks(runner, msg.running, now):
+            unknown = self._update_tasks(runner, msg.running, now)
+            runner.unknown_runs = max(runner.unknown_runs, len(unknown))
+            for run in unknown:
                 self._stop_unknown_run(runner, run)
         if lease_ms > 0:
             runner.extend_lease(runners.infer_expiry(now, lease_ms / 1000.0))
--- a/tests/jobs/test_early_cancels.py
+++ b/tests/jobs/test_early_cancels.py
@@ -123,3 +123,49 @@
         table,
     )
     assert table.jobs['j'].state == job_table.COMPLETED
+
+
+def wait_s(harness: job_harness.Harness, seconds: float) -> None:
+    """Let time pass; the runners report."""
+    for _ in range(int(seconds / 0.5)):
+        harness.step()
+
+
+def test_job_submitted_after_the_retention_runs_on_at_the_next_owner() -> None:
+    """Guard against a reader of the log that applies a forgotten cancel.
+
+    The owner forgets it by time, the record stays in the log.
+    """
+    harness = job_harness.Harness(job_harness.FakeRunner('a'))
+    cancel(harness)
+    wait_s(harness, job_table.ENDED_RETENTION_S + 2.0)
+    harness.submit(JOB)
+    harness.step()
+    harness.take_over()
+    harness.attach_all()
+    harness.step()
+    assert harness.find_state('j') == 'running'
+
+
+def test_ended_job_may_be_submitted_again_after_the_retention() -> None:
+    """Guard against a reader that keeps an ended job, and ends the new one."""
+    harness = job_harness.Harness(job_harness.FakeRunner('a'))
+    harness.submit(JOB)
+    cancel(harness)
+    wait_s(harness, job_table.ENDED_RETENTION_S + 5.0)
+    harness.submit(JOB)
+    harness.step()
+    follower = job_table.JobTable()
+    job_table.fold(harness.log, follower)
+    assert follower.jobs['j'].state == job_table.RUNNING
+
+
+def test_repeated_early_cancel_begins_its_retention_anew() -> None:
+    """Guard against a submission that runs soon after a confirmed cancel."""
+    harness = job_harness.Harness(job_harness.FakeRunner('a'))
+    cancel(harness)
+    wait_s(harness, job_table.ENDED_RETENTION_S - 10.0)
+    assert cancel(harness) == 'unknown_job'
+    wait_s(harness, 20.0)
+    harness.submit(JOB)
+    assert count_starts(harness) == 0
--- a/tests/jobs/test_truncated_lists.py
+++ b/tests/jobs/test_truncated_lists.py
@@ -145,3 +145,19 @@
     assert not harness.store_available
     assert ('c.0.0.0', 1) in runner.stops
     assert not runner.runs
+
+
+def test_runner_with_an_unknown_run_in_a_truncated_list_gets_no_start() -> (
+    None
+):
+    """Guard against a start beyond the capacity, which the run still uses."""
+    harness, runner = make_ended(660, lambda number: 'done')
+    harness.store_available = True
+    runner.runs['c.0.0.0'] = job_harness.FakeRun(1)
+    state = harness.ctl.runners['a']
+    harness.ctl.report(
+        's-a', dataclasses.replace(runner.report(), complete=False),
+        harness.now, 6000,
+    )  # fmt: skip
+    assert state.unknown_runs == 1
+    assert not state.is_schedulable()
