Keep unconfirmed cancels longer, and wait for them at a graceful stop

Found by the review of the cancels that a scheduler keeps. Change: kept for 600 s since the last try, sent in turns and at growing intervals, anew to a new owner; the front end waits for them within the grace period; a cancel is sent again on a new connection.

--- a/packages/jobs/src/kcr_jobs/unconfirmed_cancels.py
+++ b/packages/jobs/src/kcr_jobs/unconfirmed_cancels.py
@@ -7,11 +7,13 @@
 
 import dataclasses
 
-# Time for which a cancel is kept, in seconds; an owner is found within some
-# seconds once the store answers.
-RETENTION_S = 60.0
-# Time without a confirmation before a cancel is sent again, in seconds.
-RESEND_AFTER_S = 1.0
+# Time for which a cancel is kept, in seconds; longer than the store or all
+# schedulers are away.
+RETENTION_S = 600.0
+# Shortest and longest time without a confirmation before a cancel is sent
+# again, in seconds; it doubles, as an owner that is late gets each copy.
+MIN_RESEND_S = 1.0
+MAX_RESEND_S = 8.0
 # Maximum number of cancels that are kept; one takes 500 bytes. Further ones
 # are not: their callers know that they are not confirmed.
 MAX_CANCELS = 2000
@@ -27,16 +29,18 @@
     # Job that it cancels, and the queue of the job.
     job_id: str
     queue: str
+    # Time of the caller's last try.
     received_at: float
-    # Time of the last message with it; none before that.
-    sent_at: float | None = None
+    # Time from which it is sent, and the time after that until the next copy.
+    due_at: float
+    resend_s: float = MIN_RESEND_S
 
 
 class UnconfirmedCancels:
     """Store the cancels that the owner has still to confirm."""
 
     def __init__(self) -> None:
-        # By job; the oldest first.
+        # By job; the one that was sent longest ago first.
         self._cancels: dict[str, Cancel] = {}
 
     def __len__(self) -> int:
@@ -45,33 +49,34 @@
 
     def add(self, job_id: str, queue: str, now: float) -> bool:
         """Keep a cancel; return whether there was room for it."""
-        self._forget(now)
-        if job_id in self._cancels:
+        known = self._cancels.get(job_id)
+        if known is not None:
+            known.received_at = now
             return True
         if len(self._cancels) >= MAX_CANCELS:
             return False
-        self._cancels[job_id] = Cancel(job_id, queue, now)
+        self._cancels[job_id] = Cancel(job_id, queue, now, now)
         return True
 
     def confirm(self, job_id: str) -> bool:
         """Drop a confirmed cancel; return whether it was kept."""
         return self._cancels.pop(job_id, None) is not None
 
+    def make_due(self, now: float) -> None:
+        """Send all cancels anew, as the owner has changed."""
+        for cancel in self._cancels.values():
+            cancel.due_at, cancel.resend_s = now, MIN_RESEND_S
+
     def choose_due(self, now: float) -> list[Cancel]:
         """Return the cancels to send now, and record that they are sent."""
-        self._forget(now)
-        due = [
-            cancel
-            for cancel in self._cancels.values()
-            if cancel.sent_at is None or now - cancel.sent_at >= RESEND_AFTER_S
-        ][:MAX_BATCH]
-        for cancel in due:
-            cancel.sent_at = now
+        due: list[Cancel] = []
+        for cancel in list(self._cancels.values()):
+            if now - cancel.received_at >= RETENTION_S:
+                del self._cancels[cancel.job_id]
+            elif now >= cancel.due_at and len(due) < MAX_BATCH:
+                due.append(cancel)
+                cancel.due_at = now + cancel.resend_s
+                cancel.resend_s = min(MAX_RESEND_S, 2 * cancel.resend_s)
+                # The others go first the next time.
+                self._cancels[cancel.job_id] = self._cancels.pop(cancel.job_id)
         return due
-
-    def _forget(self, now: float) -> None:
-        while self._cancels:
-            job_id, cancel = next(iter(self._cancels.items()))
-            if now - cancel.received_at < RETENTION_S:
-                return
-            del self._cancels[job_id]
--- a/packages/scheduler/src/kcr_scheduler/events.py
+++ b/packages/scheduler/src/kcr_scheduler/events.py
@@ -134,6 +134,13 @@
     route: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelsKept:
+    """Report the number of cancels that the owner has still to confirm."""
+
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LocalCall:
     """Pass a call to the owner task of the same process."""
--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -91,6 +91,8 @@
         self._submissions = submissions.Submissions()
         # Cancels whose callers were not told that they are carried out.
         self._cancels = unconfirmed_cancels.UnconfirmedCancels()
+        # Their number that was last reported.
+        self._reported_kept = 0
         # Limits the copies to an owner that does not reply.
         self._budget = retry_budget.RetryBudget(RESEND_SHARE)
         self._count = 0
@@ -179,8 +181,17 @@
         self.ctx.metrics.count('unconfirmed_cancel')
         if not kept:
             self.log.warning('cancel dropped', job=msg.job_id)
+        self._report_kept()
+
+    def _report_kept(self) -> None:
+        """Report the number of kept cancels, for which a shutdown waits."""
+        if len(self._cancels) != self._reported_kept:
+            self._reported_kept = len(self._cancels)
+            event = events.CancelsKept(self._reported_kept)
+            self.send(addresses.FRONT, event)
 
     def _send_cancels(self, now: float) -> None:
+        self._report_kept()
         if not self._route:
             return
         for cancel in self._cancels.choose_due(now):
@@ -254,8 +265,9 @@
     def _on_owner(self, event: events.OwnerRouteChanged) -> None:
         self._route = event.route
         if event.route:
+            self._cancels.make_due(self.now())
             for pending in self._pending.values():
-                if pending.route != event.route:
+                if pending.route != event.route or pending.returned:
                     self._send(pending)
 
     @task.handles(session.Opened)
@@ -265,6 +277,11 @@
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
         self._submissions.record_closed(event.session)
+        for pending in self._pending.values():
+            if pending.route == event.session and pending.msg.verb == 'cancel':
+                # The session may connect again under the same address. Copies
+                # of a cancel are harmless.
+                pending.returned = True
         if event.session == self._route:
             self._route = ''
 
--- a/tests/scheduler/test_calls.py
+++ b/tests/scheduler/test_calls.py
@@ -284,7 +284,7 @@
     (token,) = find_cancels(harness, 'p1')
     harness.post(addresses.CALLS, messages.JobReply(token, 'not_owner'))
     harness.post(addresses.CALLS, events.OwnerRouteChanged(2, 'p2'))
-    harness.advance(1.1)
+    harness.advance(0.1)
     (token,) = find_cancels(harness, 'p2')
     harness.post(addresses.CALLS, messages.JobReply(token, 'cancelled'))
     harness.advance(3.0)
@@ -318,10 +318,37 @@
         assert kept.add(f'j{number}', 'q', 0.0)
     assert not kept.add('j', 'q', 1.0)
     assert kept.add('j0', 'q', 1.0)
-    first = kept.choose_due(1.0)
-    assert len(first) == unconfirmed_cancels.MAX_BATCH
-    assert not {c.job_id for c in kept.choose_due(1.1)} & {
-        c.job_id for c in first
-    }
-    assert kept.choose_due(unconfirmed_cancels.RETENTION_S) == []
+    assert len(kept.choose_due(1.0)) == unconfirmed_cancels.MAX_BATCH
+    late = unconfirmed_cancels.RETENTION_S
+    assert {cancel.job_id for cancel in kept.choose_due(late)} == {'j0'}
+    assert kept.choose_due(late + 1.0) == []
     assert len(kept) == 0
+
+
+def test_every_kept_cancel_is_sent_though_none_is_confirmed() -> None:
+    """Guard against cancels behind others that the owner does not confirm."""
+    kept = unconfirmed_cancels.UnconfirmedCancels()
+    for number in range(unconfirmed_cancels.MAX_CANCELS):
+        kept.add(f'j{number}', 'q', 0.0)
+    sent = [
+        cancel.job_id
+        for scan in range(100)
+        for cancel in kept.choose_due(scan * 0.06)
+    ]
+    assert len(set(sent)) == unconfirmed_cancels.MAX_CANCELS
+    copies = 100 * 0.06 / unconfirmed_cancels.MIN_RESEND_S
+    assert len(sent) < copies * unconfirmed_cancels.MAX_CANCELS
+
+
+def test_call_on_a_closed_connection_is_sent_again_on_the_next_one() -> None:
+    """Guard against a cancel that waits for its whole timeout.
+
+    The session to the same owner was connected anew.
+    """
+    harness, _ = make()
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    cancel(harness)
+    assert len(find_cancels(harness, 'p1')) == 1
+    harness.post(addresses.CALLS, session.Closed('p1', HELLO, 'lost'))
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    assert len(find_cancels(harness, 'p1')) == 1
