Replace connections to schedulers that fall silent before the owner is found

Cause: a dialed connection that fell silent in its handshake or before the hello waited for its peer to close it, after 5 or 10 s; an open session that did not reply to the query for the owner was queried for ever. Change: a dialed connection has 2 s for handshake and hello, and is then aborted; a queried scheduler that does not reply within 1.2 s is dialed anew.

--- a/packages/agent/src/kcr_agent/links/link.py
+++ b/packages/agent/src/kcr_agent/links/link.py
@@ -29,6 +29,9 @@
 # Time without an owner before the store is queried for schedulers, and time
 # between such queries, in seconds.
 STORE_QUERY_INTERVAL_S = 1.0
+# Time without a reply after which a scheduler that is queried is dropped, in
+# seconds; its connection may be silent.
+QUERY_TIMEOUT_S = 1.2
 # Time for which an owner that did not respond is not used, in seconds.
 AVOID_OWNER_S = 0.6
 # Keyed topic with the address of each scheduler.
@@ -55,6 +58,9 @@
         self._open_sessions: dict[str, str] = {}
         # Addresses of the schedulers to which a session was started.
         self._dialed: set[str] = set()
+        # Time of the first query without a reply, by the address of the
+        # scheduler.
+        self._unanswered_since: dict[str, float] = {}
         # Time since which the owner is searched; none while it is connected.
         self._search_since: float | None = None
         self._store_queried_at = -STORE_QUERY_INTERVAL_S
@@ -83,9 +89,10 @@
             return
         while len(self._dialed) < min(MAX_QUERIED, len(self.schedulers)):
             self._dial(self._next_to_query())
-        for name in self._open_sessions.values():
-            self.send(name, session.Send(messages.OwnerQuery()))
         now = self.now()
+        self._drop_silent(now)
+        for target in self._open_sessions:
+            self._query(target, now)
         if (
             min(now - self._search_since, now - self._store_queried_at)
             >= STORE_QUERY_INTERVAL_S
@@ -93,6 +100,19 @@
             self._store_queried_at = now
             self.spawn(self._query_store())
 
+    def _query(self, target: str, now: float) -> None:
+        self._unanswered_since.setdefault(target, now)
+        self.send(
+            self._open_sessions[target], session.Send(messages.OwnerQuery())
+        )
+
+    def _drop_silent(self, now: float) -> None:
+        """Close the sessions that don't reply; the next scan dials others."""
+        for target, since in list(self._unanswered_since.items()):
+            if now - since >= QUERY_TIMEOUT_S:
+                self.log.warning('scheduler silent', peer=target)
+                self._close_session(target)
+
     def _next_to_query(self) -> str:
         """Return the next scheduler to dial and move it to the end."""
         target = next(t for t in self.schedulers if t not in self._dialed)
@@ -110,6 +130,7 @@
     def _close_session(self, target: str) -> None:
         self._dialed.discard(target)
         self._open_sessions.pop(target, None)
+        self._unanswered_since.pop(target, None)
         self.send(addresses.SESSIONS, supervisor.StopChild(target))
 
     async def _query_store(self) -> None:
@@ -150,12 +171,13 @@
         if target == self.owner:
             self._publish_owner()
         elif self._search_since is not None:
-            self.send(event.session, session.Send(messages.OwnerQuery()))
+            self._query(target, self.now())
 
     @task.handles(session.Closed)
     def _on_closed(self, event: session.Closed) -> None:
         target = event.session.rpartition('/')[2]
         self._open_sessions.pop(target, None)
+        self._unanswered_since.pop(target, None)
         if target == self.owner:
             self._lose_owner(event.reason)
 
@@ -177,6 +199,7 @@
     def _on_received(self, event: session.Received) -> None:
         msg = event.msg
         assert isinstance(msg, messages.OwnerReply)
+        self._unanswered_since.pop(event.session.rpartition('/')[2], None)
         self._add_schedulers(('peer', a) for a in msg.entries)
         if msg.owner and not net_address.is_valid(msg.owner):
             self.ctx.metrics.count('address_malformed')
@@ -199,6 +222,7 @@
     def _publish_owner(self) -> None:
         self.log.info('owner found', owner=self.owner, epoch=self.epoch)
         self._search_since = None
+        self._unanswered_since.clear()
         for target in list(self._dialed):
             if target != self.owner:
                 self._close_session(target)
--- a/packages/runtime/src/kcr_runtime/wire/session.py
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -30,6 +30,10 @@
 GREETING_TIMEOUT_S = 2 * HELLO_TIMEOUT_S
 # Timeout for establishing a dialed connection, in seconds.
 CONNECT_TIMEOUT_S = 3.0
+# Timeout for the handshake and the hello on a dialed connection, in seconds. A
+# connection can become silent after it is established; an agent without an
+# owner can't stop its runs.
+DIAL_TIMEOUT_S = 2.0
 # Bounds of the delay before dialing again, without jitter, in seconds.
 MIN_REDIAL_S = 0.1
 MAX_REDIAL_S = 2.0
@@ -158,6 +162,11 @@
     pass
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DialTimeout:
+    conn: connection.Connection
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _HelloTimeout:
     conn: connection.Connection
@@ -264,6 +273,8 @@
             on_close=lambda reason: self._inject(_Lost(reason)),
         )
         self._conn = conn
+        if self.target is not None:
+            self.after(DIAL_TIMEOUT_S, _DialTimeout(conn))
         return conn
 
     def _inject(self, event: typing.Any) -> None:
@@ -318,6 +329,12 @@
         if self._conn is msg.conn and self._hello is None:
             msg.conn.close('no hello in time')
 
+    @task.handles(_DialTimeout)
+    def _on_dial_timeout(self, msg: _DialTimeout) -> None:
+        if self._conn is msg.conn and self._hello is None:
+            # A silent connection would never end by a close.
+            msg.conn.abort()
+
     @task.handles(_GreetingTimeout)
     def _on_greeting_timeout(self, msg: _GreetingTimeout) -> None:
         # The handshake, which comes before the hello, may be incomplete.
--- a/tests/runtime/test_session.py
+++ b/tests/runtime/test_session.py
@@ -4,6 +4,7 @@
 import random
 import typing
 
+import pytest
 from twisted.internet import task as twisted_task
 
 from kcr_core import message_base
@@ -253,3 +254,35 @@
     pair.clock.advance(session.GREETING_TIMEOUT_S)
     pair.clock.advance(0)
     assert transport.aborted
+
+
+@pytest.mark.parametrize('handshake', [False, True])
+def test_dialed_connection_that_falls_silent_is_replaced(
+    handshake: bool,
+) -> None:
+    """Guard against a process that waits for a peer on a silent connection.
+
+    It stayed without an owner for up to 10 s, and runs that it should have
+    stopped went on.
+    """
+    pair = Pair()
+    made = session.Session(pair.session.ctx, 'dialing', pair.session.routes)
+    made.begin()
+    made.target = '127.0.0.1:1'
+    conn = made.build_connection()
+    peer = connection.Connection(
+        None,
+        on_open=lambda conn: None,
+        on_message=lambda msg: None,
+        on_close=lambda reason: None,
+    )
+    pair.ends = ((conn, FakeTransport()), (peer, FakeTransport()))
+    for end, transport in pair.ends:
+        end.transport = typing.cast(typing.Any, transport)
+        end.connectionMade()
+    if handshake:
+        pair.pump()
+        assert peer.greeted
+    pair.clock.advance(session.DIAL_TIMEOUT_S)
+    pair.clock.advance(0)
+    assert pair.ends[0][1].aborted
