Take the incarnation that answers, also if its clock was set back

Cause: a runner that was restarted after the clock of its instance had been set back has an older start time. Change: a heartbeat of the incarnation that has answered last begins it, whichever seems newer; no lease is requested before that. A heartbeat of the known incarnation clears an answer that seems older.

--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -86,6 +86,7 @@
     @task.handles(events.RunnerHeartbeat)
     def _on_heartbeat(self, event: events.RunnerHeartbeat) -> None:
         old, new = self._state.info, event.info
+        answered = self._state.answered_born_ms
         service = self.ctx.cfg.service or (old.service if old else '')
         if service and new.service != service:
             self._ignore_other(new)
@@ -95,13 +96,25 @@
             if not self._identifying:
                 self._identifying = True
                 self.spawn(self._identify(event, old.runner_id))
-        elif new.born_ms < old.born_ms:
+        elif new.born_ms == old.born_ms:
+            self._update_info(event, old)
+        elif new.born_ms > old.born_ms or new.born_ms == answered:
+            # The clock of the instance may have been set back, so the
+            # incarnation that answers counts, also if it seems older.
+            self._begin_incarnation(event)
+        else:
             self.log.info(
                 'heartbeat of older incarnation ignored', life=new.incarnation
             )
-        elif new.born_ms > old.born_ms:
-            self._begin_incarnation(event)
-        elif event.seq > self._heartbeat_seq:
+
+    def _update_info(
+        self, event: events.RunnerHeartbeat, old: types.RunnerInfo
+    ) -> None:
+        new = event.info
+        if event.seq > self._heartbeat_seq:
+            if self._state.answered_born_ms < new.born_ms:
+                # What has answered was of an older incarnation.
+                self._state.answered_born_ms = 0
             self._state.info, self._heartbeat_seq = new, event.seq
             if new.draining and not old.draining:
                 self.log.info('runner draining', left_ms=new.remaining_ms)
--- a/packages/agent/src/kcr_agent/runner/control_state.py
+++ b/packages/agent/src/kcr_agent/runner/control_state.py
@@ -40,8 +40,8 @@
         self.term = 0
         # Whether the owner forbids starts, as the zone is evacuated.
         self.starts_closed = False
-        # Start of the newest incarnation that has answered; `info` may still
-        # be of an older one, until the next heartbeat.
+        # Start of the incarnation that has answered last, if `info` is of
+        # another one, until the next heartbeat; 0 if not.
         self.answered_born_ms = 0
         # Whether the runner has deregistered itself.
         self.runner_left = False
@@ -76,7 +76,7 @@
 
     def attach(self) -> None:
         """Request a lease, if the owner and the runner are known."""
-        if self.info is None or self.info.born_ms < self.answered_born_ms:
+        if self.info is None or self.answered_born_ms:
             return
         if self.owner_session:
             self.attach_sent_at = self.now()
--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -182,7 +182,7 @@
         state.log.info(
             'runner restarted, lease dropped', born_ms=run_list.born_ms
         )
-        state.answered_born_ms = max(state.answered_born_ms, run_list.born_ms)
+        state.answered_born_ms = run_list.born_ms
         state.drop_lease()
         return False
 
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -664,3 +664,4 @@
     assert [report.complete for report in reports] == [False, False, True]
     assert sum(len(report.running) for report in reports) == 300
     assert len(reports[0].ended) == 3
+
