Let the agent of a leaving runner end after its runs

Cause: an agent ended at once on SIGTERM, for the next one to take over its runner. On an instance that is removed no other agent follows, while a runner that leaves may go on for some seconds. Change: if the runner is draining or has deregistered, and lists runs, the agent goes on to extend its lease and to stop runs within its grace period. Else it ends at once, as before. Evidence: test_agent_of_a_leaving_runner_ends_after_its_runs fails without the change. Result: tests/agent, tests/runtime and the settings' tests pass.

--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -32,10 +32,18 @@
 SCAN_INTERVAL_S = 0.1
 
 
+# Part of the grace period that is left for the shutdown, in seconds.
+GRACE_MARGIN_S = 0.7
+
+
 class _Scan:
     pass
 
 
+class _CheckDrained:
+    pass
+
+
 class Control(task.Task):
     """Own the client of the runner and the lease on it."""
 
@@ -44,6 +52,8 @@
         self._state = control_state.State(self)
         self._lists = run_lists.RunLists(self._state)
         self._orders = orders.Orders(self._state, self._lists)
+        # Time until which a graceful end waits for runs.
+        self._drain_until = 0.0
         # Number of the last heartbeat in the incarnation of the runner.
         self._heartbeat_seq = 0
         # Whether the runner is asked if it has the id of a heartbeat.
@@ -233,5 +243,19 @@
 
     @task.handles(events.Drain)
     def _on_drain(self, msg: events.Drain) -> None:
-        """End at once; the next agent takes over the runner as it is."""
+        """End, at once unless the runner leaves and still has runs.
+
+        Else the next agent takes over the runner as it is. No agent follows
+        on an instance that is removed, and its runs could not be stopped.
+        """
+        self._drain_until = self.now() + self.ctx.cfg.grace_s - GRACE_MARGIN_S
+        self.post(_CheckDrained())
+
+    @task.handles(_CheckDrained)
+    def _on_check_drained(self, msg: _CheckDrained) -> None:
+        busy = self._state.is_leaving() and self._lists.has_runs
+        if busy and self.now() < self._drain_until:
+            self.after(SCAN_INTERVAL_S, _CheckDrained())
+            return
+        self.log.info('drained', runs=self._lists.has_runs)
         self.send(process.PROCESS_ADDRESS, process.Drained())
--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -46,8 +46,15 @@
         self._awaited: tuple[int, defer.Deferred[None]] | None = None
         # Whether the last reported list may have been truncated.
         self._truncated = False
-        # Whether the runner answered the last query for its runs.
+        # Whether the runner answered the last query for its runs, and whether
+        # its list showed any.
         self._runner_answers = True
+        self._lists_runs = False
+
+    @property
+    def has_runs(self) -> bool:
+        """Return whether the runner answers and has runs."""
+        return self._runner_answers and self._lists_runs
 
     def begin(self) -> None:
         """Begin to extend a lease that was granted."""
@@ -131,6 +138,7 @@
     ) -> None:
         if not self.is_of_incarnation(run_list):
             return
+        self._lists_runs = bool(run_list.running)
         now, lease = self._state.now(), self._state.lease
         lease.set_clock(run_list.clock_ms, now)
         lease.drop_confirmed_starts(queried_at)
--- a/packages/agent/src/kcr_agent/settings.py
+++ b/packages/agent/src/kcr_agent/settings.py
@@ -20,6 +20,9 @@
         description='service of the runner; empty to learn it from the first'
         ' heartbeat',
     )
+    grace_s: float = pydantic.Field(
+        6.0, description='time between SIGTERM and SIGKILL, in seconds', gt=0
+    )
     store: str = pydantic.Field(description='kind of store')
     store_address: settings.Address = pydantic.Field(
         description='address of the store'
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -19,6 +19,7 @@
 from kcr_jobs import messages
 from kcr_jobs import types
 from kcr_runtime import metrics
+from kcr_runtime import process
 from kcr_runtime import task
 from kcr_runtime.wire import session
 
@@ -33,6 +34,7 @@
     process = 'n'
     runner = 'model'
     service = ''
+    grace_s = 6.0
 
 
 class FakeRunner:
@@ -665,3 +667,75 @@
     assert sum(len(report.running) for report in reports) == 300
     assert len(reports[0].ended) == 3
 
+
+def test_runner_restarted_with_a_clock_that_was_set_back_is_reported() -> None:
+    """Guard against a runner that its agent never lists again (UNASKED).
+
+    The agent ignored its heartbeats as those of an older incarnation, and a
+    run that began there late was never stopped.
+    """
+    harness = Harness()
+    harness.lease()
+    new = dataclasses.replace(INFO, born_ms=3)
+    harness.runner.born_ms = 3
+    harness.runner.running = (types.ReportedRun('j.0.0.0', 1, '', 0, 0),)
+    for number in range(1, 31):
+        harness.post(events.RunnerHeartbeat(new, number))
+        harness.runner.answer_all()
+        harness.advance(0.1)
+        if harness.owner.pop_all(messages.Attach):
+            harness.receive(messages.Lease(1, 7 + number))
+    reports = harness.owner.pop_all(messages.RunnerReport)
+    assert any(report.running for report in reports)
+
+
+def test_delayed_heartbeat_of_an_ended_incarnation_changes_nothing() -> None:
+    """Guard against an agent that waits for an incarnation that has ended."""
+    harness = Harness()
+    harness.lease()
+    harness.post(
+        events.RunnerHeartbeat(dataclasses.replace(INFO, born_ms=3), 90)
+    )
+    assert harness.control.info == INFO
+    assert harness.control.lease.token == 7
+
+
+@pytest.mark.parametrize('leaves', [True, False])
+def test_agent_of_a_leaving_runner_ends_after_its_runs(leaves: bool) -> None:
+    """Guard against runs that nobody can stop until their lease expires.
+
+    The instance is removed, so no other agent takes over its runner.
+    """
+    harness = Harness()
+    rec = recorder.Recorder()
+    harness.ctx.directory.add(process.PROCESS_ADDRESS, rec)
+    harness.lease()
+    info = dataclasses.replace(INFO, draining=leaves, remaining_ms=8000)
+    harness.post(events.RunnerHeartbeat(info, 2))
+    harness.runner.running = (types.ReportedRun('j.0.0.0', 1, '', 0, 0),)
+    harness.runner.answer_all()
+    harness.post(events.Drain())
+    harness.advance(1.0)
+    assert bool(rec.pop_all(process.Drained)) is not leaves
+    if leaves:
+        harness.receive(messages.StopRun(7, 'j.0.0.0', 1))
+        assert harness.runner.count('stop') == 1
+        harness.runner.running = ()
+        harness.runner.answer_all()
+        harness.advance(1.0)
+        assert rec.pop_all(process.Drained)
+
+
+def test_agent_of_a_leaving_runner_ends_within_the_grace_period() -> None:
+    """Guard against an agent that is killed as it waits for long runs."""
+    harness = Harness()
+    rec = recorder.Recorder()
+    harness.ctx.directory.add(process.PROCESS_ADDRESS, rec)
+    harness.lease()
+    info = dataclasses.replace(INFO, draining=True, remaining_ms=8000)
+    harness.post(events.RunnerHeartbeat(info, 2))
+    harness.runner.running = (types.ReportedRun('j.0.0.0', 1, '', 0, 0),)
+    harness.runner.answer_all()
+    harness.post(events.Drain())
+    harness.advance(Config.grace_s)
+    assert rec.pop_all(process.Drained)
