--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -541,6 +541,11 @@
             self.done.add(task)
             self.first_done.setdefault(task, time.monotonic())
 
+    def list_outcomes(self, task: str) -> list[str]:
+        """Return the outcomes of the runs of a task, in order."""
+        with self.lock:
+            return [end.outcome for end in self._ends[task]]
+
     def acknowledge(self, end: EndedRun) -> None:
         """Record that the agent's cursor has passed an end."""
         if end.acknowledged or end.lease_expired:
--- a/tests/platform/test_cancels.py
+++ b/tests/platform/test_cancels.py
@@ -1,13 +1,19 @@
-"""Bring about, with real processes, a cancel that overtakes its submission."""
+"""Bring about, with real processes, runs that go on after a cancel."""
 
 import json
 import pathlib
 import signal
 import socket
+import time
 
 import deployment as deployments
 import http_calls
+import platform_fakes
+import pytest
 
+# Time for which each connection between the agent and the scheduler falls
+# silent as soon as it is established, in seconds.
+SILENCE_S = 2.5
 BODY = json.dumps(
     {'Spec': 'x', 'Phases': [{'Count': 1, 'Cpu': 500, 'MemMb': 10}]}
 ).encode()
@@ -95,3 +101,46 @@
         assert made.checker.violations == []
     finally:
         made.close()
+
+
+def test_run_is_stopped_after_sessions_fell_silent(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against a run of a cancelled job that ends with its lease only.
+
+    Connections of the agent fall silent while they are established, and it
+    has no owner for seconds after that; a lease of 10 s ends late (UNASKED).
+    """
+    monkeypatch.setattr(platform_fakes, 'TASK_DURATION_S', 1000.0)
+    monkeypatch.setattr(
+        deployments,
+        'SETTINGS',
+        deployments.SETTINGS.replace('MaxHoldMs = 6000', 'MaxHoldMs = 10000'),
+    )
+    made = deployments.Deployment(
+        tmp_path, schedulers=1, agents=1, linked=True
+    )
+    job = 'a' * 16
+    body = {'Spec': 'x', 'Phases': [{'Count': 1, 'Cpu': 500, 'MemMb': 10}]}
+    try:
+        made.wait(lambda: made.call('POST', f'/q/{job}', body)[0] == 200)
+        made.wait(lambda: f'{job}.0.0.0' in made.checker.running)
+        # A scan of the agent later, its lease is extended.
+        made.wait(lambda: made.runners['a1'].lease_until_ms > 0)
+        until = time.monotonic() + SILENCE_S
+        while time.monotonic() < until:
+            made.links['s1'].silence()
+            time.sleep(0.002)
+        assert made.call('DELETE', f'/q/{job}')[0] == 200
+        runner = made.runners['a1']
+
+        def is_ended() -> bool:
+            with runner.lock:
+                runner.update()
+            return not runner.running
+
+        made.wait(is_ended)
+        outcomes = made.checker.list_outcomes(f'{job}.0.0.0')
+        assert outcomes == ['stopped'], made.read_logs()
+    finally:
+        made.close()
