Settle an unanswered start by a stop that the runner forbids

Cause: only an accepted stop settled an unanswered start; where the runner rejects the attempt for good (`fence`, `old`), the start counted as unanswered under the lease, and its task kept its reservation. Change: both answers settle it, as where the agent gives a start up. Evidence: test_stop_that_the_runner_forbids_settles_the_start fails without the change; not seen with real processes. Result: tests/agent passes.

--- a/packages/agent/src/kcr_agent/runner/orders.py
+++ b/packages/agent/src/kcr_agent/runner/orders.py
@@ -160,9 +160,7 @@
             )
             if not state.is_current(term):
                 return
-            if isinstance(got, client.Done) or (
-                isinstance(got, client.Refused) and got.forbids
-            ):
+            if _forbids_start(got):
                 self._record_refused_start(msg, order, reason)
                 return
             await state.pause(FORBID_RETRY_S)
@@ -230,12 +228,12 @@
         )
         if not state.is_current(term):
             return
-        if isinstance(got, client.Done):
+        if _forbids_start(got):
             if order is not None and order.answered_at is None:
                 # The runner rejects the start if it arrives later.
                 order.answered_at = state.now()
             state.log.info('run stopped', task=msg.task, run=msg.attempt)
-        else:
+        elif not isinstance(got, client.Done):
             state.log.warning(
                 'stop failed', task=msg.task, run=msg.attempt,
                 reason=got.reason,
@@ -260,6 +258,13 @@
         state.log.warning('pace failed', task=msg.task, percent=msg.percent)
 
 
+def _forbids_start(got: client.OrderResult) -> bool:
+    """Return whether a runner rejects a start after its answer to a stop."""
+    if isinstance(got, client.Refused):
+        return got.forbids
+    return isinstance(got, client.Done)
+
+
 def _find_obstacle(state: control_state.State, deadline_ms: int | None) -> str:
     """Return why a start must not be sent now; empty if it may be."""
     if state.starts_closed:
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -739,3 +739,20 @@
     harness.post(events.Drain())
     harness.advance(Config.grace_s)
     assert rec.pop_all(process.Drained)
+
+
+def test_stop_that_the_runner_forbids_settles_the_start() -> None:
+    """Guard against a start that counts as unanswered for ever.
+
+    The runner rejects the stop as it rejects the start: a later attempt has
+    ended there. The task kept its reservation.
+    """
+    harness = Harness()
+    harness.lease()
+    harness.runner.outcomes.append(client.NoAnswer('x'))
+    harness.order_start()
+    harness.runner.outcomes.extend([client.Refused('old', True)] * 9)
+    harness.receive(messages.StopRun(7, 't', 1))
+    for _ in range(6):
+        unanswered = harness.list_unanswered()
+    assert unanswered == ()
