Measure the return of all processes by stage

The runners of a deployment send their heartbeats independently of each other, at an interval that can be set.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 	PYTHONPATH=tests/support $(BIN)/python tests/scheduler/bench_takeover.py
 	PYTHONPATH=tests/jobs:tests/support $(BIN)/python \
 	    tests/platform/bench_lists.py
+	PYTHONPATH=tests/support $(BIN)/python tests/platform/bench_restart.py
 
 capacity: install
 	$(BIN)/python -m kcr_emulator.capacity
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -95,8 +95,11 @@
         ),
         store_rate: int = 0,
         extra_settings: str = '',
+        heartbeat_interval_s: float = 0.3,
     ) -> None:
         self.folder = folder
+        # Time between heartbeats of each runner, in seconds.
+        self._heartbeat_interval_s = heartbeat_interval_s
         # Tables that are added to each settings file.
         self._extra_settings = extra_settings
         # Bytes a second between each scheduler and the store; 0 for any
@@ -141,7 +144,10 @@
             self.controls[name] = f'{host}:{ports[2]}'
             app = self._link(f'runner of {name}', runner.address)
             self._write(name, 'agent', host, ports, app)
-        threading.Thread(target=self._send_heartbeats, daemon=True).start()
+        for name in self.runners:
+            threading.Thread(
+                target=self._send_heartbeats, args=(name,), daemon=True
+            ).start()
 
     def publish(self, config: dict[str, typing.Any]) -> None:
         """Publish a configuration in the store."""
@@ -263,13 +269,12 @@
         routes = [*CONFIG['Routes'], extra]
         self.publish({**CONFIG, 'Version': self.version, 'Routes': routes})
 
-    def _send_heartbeats(self) -> None:
-        seq = 0
-        while not self._ended.wait(0.3):
+    def _send_heartbeats(self, name: str) -> None:
+        runner, seq = self.runners[name], 0
+        while not self._ended.wait(self._heartbeat_interval_s):
             seq += 1
-            for name, runner in self.runners.items():
-                if not runner.unreachable:
-                    runner.send_heartbeat(self.controls[name], seq)
+            if not runner.unreachable:
+                runner.send_heartbeat(self.controls[name], seq)
 
     def call(
         self, method: str, path: str, body: typing.Any = None
