Collect no garbage during the imports of a daemon

Cause: an import creates many objects and hardly any garbage (1,849 unreachable objects of 70,000 in a scheduler), but each full collection visits all.

Change: daemons disable the collector before the imports; Process.run freezes what exists, and enables it before the reactor runs. Later full collections don't visit the modules either.

--- a/packages/daemon/src/kcr_daemon/main.py
+++ b/packages/daemon/src/kcr_daemon/main.py
@@ -5,6 +5,7 @@
 not use, so that a process stays within its memory limit.
 """
 
+import gc
 import importlib
 import os
 import signal
@@ -41,6 +42,15 @@
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
 
 
+def defer_garbage_collection() -> None:
+    """Collect no garbage until the process runs.
+
+    Imports create many objects and hardly any garbage; collecting between
+    them takes a tenth of their processor time. `Process.run` enables it.
+    """
+    gc.disable()
+
+
 def main() -> None:
     """Run the role named by the first argument."""
     handle_early_signals()
@@ -50,6 +60,7 @@
         print(f'{USAGE}\nunknown role: {name}', file=sys.stderr)
         raise SystemExit(USAGE_EXIT)
     disable_unused_libraries()
+    defer_garbage_collection()
     importlib.import_module(MODULES[args[0]])
     launch = importlib.import_module('kcr_daemon.launch')
     raise SystemExit(launch.run(args[0], args[1:]))
--- a/packages/runtime/src/kcr_runtime/process.py
+++ b/packages/runtime/src/kcr_runtime/process.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import gc
 import json
 import logging
 import random
@@ -121,6 +122,10 @@
         reactor = self.ctx.reactor
         self.ctx.directory.add(PROCESS_ADDRESS, self)
         reactor.callWhenRunning(self._start)
+        # What exists by now lives as long as the process, so collections need
+        # not visit it.
+        gc.freeze()
+        gc.enable()
         reactor.run(installSignalHandlers=False)
         # The interpreter restores the default actions when it exits, and a
         # second SIGTERM would then report the process as killed.
--- a/tests/platform/bench_restart.py
+++ b/tests/platform/bench_restart.py
@@ -225,8 +225,8 @@
             name = rest.rpartition('|')[2]
             if own_us.strip().isdigit():
                 own[name.strip().partition('.')[0]] += int(own_us)
-        for name, own_us in own.most_common(PACKAGES_SHOWN):
-            print(f'{own_us / 1000:>8.1f} ms {name}')
+        for name, total_us in own.most_common(PACKAGES_SHOWN):
+            print(f'{total_us / 1000:>8.1f} ms {name}')
 
 
 def find_sources(checkout: pathlib.Path) -> str:
