Let pydantic look for no plugins in a daemon

Cause: when it builds the first model, pydantic reads the metadata of every installed distribution to find plugins. The daemons use none.

Change: the variable that turns this off is set before the imports, unless it is set already.

--- a/packages/daemon/src/kcr_daemon/main.py
+++ b/packages/daemon/src/kcr_daemon/main.py
@@ -22,10 +22,15 @@
 # functions. Of the 64 MB that a daemon may use, pyOpenSSL takes 12 MB, rich
 # 3 MB, and libssl and libcrypto (`ssl`, `_hashlib`) 4.7 MB.
 UNUSED_LIBRARIES = ('OpenSSL', 'rich', 'ssl', '_ssl', '_hashlib')
+# Variable and value with which pydantic looks for no plugins; it would read
+# the metadata of every installed distribution.
+PLUGINS_VARIABLE = 'PYDANTIC_DISABLE_PLUGINS'
+NO_PLUGINS = '__all__'
 
 
 def disable_unused_libraries() -> None:
-    """Prevent the import of optional libraries that are not used."""
+    """Prevent the import of optional libraries and plugins not used."""
+    os.environ.setdefault(PLUGINS_VARIABLE, NO_PLUGINS)
     for name in UNUSED_LIBRARIES:
         assert name not in sys.modules, f'{name} is already imported'
         sys.modules[name] = typing.cast(typing.Any, None)
--- a/tests/platform/test_start_costs.py
+++ b/tests/platform/test_start_costs.py
@@ -30,6 +30,7 @@
     'collections': len(collections) - early,
     'enabled': gc.isenabled(),
     'frozen': gc.get_freeze_count(),
+    'plugins': sys.modules['pydantic.plugin._loader']._plugins,
     'modules': [name for name, found in sys.modules.items() if found],
 }))
 """
@@ -69,3 +70,9 @@
     assert found['collections'] == 0
     assert found['enabled']
     assert found['frozen'] > MIN_FROZEN
+
+
+@pytest.mark.parametrize('role', ['scheduler', 'agent'])
+def test_no_plugins_are_looked_for(role: str, tmp_path: pathlib.Path) -> None:
+    """Guard against reading the metadata of every installed distribution."""
+    assert start_role(role, tmp_path)['plugins'] is None
