--- a/tests/platform/test_start_costs.py
+++ b/tests/platform/test_start_costs.py
@@ -76,3 +76,18 @@
 def test_no_plugins_are_looked_for(role: str, tmp_path: pathlib.Path) -> None:
     """Guard against reading the metadata of every installed distribution."""
     assert start_role(role, tmp_path)['plugins'] is None
+
+
+@pytest.mark.parametrize(
+    ('role', 'excluded'),
+    [
+        ('scheduler', {'kcr_agent', 'klein', 'werkzeug', 'opentelemetry'}),
+        ('agent', {'kcr_scheduler', 'klein', 'werkzeug', 'opentelemetry'}),
+    ],
+)
+def test_modules_without_use_at_the_start(
+    role: str, excluded: set[str], tmp_path: pathlib.Path
+) -> None:
+    """Guard against an import that delays the first order."""
+    found = start_role(role, tmp_path)
+    assert not {name.partition('.')[0] for name in found['modules']} & excluded
