Open the port for heartbeats before an agent imports its modules

Cause: a runner repeats a heartbeat that was refused only after its interval, 1.5 s, and an agent requests no lease before it has one. After a loss of power each agent lost up to that time after its own start.

Change: the agent opens the port first, with the standard library alone. A heartbeat that comes during the imports waits in the socket; the HTTP server takes the socket over. Nothing is believed that was not believed before: a process that is suspended also reads what waited meanwhile, and numbers of heartbeats and incarnations order it. If the port can't be opened, the server listens as before and reports why. Schedulers open no port early: what is refused there is tried at another one at once. The settings file is read by settings_file, which imports the standard library only.

--- a/packages/runtime/src/kcr_runtime/http_server.py
+++ b/packages/runtime/src/kcr_runtime/http_server.py
@@ -15,6 +15,7 @@
 from twisted.web import server
 
 from kcr_core import caller_budget
+from kcr_runtime import early_ports
 from kcr_runtime import http_channel
 from kcr_runtime import task
 
@@ -73,7 +74,14 @@
         """Do nothing, as there is no access log."""
 
     def listen(self, address: str, backlog: int = 50) -> None:
-        """Bind the port."""
+        """Bind the port, or take over the socket that was opened early."""
+        early = early_ports.take(address)
+        if early is not None:
+            with early:
+                self._port = self._ctx.reactor.adoptStreamPort(
+                    early.fileno(), early.family, self
+                )
+            return
         host, port = address.rsplit(':', 1)
         self._port = self._ctx.reactor.listenTCP(
             int(port), self, interface=host, backlog=backlog
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -457,9 +457,9 @@
             ],
         }
 
-    def send_heartbeat(self, control: str, seq: int) -> bool:
-        """Send one heartbeat; return whether it was acknowledged."""
-        body = {
+    def make_heartbeat(self, seq: int) -> dict[str, typing.Any]:
+        """Return the body of a heartbeat."""
+        return {
             'Service': 'svc',
             'Addr': self.address,
             'Zone': self.zone,
@@ -471,6 +471,10 @@
             'Seq': seq,
             'born': self.born_ms,
         }
+
+    def send_heartbeat(self, control: str, seq: int) -> bool:
+        """Send one heartbeat; return whether it was acknowledged."""
+        body = self.make_heartbeat(seq)
         url = f'http://{control}/-/Instances.Heartbeat/{self.runner_id}'
         data = json.dumps(body).encode()
         try:
--- a/tests/platform/test_decode.py
+++ b/tests/platform/test_decode.py
@@ -14,6 +14,7 @@
 from kcr_platform import decode_runner
 from kcr_platform import log_store
 from kcr_platform import settings
+from kcr_platform import settings_file
 from kcr_runtime import store
 from kcr_scheduler.work import codec
 
@@ -164,7 +165,7 @@
         '[Listen]\n[platform]\nAddr = "127.0.0.1:1"\n'
         '[Zones]\nz1 = "r1"\nz2 = "r2"\n'
     )
-    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    monkeypatch.setenv(settings_file.PATH_VARIABLE, str(path))
     options = settings.scheduler_options(settings.read())
     assert options['zone_regions'] == ['z1=r1', 'z2=r2']
     assert options['region'] == 'r1'
--- a/tests/platform/test_odd_input.py
+++ b/tests/platform/test_odd_input.py
@@ -31,6 +31,7 @@
 from kcr_platform import front
 from kcr_platform import log_store
 from kcr_platform import settings
+from kcr_platform import settings_file
 from kcr_runtime import metrics
 from kcr_runtime import seeds
 from kcr_runtime.wire import codec as wire_codec
@@ -404,7 +405,7 @@
     """Guard against a reload that ends the process."""
     path = tmp_path / 'settings.toml'
     path.write_bytes(text)
-    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    monkeypatch.setenv(settings_file.PATH_VARIABLE, str(path))
     with pytest.raises(settings.BadSettings):
         settings.read()
 
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from kcr_platform import settings
+from kcr_platform import settings_file
 
 TEXT = """
 NodeName = "n"
@@ -32,6 +33,6 @@
     """Guard against a factor that is read and not handed on."""
     path = tmp_path / 'settings.toml'
     path.write_text(TEXT.format(bounds=bounds), encoding='utf-8')
-    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    monkeypatch.setenv(settings_file.PATH_VARIABLE, str(path))
     options = settings.scheduler_options(settings.read())
     assert options['remote_factor'] == factor
