--- a/packages/daemon/src/kcr_daemon/main.py
+++ b/packages/daemon/src/kcr_daemon/main.py
@@ -5,6 +5,7 @@
 not use, so that a process stays within its memory limit.
 """
 
+import gc
 import importlib
 import os
 import signal
@@ -21,10 +22,15 @@
 # functions. Of the 64 MB that a daemon may use, pyOpenSSL takes 12 MB, rich
 # 3 MB, and libssl and libcrypto (`ssl`, `_hashlib`) 4.7 MB.
 UNUSED_LIBRARIES = ('OpenSSL', 'rich', 'ssl', '_ssl', '_hashlib')
+# Variable and value with which pydantic looks for no plugins; it would read
+# the metadata of every installed distribution.
+PLUGINS_VARIABLE = 'PYDANTIC_DISABLE_PLUGINS'
+NO_PLUGINS = '__all__'
 
 
 def disable_unused_libraries() -> None:
-    """Prevent the import of optional libraries that are not used."""
+    """Prevent the import of optional libraries and plugins not used."""
+    os.environ.setdefault(PLUGINS_VARIABLE, NO_PLUGINS)
     for name in UNUSED_LIBRARIES:
         assert name not in sys.modules, f'{name} is already imported'
         sys.modules[name] = typing.cast(typing.Any, None)
@@ -41,6 +47,15 @@
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
 
 
+def defer_garbage_collection() -> None:
+    """Collect no garbage until the process runs.
+
+    Imports create many objects and hardly any garbage; collecting between
+    them takes a tenth of their processor time. `Process.run` enables it.
+    """
+    gc.disable()
+
+
 def main() -> None:
     """Run the role named by the first argument."""
     handle_early_signals()
@@ -50,6 +65,7 @@
         print(f'{USAGE}\nunknown role: {name}', file=sys.stderr)
         raise SystemExit(USAGE_EXIT)
     disable_unused_libraries()
+    defer_garbage_collection()
     importlib.import_module(MODULES[args[0]])
     launch = importlib.import_module('kcr_daemon.launch')
     raise SystemExit(launch.run(args[0], args[1:]))
