--- a/packages/emulator/src/kcr_emulator/harness.py
+++ b/packages/emulator/src/kcr_emulator/harness.py
@@ -139,6 +139,8 @@
     memory_mb: float = 60_000.0
     # Seed of every random choice.
     seed: int = 1
+    # Further flags of each entry.
+    entry_flags: tuple[str, ...] = ()
 
 
 class Deployment:
@@ -287,7 +289,7 @@
         command += self._entry_ports(self.entries[name])
         for port in others:
             command += ['--peers', f'{LOOPBACK}:{port}']
-        return command
+        return [*command, *self.shape.entry_flags]
 
     def _entry_ports(self, ports: EntryPorts) -> list[str]:
         return [
--- a/tests/entry/test_task_routes.py
+++ b/tests/entry/test_task_routes.py
@@ -155,3 +155,26 @@
     assert shown == part
     cls = submissions.GetTask if method == 'GET' else submissions.CancelTask
     assert front.queries == [cls('c/t')]
+
+
+@pytest.mark.parametrize(
+    ('value', 'error'),
+    [
+        ({str(n): 0 for n in range(101)}, 'object of 101 fields'),
+        (
+            {**BODY, 'demand': {str(n): 0 for n in range(200)}},
+            'object of 200 fields',
+        ),
+        ({'id': 't', 'x': [[]] * 9}, 'x: Extra inputs are not permitted'),
+        ([], 'Input should be a valid dictionary'),
+    ],
+)
+def test_wrong_body_is_described_in_part(
+    value: typing.Any, error: str
+) -> None:
+    """Guard against bodies whose errors fill the memory."""
+    front = Front(None)
+    status, answer = front.call('POST', '/v1/tasks', value)
+    assert (status, error in answer['error']) == (400, True), answer
+    assert front.queries == []
+    assert len(answer['error']) < 1000
