Handle pipelined requests of a connection in turns

What callers see: answers come late while other connections send requests without waiting for their responses. Cause: one read of such a connection was handled to its end, up to 900 small requests; only a response of more than 16 KiB that was not yet read bounded it, to some 125. Change: after 32 requests a connection waits for its next turn. A listener gives one turn each time before the reactor asks the others; nothing is dropped, and a wait for a turn does not count for a timeout. The decision is in caller_budget, without a new message or setting. Evidence: with the decision switched off, three new tests fail (160 requests instead of 32 in one turn).

--- a/packages/core/src/kcr_core/caller_budget.py
+++ b/packages/core/src/kcr_core/caller_budget.py
@@ -45,6 +45,9 @@
 # Bytes on the wire of a body, as a multiple of the limit of the body: a chunk
 # of one byte takes six. Longer chunk extensions are refused.
 FRAMING_FACTOR = 8
+# Requests of one connection that are handled before others get their turn. A
+# read of 16 KiB has up to 900 small requests, which take 100 ms.
+TURN_REQUESTS = 32
 
 
 class Phase(enum.IntEnum):
@@ -62,6 +65,8 @@
     UNREAD = 4
     # The caller, who has to close the refused connection.
     REFUSED = 5
+    # Its turn, as it has used up the one before; requests are received.
+    TURN = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,6 +125,8 @@
     held: int = 0
     # Time at which the phase ends.
     until: float = math.inf
+    # Requests that were handled in this turn.
+    served: int = 0
 
 
 class Budget:
@@ -135,6 +142,10 @@
         self._accounts: collections.OrderedDict[Account, None] = (
             collections.OrderedDict()
         )
+        # Connections that wait for a turn, the longest wait first.
+        self._waiting: collections.OrderedDict[Account, None] = (
+            collections.OrderedDict()
+        )
         # End and size of each handled request without a connection.
         self._abandoned: collections.deque[tuple[float, int]] = (
             collections.deque()
@@ -151,6 +162,7 @@
             Phase.HANDLED: math.inf,
             Phase.UNREAD: limits.idle_s,
             Phase.REFUSED: LINGER_S,
+            Phase.TURN: math.inf,
         }
 
     def open(self, account: Account, now: float) -> None:
@@ -163,6 +175,8 @@
         if account not in self._accounts:
             return
         self._accounts.move_to_end(account)
+        # A read is a turn, as the others were asked before it.
+        account.served = 0
         if account.phase is Phase.IDLE:
             self.enter(account, Phase.HEAD, now)
         elif account.phase is Phase.BODY:
@@ -212,6 +226,7 @@
 
     def finish(self, account: Account, count: int, now: float) -> None:
         """Note the end of a handled request; `count` bytes are left."""
+        account.served += 1
         if account in self._accounts and account.phase is Phase.HANDLED:
             self.hold(account, 0)
             self.enter(account, Phase.HEAD if count else Phase.IDLE, now)
@@ -227,12 +242,31 @@
         if account not in self._accounts:
             return
         del self._accounts[account]
+        self._waiting.pop(account, None)
         if account.phase is Phase.HANDLED and account.held:
             self._abandoned.append((now + ABANDONED_S, account.held))
         else:
             self.total -= account.held
         account.held = 0
 
+    def end_turn(self, account: Account, now: float) -> bool:
+        """Return whether a connection has to wait for its next turn."""
+        if account.served < TURN_REQUESTS or account not in self._accounts:
+            return False
+        self.enter(account, Phase.TURN, now)
+        self._waiting[account] = None
+        return True
+
+    def begin_turn(self, now: float) -> Account | None:
+        """Begin the turn of the connection that has waited longest."""
+        while self._waiting:
+            account, _ = self._waiting.popitem(last=False)
+            if account.phase is Phase.TURN:
+                account.served = 0
+                self.enter(account, Phase.HEAD, now)
+                return account
+        return None
+
     def find_expired(self, now: float) -> list[Account]:
         """Return the connections whose time is up."""
         while self._abandoned and self._abandoned[0][0] <= now:
@@ -241,6 +275,11 @@
             self.handled -= count
         return [a for a in self._accounts if a.until <= now]
 
+    @property
+    def waiting(self) -> int:
+        """Return the number of connections that wait for a turn."""
+        return len(self._waiting)
+
     @property
     def busy(self) -> bool:
         """Return whether `find_expired` has to be called again."""
--- a/packages/runtime/src/kcr_runtime/http_channel.py
+++ b/packages/runtime/src/kcr_runtime/http_channel.py
@@ -250,9 +250,29 @@
         self.site.finished(self, self._count_waiting())
         if self._waitingForTransport:
             self._enter_unread()
-        else:
-            self._unread_bytes = 0
+            BASE.requestDone(self, request)
+            return
+        self._unread_bytes = 0
+        waits = self._wait_for_turn()
         BASE.requestDone(self, request)
+        if waits:
+            typing.cast(typing.Any, self.transport).pauseProducing()
+
+    def _wait_for_turn(self) -> bool:
+        """Parse no further requests if the turn is used up."""
+        waiting = self._count_waiting()
+        ended = self._refused or not self.persistent
+        if not waiting or ended or not self.site.end_turn(self):
+            return False
+        self.site.budget.hold(self.account, waiting)
+        self.paused = True
+        return True
+
+    def begin_turn(self) -> None:
+        """Parse the requests that have waited for a turn."""
+        self.paused = False
+        typing.cast(typing.Any, self.transport).resumeProducing()
+        self._replay()
 
     def _enter_unread(self) -> None:
         typing.cast(typing.Any, self.transport).pauseProducing()
@@ -286,7 +306,10 @@
             phase = caller_budget.Phase
             self.site.enter(self, phase.HEAD if waiting else phase.IDLE)
             self.site.budget.hold(self.account, waiting)
-            self._replay()
+            if self._wait_for_turn():
+                typing.cast(typing.Any, self.transport).pauseProducing()
+            else:
+                self._replay()
 
     def setLineMode(self, extra: bytes = b'') -> None:  # noqa: N802
         """Parse what was received while a request was handled."""
--- a/packages/runtime/src/kcr_runtime/http_server.py
+++ b/packages/runtime/src/kcr_runtime/http_server.py
@@ -62,6 +62,8 @@
         self._channels: dict[caller_budget.Account, http_channel.Channel] = {}
         self._port: typing.Any = None
         self._sweeping = False
+        # Whether the next turn of a waiting connection is scheduled.
+        self._turning = False
         # Connections closed by reason since the last log line, and its time.
         self._counts: collections.Counter[str] = collections.Counter()
         self._logged_at = -LOG_INTERVAL_S
@@ -103,6 +105,7 @@
             'max_connections': self.budget.bounds.connections,
             'bytes': self.budget.total,
             'max_bytes': self.budget.bounds.total_bytes,
+            'waiting_for_turn': self.budget.waiting,
         }
 
     # Events of the connections.
@@ -143,6 +146,13 @@
         """Note the end of a handled request."""
         self.budget.finish(channel.account, count, self._now())
 
+    def end_turn(self, channel: http_channel.Channel) -> bool:
+        """Return whether a connection has to wait for its next turn."""
+        if not self.budget.end_turn(channel.account, self._now()):
+            return False
+        self._schedule_turn()
+        return True
+
     def refused(self, channel: http_channel.Channel, reason: str) -> None:
         """Note a refusal."""
         self.enter(channel, caller_budget.Phase.REFUSED)
@@ -160,6 +170,19 @@
     def _now(self) -> float:
         return float(self._ctx.reactor.seconds())
 
+    def _schedule_turn(self) -> None:
+        if self.budget.waiting and not self._turning:
+            self._turning = True
+            self._ctx.reactor.callLater(0, self._begin_turn)
+
+    def _begin_turn(self) -> None:
+        # One turn each time, as the reactor then asks the other connections.
+        self._turning = False
+        account = self.budget.begin_turn(self._now())
+        if account is not None:
+            self._channels[account].begin_turn()
+        self._schedule_turn()
+
     def _evict(self, reason: str) -> None:
         for account in self.budget.find_excess():
             self._channels[account].evict(reason)
--- a/tests/core/test_caller_budget.py
+++ b/tests/core/test_caller_budget.py
@@ -99,6 +99,26 @@
     assert budget.find_expired(105.0) == accounts
 
 
+def test_wait_for_a_turn_is_not_held_against_the_caller() -> None:
+    """Guard against closing a caller whose requests wait for others."""
+    budget, accounts = make(3)
+    for account in accounts[:2]:
+        for _ in range(caller_budget.TURN_REQUESTS):
+            assert not budget.end_turn(account, 5.0)
+            budget.handle(account, 100, 5.0)
+            budget.finish(account, 50, 5.0)
+        assert budget.end_turn(account, 5.0)
+    assert budget.find_expired(1e9) == [accounts[2]]
+    assert [budget.begin_turn(1e9)] == accounts[:1]
+    assert not budget.end_turn(accounts[0], 1e9)
+    budget.enter(accounts[1], PHASES.REFUSED, 1e9)
+    assert budget.begin_turn(1e9) is None
+    # A read begins a turn too.
+    accounts[0].served = caller_budget.TURN_REQUESTS
+    budget.receive(accounts[0], 1, 1e9)
+    assert not budget.end_turn(accounts[0], 1e9)
+
+
 def test_bounds_of_an_instance() -> None:
     """Guard against bounds above those of the machine."""
     bounds = caller_budget.derive_bounds(200.0, 4100, 3 / 8)
--- a/tests/runtime/test_http_server.py
+++ b/tests/runtime/test_http_server.py
@@ -5,8 +5,10 @@
 import typing
 
 import pytest
+from twisted.internet import error
 from twisted.internet import task as twisted_task
 from twisted.internet import testing
+from twisted.python import failure
 from twisted.web import resource
 
 from kcr_core import caller_budget
@@ -85,6 +87,14 @@
         channel.makeConnection(transport)
         return channel, transport
 
+    def iterate(self) -> None:
+        """Run what is due, but not what that schedules, as a reactor does."""
+        calls: typing.Any = self.clock.getDelayedCalls()
+        for call in [c for c in calls if c.getTime() <= self.clock.seconds()]:
+            func, args = call.func, call.args
+            call.cancel()
+            func(*args)
+
 
 @pytest.mark.parametrize(
     ('data', 'status'),
@@ -177,3 +187,51 @@
     channel, transport = opened[1]
     channel.dataReceived(b'x\r\n0\r\n\r\n')
     assert b'200 OK' in transport.text()
+
+
+def test_pipelined_requests_are_handled_in_turns() -> None:
+    """Guard against one connection that holds up the others."""
+    world = World()
+    request = HEAD + b'Content-Length: 1\r\n\r\nx'
+    count = 5 * caller_budget.TURN_REQUESTS
+    opened = [world.connect() for _ in range(3)]
+    for number, (channel, _) in enumerate(opened, 1):
+        channel.dataReceived(request * count)
+        assert len(world.page.served) == number * caller_budget.TURN_REQUESTS
+    assert {transport.producerState for _, transport in opened} == {'paused'}
+    # Another caller is not behind those that wait for a turn.
+    channel, transport = world.connect()
+    channel.dataReceived(request)
+    assert b'200 OK' in transport.text()
+    # One connection has its turn each time, and each in its order.
+    answers = []
+    for _ in range(3):
+        served = len(world.page.served)
+        world.iterate()
+        assert len(world.page.served) == served + caller_budget.TURN_REQUESTS
+        answers.append([t.text().count(b'200 OK') for _, t in opened])
+    turn = caller_budget.TURN_REQUESTS
+    assert answers == [
+        [2 * turn, turn, turn],
+        [2 * turn, 2 * turn, turn],
+        [2 * turn] * 3,
+    ]
+    world.clock.advance(0)
+    for _, transport in opened:
+        assert transport.text().count(b'200 OK') == count
+        assert transport.producerState == 'producing'
+    assert world.server.budget.total == 0
+
+
+def test_turn_of_a_lost_connection_is_skipped() -> None:
+    """Guard against a turn that a closed connection keeps from others."""
+    world = World()
+    request = HEAD + b'Content-Length: 1\r\n\r\nx'
+    turn = caller_budget.TURN_REQUESTS
+    opened = [world.connect() for _ in range(2)]
+    for channel, _ in opened:
+        channel.dataReceived(request * 2 * turn)
+    opened[0][0].connectionLost(failure.Failure(error.ConnectionDone()))
+    world.iterate()
+    assert opened[1][1].text().count(b'200 OK') == 2 * turn
+    assert len(world.page.served) == 3 * turn
