Hold the ports of a deployment, look up connections in their thread

Cause 1: the harness chose free ports, closed them and started the processes; another run or an outgoing connection took one in between. Change: a socket is bound to each port while the deployment lasts, which doesn't listen, so that only a process with SO_REUSEADDR can use it. The ports are outside of the range of outgoing connections. Cause 2: is_connected walked the readers of the reactor in the thread of the test. Change: it asks in the thread of the reactor.

--- a/packages/emulator/src/kcr_emulator/harness.py
+++ b/packages/emulator/src/kcr_emulator/harness.py
@@ -9,6 +9,7 @@
 import dataclasses
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -27,15 +28,57 @@
 RACK_SIZE = 3
 
 
-def choose_ports(count: int) -> list[int]:
-    """Return free TCP ports on the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((LOOPBACK, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
+# Ports that are tried: below those of outgoing connections, which Linux takes
+# from the range in this file, or above them if there is little room below.
+LOWEST_PORT = 10_000
+HIGHEST_PORT = 65_535
+OUTGOING_PORTS = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+
+
+def list_ports(outgoing: str) -> range:
+    """Return the ports to choose from, given those of connections."""
+    low, high = map(int, outgoing.split())
+    below = range(LOWEST_PORT, low)
+    above = range(high + 1, HIGHEST_PORT + 1)
+    return max(below, above, key=len)
+
+
+class HeldPorts:
+    """Hold free TCP ports of the loopback address until they are released.
+
+    A socket is bound to each port, so that no other run and no connection
+    takes it. A process that sets SO_REUSEADDR, as servers do, can listen on
+    it, again after a restart too, as the socket that holds it doesn't listen.
+    """
+
+    def __init__(self, count: int) -> None:
+        # Ports that are held.
+        self.numbers: list[int] = []
+        self._sockets: list[socket.socket] = []
+        ports = list(list_ports(OUTGOING_PORTS.read_text()))
+        random.SystemRandom().shuffle(ports)
+        for port in ports:
+            if len(self.numbers) == count:
+                return
+            self._try(port)
+        self.release()
+        raise OSError(f'fewer than {count} ports are free')
+
+    def _try(self, port: int) -> None:
+        sock = socket.socket()
+        try:
+            # Without SO_REUSEADDR, it fails if anybody has bound the port.
+            sock.bind((LOOPBACK, port))
+        except OSError:
+            sock.close()
+            return
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.numbers.append(port)
+        self._sockets.append(sock)
+
+    def release(self) -> None:
+        """Let others take the ports."""
+        for sock in self._sockets:
             sock.close()
 
 
@@ -153,7 +196,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='kcr-'))
         # Processes by name.
         self.processes: dict[str, Managed] = {}
-        ports = choose_ports(3 + 2 * shape.entries + 2 * shape.instances)
+        self._held = HeldPorts(3 + 2 * shape.entries + 2 * shape.instances)
+        ports = list(self._held.numbers)
         # Port of the emulated log.
         self.log_port = ports.pop()
         # Ports of the entry that serves the trial environment.
@@ -180,6 +224,7 @@
     ) -> None:
         for process in self.processes.values():
             process.kill()
+        self._held.release()
 
     def start(self) -> None:
         """Start every process, the emulated platform first."""
--- a/tests/platform/test_store_reads.py
+++ b/tests/platform/test_store_reads.py
@@ -60,11 +60,18 @@
     """Return whether the reactor has a connection to an address."""
     reactor: typing.Any = twisted_reactor
     port = int(address.rpartition(':')[2])
-    return any(
-        getattr(reader, 'addr', ('', 0))[1] == port
-        for reader in reactor.getReaders()
-        if isinstance(reader, tcp.Client)
-    )
+
+    def is_found() -> bool:
+        return any(
+            getattr(reader, 'addr', ('', 0))[1] == port
+            for reader in reactor.getReaders()
+            if isinstance(reader, tcp.Client)
+        )
+
+    # Only the reactor's thread may walk the readers: it changes them.
+    found = run(lambda: defer.maybeDeferred(is_found))
+    assert isinstance(found, bool), found
+    return found
 
 
 def make_client(address: str) -> log_store.LogStore:
--- a/tests/processes/test_entry_crowd.py
+++ b/tests/processes/test_entry_crowd.py
@@ -39,8 +39,8 @@
     listener: str, path: str, patterns: list[str]
 ) -> None:
     """Guard against an entry that callers fill up, or that stops to serve."""
-    port = harness.choose_ports(1)[0]
-    metrics = f'{harness.LOOPBACK}:{port}'
+    held = harness.HeldPorts(1)
+    metrics = f'{harness.LOOPBACK}:{held.numbers[0]}'
     shape = harness.Shape(
         entries=1, instances=1, entry_flags=(*LIMITS, '--metrics', metrics)
     )
@@ -69,3 +69,4 @@
         world.wait_ready()
         assert world.ask(0, 'after')['outcome'] == 'done'
         assert faults == []
+    held.release()
