Retry once on credit after a refusal by a full endpoint

Cause: a burst goes to the endpoint with the lowest measured latency, which may have become slow; each of its refusals spent a token, although it had cost no work. Change: the first retry of a request after a full endpoint spends its token only if it is refused too; at most 100 are on credit at once. With 300 open requests and 192 connections it can still meet full endpoints only, which was not seen.

--- a/packages/core/src/kcr_core/request_state.py
+++ b/packages/core/src/kcr_core/request_state.py
@@ -10,6 +10,7 @@
 import enum
 
 from kcr_core import outcomes
+from kcr_core import slots
 
 
 class AttemptState(enum.Enum):
@@ -29,6 +30,8 @@
 
     # Instances of the earlier attempts.
     avoid: frozenset[str]
+    # Whether it spends of the retry budget only if it is refused too.
+    on_credit: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +62,8 @@
     answered: str = ''
     # Reason given by the last attempt that ended.
     reason: str = 'no attempt was made'
+    # Whether a retry on credit was requested; there is one at most.
+    had_credit: bool = False
     # Outcome; none until it is decided.
     outcome: outcomes.Outcome | None = None
 
@@ -144,9 +149,21 @@
         may_repeat = self.idempotent or state is AttemptState.REFUSED
         exhausted = len(self.attempts) >= self.max_attempts
         if may_repeat and not exhausted and now < self.deadline:
-            return Retry(frozenset(self.instances.values()))
+            on_credit = state is AttemptState.REFUSED and self._take_credit()
+            return Retry(frozenset(self.instances.values()), on_credit)
         return self._give_up()
 
+    def _take_credit(self) -> bool:
+        """Return whether the last attempt was the first at a full endpoint.
+
+        It cost no work, and others may have room: the refusals of one burst
+        at a slow endpoint would use up the retry budget.
+        """
+        if self.reason != slots.FULL or self.had_credit:
+            return False
+        self.had_credit = True
+        return True
+
     def _give_up(self) -> Step:
         states = self.attempts.values()
         if all(state is AttemptState.REFUSED for state in states):
--- a/packages/core/src/kcr_core/retry_budget.py
+++ b/packages/core/src/kcr_core/retry_budget.py
@@ -1,9 +1,12 @@
 """Limit retries and hedges to a share of the requests of an entry.
 
 The entry's task of requests deposits a share of a token for each request and
-spends a token for each retry or hedge. Only the entry retries, so that retries
-of several layers do not multiply. The delay of a hedge is computed from the
-configured delay and a quantile of recent latencies.
+spends a token for each retry or hedge. The first retry after a refusal by a
+full endpoint spends it only if it is refused too, so that a burst at one slow
+endpoint can go to others, and an overload of all is still bounded. Only the
+entry retries, so that retries of several layers do not multiply. The delay of
+a hedge is computed from the configured delay and a quantile of recent
+latencies.
 """
 
 import bisect
@@ -14,6 +17,8 @@
 # Initial tokens, so that an entry with few requests can retry its first
 # failures.
 INITIAL_TOKENS = 10.0
+# Maximum number of retries on credit at the same time.
+MAX_CREDITS = 100
 # Number of recent latencies from which a quantile is computed.
 MAX_LATENCIES = 512
 # Minimum number of latencies for a quantile.
@@ -34,6 +39,8 @@
         self.spent = 0
         # Number of retries and hedges that were declined.
         self.declined = 0
+        # Attempts on credit, whose token is spent if they are refused.
+        self._credits: set[str] = set()
 
     def deposit(self) -> None:
         """Count a new request."""
@@ -51,6 +58,27 @@
         assert self.spent <= limit + 1e-6, 'retry budget is exceeded'
         return True
 
+    def can_lend(self) -> bool:
+        """Return whether a retry may be made on credit."""
+        return self.tokens >= 1.0 and len(self._credits) < MAX_CREDITS
+
+    def lend(self, attempt: str) -> None:
+        """Record an attempt on credit."""
+        self._credits.add(attempt)
+
+    def settle(self, attempt: str, refused: bool) -> None:
+        """End the credit of an attempt, if it has one.
+
+        Refused attempts may exceed the tokens; no retry is allowed until the
+        deposits of later requests have made up for it.
+        """
+        if attempt not in self._credits:
+            return
+        self._credits.remove(attempt)
+        if refused:
+            self.tokens -= 1.0
+            self.spent += 1
+
     def refund(self) -> None:
         """Return the token of an attempt that was not sent."""
         assert self.spent > 0, 'refund without a spent token'
--- a/packages/core/src/kcr_core/slots.py
+++ b/packages/core/src/kcr_core/slots.py
@@ -12,6 +12,9 @@
 # Ended attempts that are kept, so that a repeated message does not run them
 # again.
 MAX_ENDED = 4096
+# Reason of a refusal for lack of connections; an entry then sends the request
+# to another endpoint.
+FULL = 'endpoint is full'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,7 +118,7 @@
         if self.used() < self.slots and not self.waiting:
             return self._run(attempt)
         if self.used() + len(self.waiting) >= self.connections:
-            return self._refuse(attempt, 'endpoint is full')
+            return self._refuse(attempt, FULL)
         wait_s = service_s * (len(self.waiting) + 1) / max(1, self.slots)
         if now + wait_s + service_s > deadline:
             return self._refuse(attempt, 'deadline cannot be met')
--- a/packages/emulator/src/kcr_emulator/bench_loop.py
+++ b/packages/emulator/src/kcr_emulator/bench_loop.py
@@ -320,6 +320,7 @@
             return
         self._release(active, attempt, dispatch.infer_result(msg))
         if isinstance(msg, messages.Refused):
+            self._budget.settle(attempt, refused=True)
             now = self._loop.now
             self._apply(key, active.state.refused(attempt, msg.reason, now))
         else:
@@ -346,6 +347,10 @@
             return
         if not isinstance(step, request_state.Retry):
             self._finish(key, step)
+        elif step.on_credit and self._budget.can_lend():
+            attempt = self._attempt(key, step.avoid)
+            if key in self._active:
+                self._budget.lend(attempt)
         elif self._budget.spend():
             self._attempt(key, step.avoid)
         else:
@@ -356,6 +361,7 @@
         active = self._active.pop(key)
         for attempt in active.state.attempts:
             self._by_attempt.pop(attempt, None)
+            self._budget.settle(attempt, refused=False)
             self._dispatcher.withdraw(attempt)
             self._release(active, attempt, 'none')
         kind = infer_kind(outcome)
--- a/packages/entry/src/kcr_entry/work/requests.py
+++ b/packages/entry/src/kcr_entry/work/requests.py
@@ -247,6 +247,7 @@
         self._release(active, msg.attempt, dispatch.infer_result(msg))
         key, state = active.submit.key, active.state
         if isinstance(msg, messages.Refused):
+            self._budget.settle(msg.attempt, refused=True)
             self._apply(
                 key, state.refused(msg.attempt, msg.reason, self.now())
             )
@@ -341,6 +342,11 @@
             return
         if not isinstance(step, request_state.Retry):
             self._finish(key, step)
+        elif step.on_credit and self._budget.can_lend():
+            self.ctx.metrics.count('retry')
+            attempt = self._attempt(key, step.avoid)
+            if key in self._active:
+                self._budget.lend(attempt)
         elif self._budget.spend():
             self.ctx.metrics.count('retry')
             self._attempt(key, step.avoid)
@@ -398,6 +404,7 @@
         for attempt in list(active.state.attempts):
             self._by_attempt.pop(attempt, None)
             self._hedges.discard(attempt)
+            self._budget.settle(attempt, refused=False)
         # An unknown outcome is stored only for a non-idempotent request that
         # this entry sent. If the claim was lost, the entry that holds it
         # stores the outcome.
--- a/tests/core/test_retry_budget.py
+++ b/tests/core/test_retry_budget.py
@@ -42,6 +42,37 @@
     assert burst <= retry_budget.MAX_TOKENS
 
 
+def test_refused_retries_on_credit_are_paid_by_later_requests() -> None:
+    """Guard against retries that multiply the load during overload."""
+    budget = retry_budget.RetryBudget(0.1)
+    retries = 0
+    for number in range(10_000):
+        budget.deposit()
+        if budget.can_lend():
+            budget.lend(str(number))
+            retries += 1
+        # Refusals arrive late, up to 50 requests after the retry.
+        if number % 50 == 0:
+            for earlier in range(number - 50, number + 1):
+                budget.settle(str(earlier), refused=True)
+    burst = retry_budget.INITIAL_TOKENS + retry_budget.MAX_CREDITS
+    assert retries <= 0.1 * 10_000 + burst
+
+
+def test_retry_that_finds_room_is_not_paid() -> None:
+    """Guard against a burst at one endpoint that uses up the budget."""
+    budget = retry_budget.RetryBudget(0.1)
+    for number in range(retry_budget.MAX_CREDITS):
+        assert budget.can_lend()
+        budget.lend(str(number))
+    assert not budget.can_lend()
+    for number in range(retry_budget.MAX_CREDITS):
+        budget.settle(str(number), refused=False)
+        budget.settle(str(number), refused=True)
+    assert budget.can_lend()
+    assert budget.tokens == retry_budget.INITIAL_TOKENS
+
+
 def test_quantile_follows_recent_latencies() -> None:
     """Guard against a hedge delay from outdated latencies."""
     latencies = retry_budget.Latencies()
--- a/tests/entry/test_request_repeats.py
+++ b/tests/entry/test_request_repeats.py
@@ -9,6 +9,7 @@
 from kcr_core import message_base
 from kcr_core import messages
 from kcr_core import outcomes
+from kcr_core import retry_budget
 from kcr_core import types
 from kcr_entry import addresses
 from kcr_entry.fleet import membership
@@ -136,6 +137,33 @@
     assert 300 < handled <= 300 + 30 + 10
 
 
+def test_burst_at_a_full_endpoint_is_sent_to_others() -> None:
+    """Guard against a burst of refusals that uses up the retry budget."""
+    harness = Harness(retry_budget=0.1, max_attempts=3)
+    for number in range(60):
+        harness.submit(number)
+    dispatches = harness.membership_fake.list_dispatches
+    first = [item.msg.attempt for item in dispatches()]
+    for attempt in first:
+        harness.report_dispatched(attempt)
+        harness.refuse(attempt)
+    second = [item.msg.attempt for item in dispatches()[60:]]
+    assert len(second) == 60
+    for attempt in second:
+        harness.report_dispatched(attempt)
+        msg = messages.Executed(attempt, 200, 0, b'')
+        harness.post(session.Received('session', HELLO, msg))
+    values = [
+        m.value
+        for m in harness.front_end.received
+        if isinstance(m, query.Reply)
+    ]
+    assert values == [outcomes.Done(200, b'')] * 60
+    # The tokens of the first 60 requests are still there.
+    tokens = harness.owner.dump()['retry_budget']['tokens']
+    assert tokens == retry_budget.INITIAL_TOKENS + 6.0
+
+
 @pytest.mark.parametrize('placed', [False, True])
 def test_deadline_is_not_run_only_for_an_unsent_attempt(placed: bool) -> None:
     """Guard against "unknown" for a request that was never sent."""
