Start the fault soak without a path to tests/support

Cause: http_calls had moved to tests/support with the crowd, and `make faults` starts tests/platform/fault_soak.py without that path.

--- a/tests/support/caller_crowd.py
+++ b/tests/support/caller_crowd.py
@@ -15,9 +15,10 @@
 import stat
 import time
 
-import http_calls
 from kcr_core import registry
 
+# Host header, which the routes of the platform's tests match.
+HOST = 'jobs.example'
 # Connections of a crowd.
 CROWD = 60
 # Bytes that a connection sends at most, and at once.
@@ -39,7 +40,7 @@
 
 
 def _head(method: str, path: str, *lines: str) -> bytes:
-    host = f'Host: {http_calls.HOST}'
+    host = f'Host: {HOST}'
     return '\r\n'.join([f'{method} {path} HTTP/1.1', host, *lines]).encode()
 
 
