Count a job as begun only once a runner has begun a task of it

Callers saw Pending of 0 and the state running while ten jobs waited: after a crash of the runners, or when starts were refused or withdrawn.

Cause: a job counted as begun from its first recorded start, which is recorded before it is ordered and may never reach the runner.

A job now counts as begun once a report lists a run of it, or shows an end of one. No field or kind of record is new; an earlier build takes the row for the end of an older attempt and ignores it.

--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -208,9 +208,9 @@
         self._state.immediate.append(effects.Reply(ref, 'known', state))
 
     def count_pending(self, ref: typing.Any, queue: str) -> None:
-        """Reply with the number of jobs of a queue that have not started."""
+        """Reply with the number of jobs of a queue that have not begun."""
         number = sum(
-            not job.started and not job.spec.repeat
+            not job.begun and not job.spec.repeat
             for job in self._state.open_jobs.values()
             if job.spec.queue.name == queue
         )
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -160,6 +160,20 @@
         self.pending_records.append(rec)
         self.table.apply(rec)
 
+    def record_begun(self, name: str, attempt: int) -> None:
+        """Record once for each open job that a runner has begun a task.
+
+        It is durable, so that a new owner shows no older state than this one.
+        """
+        task = self.table.find_task(name)
+        if task is None or not 0 < attempt <= task.attempt:
+            return
+        if task.job.is_open() and not task.job.begun:
+            self.append(job_table.record_begun(task))
+            self.log_event(
+                'job begun', job=task.job.spec.job_id, task=name, run=attempt
+            )
+
     def append_ends(self, rows: list[records.EndedRow]) -> None:
         """Record ends and release what the runs reserved."""
         if not rows:
@@ -193,7 +207,7 @@
         self.append_ends(
             [
                 records.EndedRow(
-                    task.name, task.attempt, 'lost', task.checkpoint
+                    task.name, task.attempt, job_table.LOST, task.checkpoint
                 )
                 for task in lost
             ]
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -25,6 +25,11 @@
 QUEUED = 'queued'
 RUNNING = 'running'
 
+# Values of records.EndedRow.how: no runner has reported the end, and the job
+# has begun.
+LOST = 'lost'
+BEGUN = 'begun'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RackWait:
@@ -142,8 +147,9 @@
     unfinished: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
     )
-    # Whether any task has been started.
-    started: bool = False
+    # Whether a runner has begun any task: a report has listed its run or its
+    # end. A recorded start alone may never have reached the runner.
+    begun: bool = False
     # Whether the records of its end are durable, so that callers may see
     # the end. Not durable itself.
     finalized: bool = False
@@ -181,7 +187,7 @@
             return FAILED
         if self.is_completed():
             return COMPLETED
-        return RUNNING if self.started else QUEUED
+        return RUNNING if self.begun else QUEUED
 
     def is_completed(self) -> bool:
         """Return whether every task of every occurrence is done."""
@@ -305,12 +311,15 @@
             row.node,
             row.life,
         )
-        task.job.started = True
 
     def _end(self, row: records.EndedRow) -> None:
         task = self._find_or_make(row.task)
         if task is None:
             return
+        if row.how != LOST:
+            task.job.begun = True
+        if row.how == BEGUN:
+            return
         if row.attempt >= task.attempt:
             task.attempt = row.attempt
             task.instance = task.incarnation = ''
@@ -338,7 +347,10 @@
 
     def _restate(self, rec: records.Restated) -> None:
         self.early_cancels.pop(rec.spec.job_id, None)
+        known = self.jobs.get(rec.spec.job_id)
         job = Job(rec.spec, rec.at_ms, rec.cancelled, rec.failed)
+        # The record that the job has begun may follow in a later batch.
+        job.begun = known is not None and known.begun
         self.jobs[rec.spec.job_id] = job
         if not rec.spec.repeat:
             job.make_occurrence()
@@ -349,7 +361,8 @@
             task.attempt, task.failures = row.attempt, row.failures
             task.instance, task.incarnation = row.node, row.life
             task.checkpoint = row.saved
-            job.started = True
+            if row.done or row.failures or row.saved:
+                job.begun = True
             if row.done:
                 _finish(task)
 
@@ -389,6 +402,11 @@
     )  # fmt: skip
 
 
+def record_begun(task: Task) -> records.Ended:
+    """Return the record that a runner has begun a task of a job."""
+    return records.Ended((records.EndedRow(task.name, 0, BEGUN, ''),))
+
+
 def fold(batch: abc.Iterable[records.Record], into: JobTable) -> None:
     """Apply records to a job table in their order."""
     for rec in batch:
--- a/packages/jobs/src/kcr_jobs/records.py
+++ b/packages/jobs/src/kcr_jobs/records.py
@@ -85,14 +85,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedRow:
-    """Describe how an attempt ended."""
+    """Describe how an attempt ended, or that its job has begun.
+
+    Outcome `begun` with attempt 0 is no end. Readers of an earlier build
+    ignore such a row, as it is older than any attempt.
+    """
 
     # Name of the task.
     task: str
     # Number of the attempt.
     attempt: types.Count
     # Outcome as in types.ReportedEnd, or `lost` where the runner doesn't list
-    # it or its lease has expired.
+    # it or its lease has expired, or `begun`.
     how: str
     # Checkpoint to resume from; empty for none.
     saved: str
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -205,6 +205,7 @@
             runner.recorded_end = end.number
             task = runner.tasks.get(end.task) or self._find_waiting_task(end)
             if task is None or end.attempt != task.attempt:
+                self._state.record_begun(end.task, end.attempt)
                 self._state.log_event(
                     'end of older attempt', task=end.task, run=end.attempt
                 )
@@ -312,8 +313,11 @@
         for run in listed:
             task = runner.tasks.get(run.task)
             if task is None or task.attempt != run.attempt:
+                self._state.record_begun(run.task, run.attempt)
                 unknown.append(run)
                 continue
+            if not task.job.begun:
+                self._state.record_begun(run.task, run.attempt)
             self._state.durations.advance(task, now)
             task.listed = True
             task.percent, task.usage = run.percent, run.usage
--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -96,6 +96,9 @@
             job = table.jobs.get(job_id)
             if job is not None:
                 chosen.append(job_table.restate(job))
+                if job.begun and job.is_open():
+                    task = next(iter(job.tasks.values()))
+                    chosen.append(job_table.record_begun(task))
                 rows += 1 + len(job.tasks)
             elif job_id in table.early_cancels:
                 chosen.append(records.Cancelled(job_id))
--- a/tests/jobs/test_snapshots.py
+++ b/tests/jobs/test_snapshots.py
@@ -23,9 +23,11 @@
         super().__init__(*runners)
 
     def flush(self) -> None:
-        """Append the pending records; count them as growth."""
+        """Append the pending records; count what is appended as growth."""
         before = len(self.log)
-        self.ctl.snapshots.record_growth(1000 * len(self.ctl.pending_records))
+        if self.store_available:
+            size = 1000 * len(self.ctl.pending_records)
+            self.ctl.snapshots.record_growth(size)
         for index, rec in enumerate(self.ctl.pending_records):
             if isinstance(rec, records.SnapshotBegun):
                 self.begun[rec.number] = before + index
