Keep records and calls within the limits of the store

Seen: a job of 10,000 tasks with checkpoints, 20,000 occurrences, or a plan of 20,000 starts makes a record of more than MaxRecordBytes. The store refuses it with 400, the append is repeated for ever, and callers get no answers, as the owner keeps the ownership and makes no progress.

Cause: batches were split between records only, at 200,000 bytes; a record was never split, the limits of a call were not read, and a refusal with 400 was taken for a passing one.

A job of more than 1,000 tasks is restated in several records over several ticks. The first has payload and steps, the others tasks and no steps, with the fields that exist.

--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -8,6 +8,7 @@
 
 from collections import abc
 import dataclasses
+import itertools
 
 from kcr_jobs import records
 from kcr_jobs import types
@@ -227,9 +228,7 @@
         """
         if not self.finalized or any(t.instance for t in self.tasks.values()):
             return False
-        self.spec = dataclasses.replace(
-            self.spec, payload='', steps=(), repeat=0
-        )
+        self.spec = strip_spec(self.spec)
         self.tasks.clear()
         self.unfinished.clear()
         return True
@@ -347,13 +346,21 @@
 
     def _restate(self, rec: records.Restated) -> None:
         self.early_cancels.pop(rec.spec.job_id, None)
-        known = self.jobs.get(rec.spec.job_id)
-        job = Job(rec.spec, rec.at_ms, rec.cancelled, rec.failed)
-        # The record that the job has begun may follow in a later batch.
-        job.begun = known is not None and known.begun
-        self.jobs[rec.spec.job_id] = job
-        if not rec.spec.repeat:
-            job.make_occurrence()
+        job = self.jobs.get(rec.spec.job_id)
+        if job is not None and job.accepted_ms != rec.at_ms:
+            # The id was used again after the owner had forgotten the job.
+            job = None
+        if rec.tasks and not rec.spec.steps:
+            if job is None:
+                # The store has dropped the part with the steps; a later
+                # snapshot contains the whole job.
+                return
+        elif job is None or job.spec != rec.spec:
+            job = self.jobs[rec.spec.job_id] = Job(rec.spec, rec.at_ms)
+            if not rec.spec.repeat:
+                job.make_occurrence()
+        # What is known of other tasks stays, as they may be in other parts.
+        job.cancelled, job.failed = rec.cancelled, rec.failed
         for row in rec.tasks:
             task = self._find_or_make(row.task)
             if task is None:
@@ -384,10 +391,22 @@
             job.unfinished[key] -= 1
 
 
-def restate(job: Job) -> records.Restated:
-    """Return the record that contains the whole state of a job."""
+def strip_spec(spec: types.JobSpec) -> types.JobSpec:
+    """Return the specification of a job without its payload and steps."""
+    return dataclasses.replace(spec, payload='', steps=(), repeat=0)
+
+
+def restate(
+    job: Job, first: int = 0, count: int | None = None
+) -> records.Restated:
+    """Return the record that contains the state of a job.
+
+    It has the rows of `count` tasks from the task with index `first` on; all
+    by default. Only the record with the first task has payload and steps.
+    """
+    last = None if count is None else first + count
     return records.Restated(
-        job.spec,
+        strip_spec(job.spec) if first else job.spec,
         job.accepted_ms,
         job.cancelled,
         job.failed,
@@ -396,7 +415,7 @@
                 task.name, task.attempt, task.failures, task.done,
                 task.instance, task.incarnation, task.checkpoint,
             )
-            for task in job.tasks.values()
+            for task in itertools.islice(job.tasks.values(), first, last)
             if task.attempt
         ),
     )  # fmt: skip
--- a/packages/jobs/src/kcr_jobs/records.py
+++ b/packages/jobs/src/kcr_jobs/records.py
@@ -161,7 +161,12 @@
 @record('restated')
 @dataclasses.dataclass(frozen=True, slots=True)
 class Restated:
-    """Record the whole state of a job before its records are trimmed."""
+    """Record the state of a job before its records are trimmed.
+
+    A large job is restated in several records. The first one has the payload
+    and the steps. Those that follow have tasks and no steps, and are ignored
+    where the job is unknown.
+    """
 
     # The job as submitted.
     spec: types.JobSpec
@@ -169,7 +174,7 @@
     at_ms: types.Count
     cancelled: bool
     failed: bool
-    # Tasks that have been started.
+    # Tasks that have been started; only those of this part.
     tasks: tuple[TaskRow, ...]
 
 
--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -25,6 +25,8 @@
 # which a snapshot of any size ends.
 MIN_ROWS_PER_STEP = 200
 MAX_STEPS = 500
+# Tasks up to which a job is restated in one record.
+MAX_ROWS_PER_RECORD = 1000
 
 
 class Snapshots:
@@ -40,9 +42,9 @@
         # Bytes from the start to the end of the last snapshot.
         self._last_bytes = 0
         self._begun_at = now
-        # Ids of the jobs that the snapshot under way has still to restate;
-        # none between snapshots.
-        self._remaining: collections.deque[str] | None = None
+        # Ids of the jobs that the snapshot under way has still to restate,
+        # with the index of the first task; none between snapshots.
+        self._remaining: collections.deque[tuple[str, int]] | None = None
         self._rows_per_step = MIN_ROWS_PER_STEP
 
     def record_growth(self, size: int) -> None:
@@ -76,7 +78,7 @@
         self.number += 1
         self._begun_at, self._own_bytes = now, 0
         self._remaining = collections.deque(
-            (*table.jobs, *table.early_cancels)
+            (job_id, 0) for job_id in (*table.jobs, *table.early_cancels)
         )
         rows = sum(1 + len(job.tasks) for job in table.jobs.values())
         rows += len(table.early_cancels)
@@ -87,19 +89,27 @@
         return begun
 
     def _continue(
-        self, table: job_table.JobTable, remaining: collections.deque[str]
+        self,
+        table: job_table.JobTable,
+        remaining: collections.deque[tuple[str, int]],
     ) -> abc.Sequence[records.Record]:
         chosen: list[records.Record] = []
         rows = 0
         while remaining and rows < self._rows_per_step:
-            job_id = remaining.popleft()
+            job_id, first = remaining.popleft()
             job = table.jobs.get(job_id)
             if job is not None:
-                chosen.append(job_table.restate(job))
-                if job.begun and job.is_open():
+                if not job.tasks:
+                    # Its tasks were dropped after the first part.
+                    first = 0
+                count = max(MAX_ROWS_PER_RECORD, self._rows_per_step - rows)
+                chosen.append(job_table.restate(job, first, count))
+                if job.begun and job.is_open() and not first:
                     task = next(iter(job.tasks.values()))
                     chosen.append(job_table.record_begun(task))
-                rows += 1 + len(job.tasks)
+                rows += 1 + min(count, len(job.tasks) - first)
+                if first + count < len(job.tasks):
+                    remaining.appendleft((job_id, first + count))
             elif job_id in table.early_cancels:
                 chosen.append(records.Cancelled(job_id))
                 rows += 1
--- a/packages/runtime/src/kcr_runtime/store.py
+++ b/packages/runtime/src/kcr_runtime/store.py
@@ -41,6 +41,9 @@
     """Represent a call that appended and read nothing."""
 
     reason: str
+    # Whether the store refuses the call itself, so that it is useless to
+    # repeat it.
+    invalid: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -22,6 +22,12 @@
     store_address: settings.Address = pydantic.Field(
         description='address of the store'
     )
+    max_record_bytes: int = pydantic.Field(
+        262_144, description='largest record that the store takes', ge=4096
+    )
+    max_call_bytes: int = pydantic.Field(
+        2_097_152, description='largest append that the store takes', ge=8192
+    )
     advice: str = pydantic.Field('none', description='kind of adviser')
     advice_address: str = pydantic.Field(
         '', description='address of the adviser; empty for none'
--- a/packages/scheduler/src/kcr_scheduler/work/codec.py
+++ b/packages/scheduler/src/kcr_scheduler/work/codec.py
@@ -29,8 +29,8 @@
 # Negative number of bits of the window: no header and no checksum, as the
 # store keeps neither damaged nor partial records.
 WINDOW_BITS = -15
-# Largest decoded batch, in bytes; the largest that is written has 200,000
-# bytes before compression, or one record of a job.
+# Largest decoded batch, in bytes; job_log.MAX_PLAIN_BYTES bounds what is
+# written.
 MAX_DECODED_BYTES = 16 * 1024 * 1024
 # Frequent parts of batches, the most frequent last.
 DICTIONARY = (
@@ -102,11 +102,21 @@
 
 def encode(batch_id: str, batch: list[records.Record]) -> bytes:
     """Encode a batch under an id that its writer chose."""
+    return compress(dump(batch_id, batch))
+
+
+def dump(batch_id: str, batch: list[records.Record]) -> bytes:
+    """Return a batch before compression."""
     items = [[records.TAGS[type(r)], codec.to_plain(r)] for r in batch]
+    return cbor2.dumps([batch_id, items])
+
+
+def compress(plain: bytes) -> bytes:
+    """Return what is stored of a batch."""
     packer = zlib.compressobj(
         LEVEL, zlib.DEFLATED, WINDOW_BITS, zdict=DICTIONARY
     )
-    data = packer.compress(cbor2.dumps([batch_id, items])) + packer.flush()
+    data = packer.compress(plain) + packer.flush()
     return bytes((VERSION,)) + data
 
 
--- a/packages/scheduler/src/kcr_scheduler/work/job_log.py
+++ b/packages/scheduler/src/kcr_scheduler/work/job_log.py
@@ -16,6 +16,7 @@
 from twisted.internet import task as twisted_task
 
 from kcr_jobs import job_table
+from kcr_jobs import record_parts
 from kcr_jobs import records
 from kcr_runtime import link_rate
 from kcr_runtime import store
@@ -27,8 +28,15 @@
 # after a restart; the claim in the log decides.
 CLAIM_TOPIC = 'keyed.owner'
 CLAIM_KEY = 'jobs'
-# Largest encoded batch, in bytes; the store takes records of 256 KiB.
+# Largest encoded batch, in bytes, and largest batch before compression. Larger
+# ones are split; a single record that can't be split may have as many bytes as
+# the store takes.
 MAX_BATCH_BYTES = 200_000
+MAX_PLAIN_BYTES = 4 * 1024 * 1024
+# Bytes that a call has in addition for each record.
+RECORD_HEAD_BYTES = 4
+# Tries of an append that the store refuses as invalid.
+INVALID_TRIES = 3
 # Bounds of the timeout of one try of an append, in seconds.
 MIN_TIMEOUT_S = 0.15
 MAX_TIMEOUT_S = 2.0
@@ -48,6 +56,10 @@
     """Report that another process has appended to the partition."""
 
 
+class Invalid(Exception):
+    """Report records that the store does not take."""
+
+
 class Unreachable(Exception):
     """Report that the store does not answer."""
 
@@ -83,6 +95,13 @@
         # must not take a late append of its former ownership for a new one.
         self._writer = f'{ctx.incarnation}:{ctx.rng.getrandbits(32):08x}'
         self._batches = 0
+        # Limits of the store, in bytes.
+        self._max_call_bytes: int = ctx.cfg.max_call_bytes
+        self._max_record_bytes = min(
+            ctx.cfg.max_record_bytes, self._max_call_bytes - RECORD_HEAD_BYTES
+        )
+        # Consecutive tries that the store has refused as invalid.
+        self._invalid_tries = 0
         self._records_read = 0
         self._closed = False
         # One read of the log at a time; a second one would apply a page twice.
@@ -147,9 +166,11 @@
     async def append(self, batch: abc.Sequence[records.Record]) -> int:
         """Make records durable; return the offset of the first.
 
-        Raise Deposed if another process has written or the log was closed. A
-        batch that the link does not carry at once is sent in several appends,
-        smaller ones after an append that was not answered in time.
+        Raise Deposed if another process has written or the log was closed,
+        and Invalid if the store does not take the records, however often they
+        are sent; some of them may be durable then. A batch that the link does
+        not carry at once is sent in several appends, smaller ones after an
+        append that was not answered in time.
         """
         start = self.end
         items = self._encode(batch)
@@ -182,6 +203,7 @@
         if self._closed:
             raise Deposed('ownership has ended')
         if isinstance(got, store.Appended):
+            self._invalid_tries = 0
             self._record_latency(self._now() - sent_at, size)
             return len(group)
         if isinstance(got, store.Conflict):
@@ -191,6 +213,10 @@
             return count
         if isinstance(got, store.Rejected):
             self._log.warning('append refused', reason=got.reason)
+            if got.invalid:
+                self._invalid_tries += 1
+                if self._invalid_tries >= INVALID_TRIES:
+                    raise self._make_invalid(got.reason, size)
             await _pause(self._ctx, REFUSED_RETRY_S)
             return 0
         self._ctx.metrics.count('append_unanswered')
@@ -204,12 +230,22 @@
         self._uplink.record(size, self._now() - sent_at)
         return 0
 
+    def _make_invalid(self, reason: str, size: int) -> Invalid:
+        self._ctx.metrics.count('append_invalid')
+        self._log.error(
+            'append invalid',
+            reason=reason,
+            size=size,
+            max_record_bytes=self._max_record_bytes,
+        )
+        return Invalid(f'{reason}, {size} bytes')
+
     def _choose_group(self, items: abc.Sequence[bytes]) -> list[bytes]:
         """Return the items of the next append, at least one."""
-        limit = self._uplink.infer_transfer_bytes()
+        limit = min(self._uplink.infer_transfer_bytes(), self._max_call_bytes)
         group: list[bytes] = []
         for item in items:
-            limit -= len(item)
+            limit -= len(item) + RECORD_HEAD_BYTES
             if group and limit < 0:
                 break
             group.append(item)
@@ -260,15 +296,20 @@
         first_id = f'{self._writer}:{self._batches}'
         items: list[bytes] = []
         parts = [list(batch)]
+        limit = min(MAX_BATCH_BYTES, self._max_record_bytes)
         while parts:
             part = parts.pop()
             name = first_id if not items else f'{first_id}+{len(items)}'
-            data = codec.encode(name, part)
-            if len(data) > MAX_BATCH_BYTES and len(part) > 1:
-                half = len(part) // 2
-                parts += [part[half:], part[:half]]
-            else:
+            plain = codec.dump(name, part)
+            data = codec.compress(plain)
+            if len(data) <= limit and len(plain) <= MAX_PLAIN_BYTES:
+                items.append(data)
+            elif pieces := _split(part):
+                parts += reversed(pieces)
+            elif len(data) <= self._max_record_bytes:
                 items.append(data)
+            else:
+                raise self._make_invalid('record is too large', len(data))
         return items
 
     def _append_timeout_s(self, size: int, factor: float) -> float:
@@ -301,5 +342,13 @@
         return 0
 
 
+def _split(part: list[records.Record]) -> list[list[records.Record]]:
+    """Return the parts of a batch; none if it can't be split."""
+    if len(part) == 1:
+        return [[rec] for rec in record_parts.split(part[0])]
+    half = len(part) // 2
+    return [part[:half], part[half:]]
+
+
 async def _pause(ctx: task.Context, delay_s: float) -> None:
     await twisted_task.deferLater(ctx.reactor, delay_s)
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -27,6 +27,7 @@
 from kcr_scheduler.work import job_log
 from kcr_scheduler.work import operator_rules
 from kcr_scheduler.work import ownership
+from kcr_scheduler.work import record_limits
 
 # Time between ticks of the controller, in seconds.
 TICK_INTERVAL_S = 0.05
@@ -196,7 +197,9 @@
             )  # fmt: skip
             await jobs.append([rec])
             jobs.table.apply(rec)
-        except (job_log.Deposed, job_log.Unreachable) as exc:
+        except (
+            job_log.Deposed, job_log.Invalid, job_log.Unreachable,
+        ) as exc:  # fmt: skip
             if term == self._term and self._running:
                 await self._read_newest_claim(jobs, str(exc))
                 self._ownership.ended()
@@ -339,6 +342,15 @@
         msg: messages.JobCall,
     ) -> None:
         assert msg.spec is not None
+        size = record_limits.find_excess(
+            msg.spec, self.ctx.cfg.max_record_bytes
+        )
+        if size and msg.spec.job_id not in ctl.table.jobs:
+            ctl.refuse(
+                ref, msg.spec.job_id, 'job is too large for the store',
+                size=size,
+            )  # fmt: skip
+            return
         since = self._append_since
         if since is not None and self.now() - since >= REFUSE_JOBS_AFTER_S:
             if msg.spec.job_id not in ctl.table.jobs:
@@ -458,9 +470,13 @@
         size = jobs.size
         try:
             start = await jobs.append(batch)
-        except job_log.Deposed as exc:
+        except (job_log.Deposed, job_log.Invalid) as exc:
             if term == self._term and self._running:
-                self.log.warning('deposed', reason=str(exc))
+                # After invalid records, the next owner starts from what the
+                # log contains, without the decisions in them.
+                deposed = isinstance(exc, job_log.Deposed)
+                event = 'deposed' if deposed else 'ownership given up'
+                self.log.warning(event, reason=str(exc))
                 self._ownership.ended()
             return
         if term != self._term or not self._running:
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -35,3 +35,18 @@
     monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
     options = settings.scheduler_options(settings.read())
     assert options['remote_factor'] == factor
+
+
+def test_limits_of_the_store_reach_the_scheduler(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guard against appends that a store with other limits refuses."""
+    path = tmp_path / 'settings.toml'
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    text = TEXT.format(bounds='')
+    found = []
+    for extra in ('', 'MaxRecordBytes = 20000\nMaxCallBytes = 50000\n'):
+        path.write_text(text + extra, encoding='utf-8')
+        options = settings.scheduler_options(settings.read())
+        found.append((options['max_record_bytes'], options['max_call_bytes']))
+    assert found == [(262_144, 2_097_152), (20_000, 50_000)]
