--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -47,10 +47,13 @@
         self._remaining: collections.deque[tuple[str, int]] | None = None
         self._rows_per_step = MIN_ROWS_PER_STEP
 
-    def record_growth(self, size: int) -> None:
-        """Count the bytes of an append."""
+    def record_growth(self, size: int, ended: bool = False) -> None:
+        """Count the bytes of an append; `ended` if it ended a snapshot."""
         self.growth_bytes += size
         self._own_bytes += size
+        if ended:
+            # Its last records are part of what the snapshot took.
+            self._last_bytes = self._own_bytes
 
     def is_due(self, now: float) -> bool:
         """Return whether the next snapshot starts."""
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -483,7 +483,10 @@
             return
         self._append_since = None
         if self.controller is not None:
-            self.controller.snapshots.record_growth(jobs.size - size)
+            self.controller.snapshots.record_growth(
+                jobs.size - size,
+                any(isinstance(rec, records.SnapshotEnded) for rec in batch),
+            )
         for rec in batch:
             if isinstance(rec, records.SnapshotBegun):
                 self._snapshot_offsets = {rec.number: start}
--- a/tests/scheduler/test_record_limits.py
+++ b/tests/scheduler/test_record_limits.py
@@ -226,3 +226,14 @@
     (reply,) = harness.recorders[addresses.CALLS].pop_all(messages.JobReply)
     assert reply.outcome == 'refused'
     assert limited.refused == 0
+
+
+def test_large_snapshot_does_not_cause_the_next() -> None:
+    """Guard against snapshots without end of a job with a large record."""
+    harness, limited = make_harness()
+    made = make_owner(harness)
+    assert made.controller is not None
+    made.controller.append(records.Accepted(make_wide_spec(180), 1))
+    made._flush()
+    harness.advance(10.0)
+    assert made.controller.snapshots.number <= 2
