--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -16,6 +16,7 @@
 from kcr_jobs import job_table
 from kcr_jobs import runner_reports
 from kcr_jobs import runners
+from kcr_jobs import snapshots
 from kcr_jobs import starts
 
 # Time without a reported end after which a stop is ordered again, in seconds.
@@ -37,6 +38,7 @@
         log_bytes: int = 0,
         remote_factor: float = 1.0,
         overload: controller_state.Overload = controller_state.Overload(),
+        keep_s: float = snapshots.KEEP_S,
     ) -> None:
         super().__init__(table, epoch, lease_s, now, remote_factor, overload)
         requests = caller_requests.CallerRequests(self)
@@ -58,7 +60,7 @@
         self.record_advice = self._starts.record_advice
         self.describe_advice = self._starts.describe_advice
         self.find_session = self._starts.find_session
-        self._ends = job_ends.JobEnds(self, log_bytes, now)
+        self._ends = job_ends.JobEnds(self, log_bytes, now, keep_s)
         self.finalize = self._ends.finalize
         self.snapshots = self._ends.snapshots
         self._take_over(now)
--- a/packages/jobs/src/kcr_jobs/job_ends.py
+++ b/packages/jobs/src/kcr_jobs/job_ends.py
@@ -19,7 +19,11 @@
     """Keep ended jobs and restate all jobs."""
 
     def __init__(
-        self, state: controller_state.State, log_bytes: int, now: float
+        self,
+        state: controller_state.State,
+        log_bytes: int,
+        now: float,
+        keep_s: float,
     ) -> None:
         self._state = state
         # Ended jobs in the order of their end, and those of them whose tasks
@@ -29,7 +33,7 @@
         )
         self._uncompacted: dict[str, job_table.Job] = {}
         # Restates the jobs; `log_bytes` is what this owner had to read.
-        self.snapshots = snapshots.Snapshots(log_bytes, now)
+        self.snapshots = snapshots.Snapshots(log_bytes, now, keep_s)
 
     def finalize(self, job_id: str, now: float) -> None:
         """Make the end of a job, whose records are durable, visible."""
--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -18,13 +18,20 @@
 # snapshot took. 128 KiB take half a second at 2 Mbit/s.
 MIN_GROWTH_BYTES = 128 * 1024
 GROWTH_FACTOR = 3
-# Longest time between the starts of two snapshots, in seconds; the platform
-# keeps records for 300 s.
-SNAPSHOT_INTERVAL_S = 100.0
+# Time for which the store keeps records by default, in seconds.
+KEEP_S = 300.0
+# Longest time between the starts of two snapshots, and time from a takeover to
+# the first one, as shares of the time for which records are kept. A snapshot
+# must end while the records of the last one are kept, also if the owner
+# changes in between; the first one is early as ownerships may be short.
+INTERVAL_SHARE = 1 / 3
+FIRST_SHARE = 1 / 30
 # Rows of tasks that one step of a snapshot restates at least, and steps in
-# which a snapshot of any size ends.
+# which a snapshot of any size ends; fewer where records are kept for a shorter
+# time.
 MIN_ROWS_PER_STEP = 200
 MAX_STEPS = 500
+MIN_STEPS = 10
 # Tasks up to which a job is restated in one record.
 MAX_ROWS_PER_RECORD = 1000
 
@@ -32,7 +39,9 @@
 class Snapshots:
     """Choose the records that restate the jobs, a few at each tick."""
 
-    def __init__(self, growth_bytes: int, now: float) -> None:
+    def __init__(
+        self, growth_bytes: int, now: float, keep_s: float = KEEP_S
+    ) -> None:
         # Bytes of the log since the start of the last complete snapshot.
         self.growth_bytes = growth_bytes
         # Number of the last snapshot of this ownership.
@@ -41,7 +50,11 @@
         self._own_bytes = 0
         # Bytes from the start to the end of the last snapshot.
         self._last_bytes = 0
-        self._begun_at = now
+        self._interval_s = keep_s * INTERVAL_SHARE
+        # Time from which the next snapshot is due, whatever the growth.
+        self._due_at = now + keep_s * FIRST_SHARE
+        steps = int(MAX_STEPS * keep_s / KEEP_S)
+        self._max_steps = min(MAX_STEPS, max(MIN_STEPS, steps))
         # Ids of the jobs that the snapshot under way has still to restate,
         # with the index of the first task; none between snapshots.
         self._remaining: collections.deque[tuple[str, int]] | None = None
@@ -60,10 +73,7 @@
         if self._remaining is not None:
             return False
         limit = max(MIN_GROWTH_BYTES, GROWTH_FACTOR * self._last_bytes)
-        return (
-            self.growth_bytes >= limit
-            or now - self._begun_at >= SNAPSHOT_INTERVAL_S
-        )
+        return self.growth_bytes >= limit or now >= self._due_at
 
     def choose_records(
         self, table: job_table.JobTable, now: float
@@ -79,13 +89,13 @@
         self, table: job_table.JobTable, now: float
     ) -> abc.Sequence[records.Record]:
         self.number += 1
-        self._begun_at, self._own_bytes = now, 0
+        self._due_at, self._own_bytes = now + self._interval_s, 0
         self._remaining = collections.deque(
             (job_id, 0) for job_id in (*table.jobs, *table.early_cancels)
         )
         rows = sum(1 + len(job.tasks) for job in table.jobs.values())
         rows += len(table.early_cancels)
-        self._rows_per_step = max(MIN_ROWS_PER_STEP, rows // MAX_STEPS)
+        self._rows_per_step = max(MIN_ROWS_PER_STEP, rows // self._max_steps)
         begun: list[records.Record] = [records.SnapshotBegun(self.number)]
         if table.claim is not None:
             begun.append(table.claim)
--- a/packages/scheduler/src/kcr_scheduler/settings.py
+++ b/packages/scheduler/src/kcr_scheduler/settings.py
@@ -28,6 +28,12 @@
     max_call_bytes: int = pydantic.Field(
         2_097_152, description='largest append that the store takes', ge=8192
     )
+    keep_s: float = pydantic.Field(
+        300.0,
+        description='time for which the store keeps records, in seconds',
+        gt=0,
+        allow_inf_nan=False,
+    )
     advice: str = pydantic.Field('none', description='kind of adviser')
     advice_address: str = pydantic.Field(
         '', description='address of the adviser; empty for none'
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -228,7 +228,7 @@
         self.controller = controller.Controller(
             self._jobs.table, epoch, self.ctx.cfg.lease_s, self.now(),
             self._jobs.size, self.ctx.cfg.remote_factor,
-            self._make_overload(),
+            self._make_overload(), self.ctx.cfg.keep_s,
         )  # fmt: skip
         self._rules.apply(self.controller)
         self.log.info(
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -45,8 +45,10 @@
     monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
     text = TEXT.format(bounds='')
     found = []
-    for extra in ('', 'MaxRecordBytes = 20000\nMaxCallBytes = 50000\n'):
+    names = ('max_record_bytes', 'max_call_bytes', 'keep_s')
+    changed = 'MaxRecordBytes = 20000\nMaxCallBytes = 50000\nkeep_s = 30\n'
+    for extra in ('', changed):
         path.write_text(text + extra, encoding='utf-8')
         options = settings.scheduler_options(settings.read())
-        found.append((options['max_record_bytes'], options['max_call_bytes']))
-    assert found == [(262_144, 2_097_152), (20_000, 50_000)]
+        found.append([options[name] for name in names])
+    assert found == [[262_144, 2_097_152, 300.0], [20_000, 50_000, 30.0]]
--- a/tests/scheduler/scheduler_harness.py
+++ b/tests/scheduler/scheduler_harness.py
@@ -29,6 +29,7 @@
     memory_mb = 300.0
     max_record_bytes = 262_144
     max_call_bytes = 2_097_152
+    keep_s = 300.0
     lease_s = 6.0
     cold_overrun, cold_slack = 1.5, 5.0
     zone_regions: tuple[str, ...] = ()
