Keep the logs of a play of the fault soak that fails

Cause: only 'make faults' named a folder to keep them in; the tests did not. A play that raised an error kept nothing in either case, and a second play of a seed replaced the logs of the first.

Each play that fails, or raises, now copies its logs to a new folder in target/soak, which the assertion or the error names. The summary of a run prints the message of listed tests that failed, as pytest shows none for them. What the soak checks is unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -31,6 +31,11 @@
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter,
 ) -> None:
-    """Print the tests whose failure does not count."""
+    """Print the tests whose failure does not count, and what failed."""
     for name in read_known_red():
         terminalreporter.write_line(f'known red, passed over: {name}')
+    for report in terminalreporter.stats.get('xfailed', []):
+        crash = getattr(report.longrepr, 'reprcrash', None)
+        # The message names the folder with the logs of a fault soak.
+        text = crash.message if crash else report.longreprtext
+        terminalreporter.write_line(f'failed: {report.nodeid}: {text[:2000]}')
--- a/tests/platform/fault_soak.py
+++ b/tests/platform/fault_soak.py
@@ -41,6 +41,8 @@
 ZONES = ('z1', 'z2')
 # Jobs that are submitted once no runner of the evacuated zone may get a start.
 LATE_JOBS = tuple(f'{number:016x}' for number in range(0xE0, 0xE4))
+# Folder for the logs of plays that failed; git ignores it.
+KEEP_FOLDER = pathlib.Path(__file__).parents[2] / 'target' / 'soak'
 # Log events that a process without an internal error does not write.
 FAILED_EVENTS = ('task failed', 'supervisor gives up', 'cannot go on')
 
@@ -59,6 +61,8 @@
     faults: dict[str, int]
     # Number of tasks that runners started.
     starts: int
+    # Folder with the logs of the processes; empty if the seed held.
+    kept: str = ''
 
 
 class Soak:
@@ -227,20 +231,37 @@
     keep: pathlib.Path | None = None,
 ) -> Result:
     """Run one seed in a temporary folder; keep its logs if it failed."""
+    keep = keep or KEEP_FOLDER
     with tempfile.TemporaryDirectory(prefix=f'soak-{seed}-') as name:
         folder = pathlib.Path(name)
-        soak = Soak(seed, folder, schedulers, agents)
-        result = soak.run(duration_s)
-        if result.wrong and keep is not None:
-            target = keep / f'seed-{seed}'
-            target.mkdir(parents=True, exist_ok=True)
-            for path in folder.glob('*.log'):
-                (target / path.name).write_bytes(path.read_bytes())
-            report = json.dumps(dataclasses.asdict(result), indent=1)
-            (target / 'result.json').write_text(report)
+        try:
+            result = Soak(seed, folder, schedulers, agents).run(duration_s)
+        except BaseException as exc:
+            exc.add_note(f'logs are kept in {_keep_logs(folder, keep, seed)}')
+            raise
+        if not result.wrong:
+            return result
+        kept = _keep_logs(folder, keep, seed)
+    result = dataclasses.replace(result, kept=str(kept))
+    report = json.dumps(dataclasses.asdict(result), indent=1)
+    (kept / 'result.json').write_text(report)
     return result
 
 
+def _keep_logs(
+    folder: pathlib.Path, keep: pathlib.Path, seed: int
+) -> pathlib.Path:
+    """Copy the logs of a play into a new folder; return it."""
+    keep.mkdir(parents=True, exist_ok=True)
+    began = time.strftime('%Y%m%dT%H%M%S')
+    target = pathlib.Path(
+        tempfile.mkdtemp(prefix=f'seed-{seed}-{began}-', dir=keep)
+    )
+    for path in folder.glob('*.log'):
+        (target / path.name).write_bytes(path.read_bytes())
+    return target
+
+
 def run(
     *,
     seed: int = 1,
@@ -248,7 +269,7 @@
     duration_s: float = 15.0,
     schedulers: int = 3,
     agents: int = 4,
-    keep: pathlib.Path = pathlib.Path('target/soak'),
+    keep: pathlib.Path = KEEP_FOLDER,
 ) -> None:
     """Run seeds one after the other; exit with status 1 if one failed.
 
@@ -275,6 +296,8 @@
         )
         for line in result.wrong[:10]:
             print(f'    {line}', flush=True)
+        if result.kept:
+            print(f'    logs: {result.kept}', flush=True)
     print(f'{seeds} seeds, {failed} failed', flush=True)
     sys.exit(bool(failed))
 
--- a/tests/platform/test_fault_soak.py
+++ b/tests/platform/test_fault_soak.py
@@ -16,7 +16,7 @@
 def test_short_soak_holds() -> None:
     """Guard against violated guarantees under overlapping faults."""
     result = fault_soak.run_seed(1, duration_s=DURATION_S)
-    assert result.wrong == ()
+    assert result.wrong == (), f'logs are kept in {result.kept}'
     assert result.starts > 0
 
 
@@ -24,4 +24,4 @@
 def test_seed_that_failed_holds(seed: int) -> None:
     """Guard against the cause that failed_seeds.yaml gives for the seed."""
     result = fault_soak.run_seed(seed, duration_s=DURATION_S)
-    assert result.wrong == ()
+    assert result.wrong == (), f'logs are kept in {result.kept}'
