Enforce the limits of the store in the fake of the platform's store

The tests with real processes would not have shown a record or a call that is too large: the fake took any size. It now answers 400 above 262,144 bytes for a record or 2,097,152 for a call.

--- a/packages/jobs/src/kcr_jobs/job_checks.py
+++ b/packages/jobs/src/kcr_jobs/job_checks.py
@@ -10,9 +10,9 @@
 from kcr_jobs import records
 from kcr_jobs import types
 
-# Maximum number of steps of a job; each takes about 350 bytes in the log,
-# whose records hold up to 256 KiB, and a job that does not fit would block
-# every later append.
+# Maximum number of steps of a job; each takes about 350 bytes before
+# compression in the log, whose records hold 256 KiB by default. A job that
+# does not fit into one is refused.
 MAX_STEPS = 256
 # Maximum number of tasks of a job over all its steps; each takes about 510
 # bytes in memory.
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -30,6 +30,9 @@
 TASK_CPU = 500
 # Shortest and longest delay of an order that is carried out late, in seconds.
 LATE_DELAY_S = (2.0, 5.0)
+# Limits of one record and of one call of the store, in bytes.
+MAX_RECORD_BYTES = 262_144
+MAX_CALL_BYTES = 2_097_152
 # Result for a request that gets no answer; the connection is closed.
 NO_ANSWER: tuple[int, typing.Any] = (0, None)
 
@@ -226,8 +229,13 @@
     ) -> tuple[int, typing.Any]:
         if 'At' in fields and int(fields['At']) != len(partition):
             return 412, {'EndOffset': len(partition)}
+        found = split_records(body)
+        if len(body) > MAX_CALL_BYTES or any(
+            len(data) > MAX_RECORD_BYTES for data in found
+        ):
+            return 400, {}
         offset = len(partition)
-        partition += split_records(body)
+        partition += found
         self.lock.notify_all()
         return 200, {'Offset': offset, 'EndOffset': len(partition)}
 
