--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -8,6 +8,7 @@
 
 from collections import abc
 import dataclasses
+import itertools
 
 from kcr_jobs import records
 from kcr_jobs import types
@@ -25,6 +26,11 @@
 QUEUED = 'queued'
 RUNNING = 'running'
 
+# Values of records.EndedRow.how: no runner has reported the end, and the job
+# has begun.
+LOST = 'lost'
+BEGUN = 'begun'
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RackWait:
@@ -142,8 +148,9 @@
     unfinished: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
     )
-    # Whether any task has been started.
-    started: bool = False
+    # Whether a runner has begun any task: a report has listed its run or its
+    # end. A recorded start alone may never have reached the runner.
+    begun: bool = False
     # Whether the records of its end are durable, so that callers may see
     # the end. Not durable itself.
     finalized: bool = False
@@ -181,7 +188,7 @@
             return FAILED
         if self.is_completed():
             return COMPLETED
-        return RUNNING if self.started else QUEUED
+        return RUNNING if self.begun else QUEUED
 
     def is_completed(self) -> bool:
         """Return whether every task of every occurrence is done."""
@@ -221,9 +228,7 @@
         """
         if not self.finalized or any(t.instance for t in self.tasks.values()):
             return False
-        self.spec = dataclasses.replace(
-            self.spec, payload='', steps=(), repeat=0
-        )
+        self.spec = strip_spec(self.spec)
         self.tasks.clear()
         self.unfinished.clear()
         return True
@@ -311,12 +316,15 @@
             row.node,
             row.life,
         )
-        task.job.started = True
 
     def _end(self, row: records.EndedRow) -> None:
         task = self._find_or_make(row.task)
         if task is None:
             return
+        if row.how != LOST:
+            task.job.begun = True
+        if row.how == BEGUN:
+            return
         if row.attempt >= task.attempt:
             task.attempt = row.attempt
             task.instance = task.incarnation = ''
@@ -344,10 +352,21 @@
 
     def _restate(self, rec: records.Restated) -> None:
         self.early_cancels.pop(rec.spec.job_id, None)
-        job = Job(rec.spec, rec.at_ms, rec.cancelled, rec.failed)
-        self.jobs[rec.spec.job_id] = job
-        if not rec.spec.repeat:
-            job.make_occurrence()
+        job = self.jobs.get(rec.spec.job_id)
+        if job is not None and job.accepted_ms != rec.at_ms:
+            # The id was used again after the owner had forgotten the job.
+            job = None
+        if rec.tasks and not rec.spec.steps:
+            if job is None:
+                # The store has dropped the part with the steps; a later
+                # snapshot contains the whole job.
+                return
+        elif job is None or job.spec != rec.spec:
+            job = self.jobs[rec.spec.job_id] = Job(rec.spec, rec.at_ms)
+            if not rec.spec.repeat:
+                job.make_occurrence()
+        # What is known of other tasks stays, as they may be in other parts.
+        job.cancelled, job.failed = rec.cancelled, rec.failed
         for row in rec.tasks:
             task = self._find_or_make(row.task)
             if task is None:
@@ -355,7 +374,8 @@
             task.attempt, task.failures = row.attempt, row.failures
             task.instance, task.incarnation = row.node, row.life
             task.checkpoint = row.saved
-            job.started = True
+            if row.done or row.failures or row.saved:
+                job.begun = True
             if row.done:
                 _finish(task)
 
@@ -377,10 +397,22 @@
             job.unfinished[key] -= 1
 
 
-def restate(job: Job) -> records.Restated:
-    """Return the record that contains the whole state of a job."""
+def strip_spec(spec: types.JobSpec) -> types.JobSpec:
+    """Return the specification of a job without its payload and steps."""
+    return dataclasses.replace(spec, payload='', steps=(), repeat=0)
+
+
+def restate(
+    job: Job, first: int = 0, count: int | None = None
+) -> records.Restated:
+    """Return the record that contains the state of a job.
+
+    It has the rows of `count` tasks from the task with index `first` on; all
+    by default. Only the record with the first task has payload and steps.
+    """
+    last = None if count is None else first + count
     return records.Restated(
-        job.spec,
+        strip_spec(job.spec) if first else job.spec,
         job.accepted_ms,
         job.cancelled,
         job.failed,
@@ -389,12 +421,17 @@
                 task.name, task.attempt, task.failures, task.done,
                 task.instance, task.incarnation, task.checkpoint,
             )
-            for task in job.tasks.values()
+            for task in itertools.islice(job.tasks.values(), first, last)
             if task.attempt
         ),
     )  # fmt: skip
 
 
+def record_begun(task: Task) -> records.Ended:
+    """Return the record that a runner has begun a task of a job."""
+    return records.Ended((records.EndedRow(task.name, 0, BEGUN, ''),))
+
+
 def fold(batch: abc.Iterable[records.Record], into: JobTable) -> None:
     """Apply records to a job table in their order."""
     for rec in batch:
--- a/packages/jobs/src/kcr_jobs/records.py
+++ b/packages/jobs/src/kcr_jobs/records.py
@@ -85,14 +85,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedRow:
-    """Describe how an attempt ended."""
+    """Describe how an attempt ended, or that its job has begun.
+
+    Outcome `begun` with attempt 0 is no end. Readers of an earlier build
+    ignore such a row, as it is older than any attempt.
+    """
 
     # Name of the task.
     task: str
     # Number of the attempt.
     attempt: types.Count
     # Outcome as in types.ReportedEnd, or `lost` where the runner doesn't list
-    # it or its lease has expired.
+    # it or its lease has expired, or `begun`.
     how: str
     # Checkpoint to resume from; empty for none.
     saved: str
@@ -157,7 +161,12 @@
 @record('restated')
 @dataclasses.dataclass(frozen=True, slots=True)
 class Restated:
-    """Record the whole state of a job before its records are trimmed."""
+    """Record the state of a job before its records are trimmed.
+
+    A large job is restated in several records. The first one has the payload
+    and the steps. Those that follow have tasks and no steps, and are ignored
+    where the job is unknown.
+    """
 
     # The job as submitted.
     spec: types.JobSpec
@@ -165,7 +174,7 @@
     at_ms: types.Count
     cancelled: bool
     failed: bool
-    # Tasks that have been started.
+    # Tasks that have been started; only those of this part.
     tasks: tuple[TaskRow, ...]
 
 
--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -18,19 +18,30 @@
 # snapshot took. 128 KiB take half a second at 2 Mbit/s.
 MIN_GROWTH_BYTES = 128 * 1024
 GROWTH_FACTOR = 3
-# Longest time between the starts of two snapshots, in seconds; the platform
-# keeps records for 300 s.
-SNAPSHOT_INTERVAL_S = 100.0
+# Time for which the store keeps records by default, in seconds.
+KEEP_S = 300.0
+# Longest time between the starts of two snapshots, and time from a takeover to
+# the first one, as shares of the time for which records are kept. A snapshot
+# must end while the records of the last one are kept, also if the owner
+# changes in between; the first one is early as ownerships may be short.
+INTERVAL_SHARE = 1 / 3
+FIRST_SHARE = 1 / 30
 # Rows of tasks that one step of a snapshot restates at least, and steps in
-# which a snapshot of any size ends.
+# which a snapshot of any size ends; fewer where records are kept for a shorter
+# time.
 MIN_ROWS_PER_STEP = 200
 MAX_STEPS = 500
+MIN_STEPS = 10
+# Tasks up to which a job is restated in one record.
+MAX_ROWS_PER_RECORD = 1000
 
 
 class Snapshots:
     """Choose the records that restate the jobs, a few at each tick."""
 
-    def __init__(self, growth_bytes: int, now: float) -> None:
+    def __init__(
+        self, growth_bytes: int, now: float, keep_s: float = KEEP_S
+    ) -> None:
         # Bytes of the log since the start of the last complete snapshot.
         self.growth_bytes = growth_bytes
         # Number of the last snapshot of this ownership.
@@ -39,26 +50,30 @@
         self._own_bytes = 0
         # Bytes from the start to the end of the last snapshot.
         self._last_bytes = 0
-        self._begun_at = now
-        # Ids of the jobs that the snapshot under way has still to restate;
-        # none between snapshots.
-        self._remaining: collections.deque[str] | None = None
+        self._interval_s = keep_s * INTERVAL_SHARE
+        # Time from which the next snapshot is due, whatever the growth.
+        self._due_at = now + keep_s * FIRST_SHARE
+        steps = int(MAX_STEPS * keep_s / KEEP_S)
+        self._max_steps = min(MAX_STEPS, max(MIN_STEPS, steps))
+        # Ids of the jobs that the snapshot under way has still to restate,
+        # with the index of the first task; none between snapshots.
+        self._remaining: collections.deque[tuple[str, int]] | None = None
         self._rows_per_step = MIN_ROWS_PER_STEP
 
-    def record_growth(self, size: int) -> None:
-        """Count the bytes of an append."""
+    def record_growth(self, size: int, ended: bool = False) -> None:
+        """Count the bytes of an append; `ended` if it ended a snapshot."""
         self.growth_bytes += size
         self._own_bytes += size
+        if ended:
+            # Its last records are part of what the snapshot took.
+            self._last_bytes = self._own_bytes
 
     def is_due(self, now: float) -> bool:
         """Return whether the next snapshot starts."""
         if self._remaining is not None:
             return False
         limit = max(MIN_GROWTH_BYTES, GROWTH_FACTOR * self._last_bytes)
-        return (
-            self.growth_bytes >= limit
-            or now - self._begun_at >= SNAPSHOT_INTERVAL_S
-        )
+        return self.growth_bytes >= limit or now >= self._due_at
 
     def choose_records(
         self, table: job_table.JobTable, now: float
@@ -74,29 +89,40 @@
         self, table: job_table.JobTable, now: float
     ) -> abc.Sequence[records.Record]:
         self.number += 1
-        self._begun_at, self._own_bytes = now, 0
+        self._due_at, self._own_bytes = now + self._interval_s, 0
         self._remaining = collections.deque(
-            (*table.jobs, *table.early_cancels)
+            (job_id, 0) for job_id in (*table.jobs, *table.early_cancels)
         )
         rows = sum(1 + len(job.tasks) for job in table.jobs.values())
         rows += len(table.early_cancels)
-        self._rows_per_step = max(MIN_ROWS_PER_STEP, rows // MAX_STEPS)
+        self._rows_per_step = max(MIN_ROWS_PER_STEP, rows // self._max_steps)
         begun: list[records.Record] = [records.SnapshotBegun(self.number)]
         if table.claim is not None:
             begun.append(table.claim)
         return begun
 
     def _continue(
-        self, table: job_table.JobTable, remaining: collections.deque[str]
+        self,
+        table: job_table.JobTable,
+        remaining: collections.deque[tuple[str, int]],
     ) -> abc.Sequence[records.Record]:
         chosen: list[records.Record] = []
         rows = 0
         while remaining and rows < self._rows_per_step:
-            job_id = remaining.popleft()
+            job_id, first = remaining.popleft()
             job = table.jobs.get(job_id)
             if job is not None:
-                chosen.append(job_table.restate(job))
-                rows += 1 + len(job.tasks)
+                if not job.tasks:
+                    # Its tasks were dropped after the first part.
+                    first = 0
+                count = max(MAX_ROWS_PER_RECORD, self._rows_per_step - rows)
+                chosen.append(job_table.restate(job, first, count))
+                if job.begun and job.is_open() and not first:
+                    task = next(iter(job.tasks.values()))
+                    chosen.append(job_table.record_begun(task))
+                rows += 1 + min(count, len(job.tasks) - first)
+                if first + count < len(job.tasks):
+                    remaining.appendleft((job_id, first + count))
             elif job_id in table.early_cancels:
                 chosen.append(records.Cancelled(job_id))
                 rows += 1
