Add faults of orders, channels and cancels to the soak's fakes

The fakes get the attributes for them, tasks take as long as their text says, and the checker records when each run began and ended. The limit of 500 ended runs is not lowered in the fake: the program takes a list as truncated from that number on, so a shorter limit would let the fake break the protocol.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -121,6 +121,12 @@
         # Links by name, such as `store of a1`; a scheduler's is its own name.
         self.links: dict[str, proxy.Link] = {}
         self._ended = threading.Event()
+        # Scheduler that is suspended while callers submit through it; empty
+        # for none. Whether there is no owner, and callers cancel once.
+        # Number of callers that wait for the answer to a cancel.
+        self.held = ''
+        self.ownerless = False
+        self.cancelling = 0
         # Each process has its own loopback address, as the port of the metrics
         # page is the same for all.
         self._hosts = (f'127.0.{os.getpid() % 250}.{n}' for n in range(2, 250))
@@ -268,7 +274,8 @@
         while not self._ended.wait(0.3):
             seq += 1
             for name, runner in self.runners.items():
-                if not runner.unreachable:
+                beats = time.monotonic() >= runner.beats_from
+                if beats and not runner.unreachable:
                     runner.send_heartbeat(self.controls[name], seq)
 
     def call(
--- a/tests/platform/platform_fakes.py
+++ b/tests/platform/platform_fakes.py
@@ -23,13 +23,17 @@
 from urllib import parse
 import urllib.request
 
-# Run time of a task, in seconds.
+# Run time of a task, in seconds, unless its text is a number: then that is its
+# run time, and with `inf` it runs until it is stopped.
 TASK_DURATION_S = 0.3
 # Capacity of a runner and demand of each task, in thousandths of a core.
 RUNNER_CPU = 4000
 TASK_CPU = 500
 # Shortest and longest delay of an order that is carried out late, in seconds.
 LATE_DELAY_S = (2.0, 5.0)
+# Ended runs that a runner lists at most; from the platform's page on running
+# tasks.
+MAX_LISTED_ENDS = 500
 # Result for a request that gets no answer; the connection is closed.
 NO_ANSWER: tuple[int, typing.Any] = (0, None)
 
@@ -278,6 +282,28 @@
     lease_expired: bool = False
 
 
+@dataclasses.dataclass(eq=False)
+class Run:
+    """Represent one run, for the checks after it."""
+
+    task: str
+    # Number of the attempt.
+    attempt: int
+    # Id of the runner.
+    runner: str
+    began_at: float
+    # Time of its end; none while it goes on.
+    ended_at: float | None = None
+
+
+def infer_duration_s(spec: str) -> float:
+    """Return the run time of a task that is started with a text."""
+    try:
+        return float(spec)
+    except ValueError:
+        return TASK_DURATION_S
+
+
 class Runner(FakeServer):
     """Fake a runner whose tasks take a fixed time; report violations."""
 
@@ -291,16 +317,28 @@
         # Rate and offset of the runner's clock.
         self.rate = 1.0
         self.offset_s = 0.0
-        # Share of the orders that are carried out late and not answered.
+        # Share of the orders that are carried out late and not answered; and
+        # whether a new incarnation carries out those of the old one.
         self.late_share = 0.0
+        self.keeps_late_orders = False
+        # Shares of the orders that are not answered: carried out, and not.
+        self.unanswered_share = 0.0
+        self.dropped_share = 0.0
+        # Delay of the calls for lists, in seconds.
+        self.list_delay_s = 0.0
+        # Longest list of ended runs.
+        self.max_listed_ends = MAX_LISTED_ENDS
         self.rng = random.Random(0)
-        # Time until which the runner refuses orders as busy, and the delay of
-        # the first start in that time, which it carries out without an answer;
-        # 0 for none.
+        # Time until which the runner refuses orders as busy, and the delays of
+        # the first start and of the first stop in that time, which it carries
+        # out without an answer; 0 for none.
         self.busy_until = 0.0
         self.late_start_s = 0.0
+        self.late_stop_s = 0.0
         # Whether the runner answers nothing and sends no heartbeats.
         self.unreachable = False
+        # Time before which it sends no heartbeat.
+        self.beats_from = 0.0
         self.start_incarnation()
 
     def start_incarnation(self) -> None:
@@ -309,6 +347,9 @@
             self.drop_connections()
             for task in list(vars(self).get('running', ())):
                 self.checker.running.pop(task, None)
+                self.checker.record_gone(
+                    task, self.runner_id, time.monotonic()
+                )
             self.born_ms = int(time.time() * 1000)
             # Highest fencing token received.
             self.token = 0
@@ -335,29 +376,60 @@
         """Carry out an order of the agent, some of them late."""
         if path == '/-/run-start':
             self.checker.record_start_order(self)
-        delay_s = self._take_late_start() if path == '/-/run-start' else 0.0
+        if path == '/-/hold':
+            time.sleep(self.list_delay_s)
+            return self._handle_order(path, json.loads(body), headers)
+        delay_s = self._take_delay(path)
         if delay_s:
             time.sleep(delay_s)
             self._handle_order(path, json.loads(body), headers)
             return NO_ANSWER
-        if path != '/-/hold' and time.monotonic() < self.busy_until:
+        if time.monotonic() < self.busy_until:
             return 503, {}
-        late = path != '/-/hold' and self.rng.random() < self.late_share
-        if late:
-            born_ms = self.born_ms
-            time.sleep(self.rng.uniform(*LATE_DELAY_S))
-            if self.born_ms != born_ms:
-                # The restart of a runner discards its pending orders.
-                return NO_ANSWER
+        if self.rng.random() < self.dropped_share:
+            return NO_ANSWER
+        late = self.rng.random() < self.late_share
+        silent = late or self.rng.random() < self.unanswered_share
+        if late and not self._wait_late():
+            return NO_ANSWER
         got = self._handle_order(path, json.loads(body), headers)
-        return NO_ANSWER if late else got
+        return NO_ANSWER if silent else got
+
+    def _wait_late(self) -> bool:
+        """Wait as for a late order; return whether it is carried out."""
+        before = (self.born_ms, self.offset_s, self.rate)
+        time.sleep(self.rng.uniform(*LATE_DELAY_S))
+        if self.born_ms == before[0]:
+            return True
+        # The deadline of an order has no meaning on another clock.
+        same_clock = (self.offset_s, self.rate) == before[1:]
+        if not self.keeps_late_orders or not same_clock:
+            # The restart of a runner discards its pending orders.
+            return False
+        self.connection.generation = self.generation
+        return True
 
-    def _take_late_start(self) -> float:
-        """Return the delay of a start if it is the one to carry out late."""
+    def _take_delay(self, path: str) -> float:
+        """Return the delay of an order if it is the one to carry out late."""
+        name = 'late_start_s' if path == '/-/run-start' else 'late_stop_s'
         with self.lock:
-            delay_s, self.late_start_s = self.late_start_s, 0.0
+            delay_s: float = vars(self)[name]
+            vars(self)[name] = 0.0
             return delay_s
 
+    def fill_ends(self, count: int) -> None:
+        """Add ends of older runs, which nobody has acknowledged."""
+        with self.lock:
+            for number in range(count):
+                self.end_count += 1
+                self.ended.append(
+                    EndedRun(
+                        self.end_count, f'{"f" * 16}.0.0.{100 + number}', 1,
+                        'stopped',
+                    )
+                )  # fmt: skip
+            self.lock.notify_all()
+
     def _handle_order(
         self,
         path: str,
@@ -392,20 +464,23 @@
             # The lease expires even if nothing is running.
             for end in self.ended:
                 end.lease_expired = True
+            late_s = (self.clock_ms() - self.lease_until_ms) / 1000.0
+            lapsed_at = time.monotonic() - late_s / self.rate
             for task in list(self.running):
-                self._end(task, 'lapsed')
+                self._end(task, 'lapsed', lapsed_at)
         now = time.monotonic()
         for task, (_, done_at) in list(self.running.items()):
             if now >= done_at:
-                self._end(task, 'done')
+                self._end(task, 'done', done_at)
 
-    def _end(self, task: str, outcome: str) -> None:
+    def _end(self, task: str, outcome: str, ended_at: float) -> None:
         attempt, _ = self.running.pop(task)
         self.end_count += 1
         end = EndedRun(self.end_count, task, attempt, outcome)
         self.ended.append(end)
         self.highest_ended[task] = attempt
         self.checker.record_end(task, end)
+        self.checker.record_gone(task, self.runner_id, ended_at)
         self.lock.notify_all()
 
     def _start(self, msg: dict[str, typing.Any]) -> tuple[int, typing.Any]:
@@ -415,7 +490,10 @@
             if attempt <= self.highest_ended.get(task, 0):
                 return self._refuse('old')
             self.checker.record_start(task, self)
-            self.running[task] = (attempt, time.monotonic() + TASK_DURATION_S)
+            now = time.monotonic()
+            self.checker.record_run(Run(task, attempt, self.runner_id, now))
+            duration_s = infer_duration_s(msg['Spec'])
+            self.running[task] = (attempt, now + duration_s)
             if len(self.running) * TASK_CPU > RUNNER_CPU:
                 self.checker.violations.append(
                     f'{self.runner_id} is overcommitted'
@@ -428,7 +506,7 @@
             self.highest_ended.get(task, 0), attempt
         )
         if task in self.running and self.running[task][0] == attempt:
-            self._end(task, 'stopped')
+            self._end(task, 'stopped', time.monotonic())
         return 200, {'ClockMs': self.clock_ms()}
 
     def _extend_lease(
@@ -453,7 +531,7 @@
             'Running': rows,
             'Finished': [
                 [e.number, e.task, e.attempt, e.outcome, '']
-                for e in self.ended
+                for e in self.ended[: self.max_listed_ends]
             ],
         }
 
@@ -499,6 +577,9 @@
         # by zone, and number of start orders that runners of a zone got.
         self.closed_from: dict[str, float] = {}
         self.start_orders: collections.Counter[str] = collections.Counter()
+        # All runs, and those that go on, by task and runner.
+        self.runs: list[Run] = []
+        self._current: dict[tuple[str, str], Run] = {}
         # Descriptions of the rules that were violated.
         self.violations: list[str] = []
         self._ends: dict[str, list[EndedRun]] = collections.defaultdict(list)
@@ -533,6 +614,19 @@
         self.started[task] = time.monotonic()
         self.first_start.setdefault(task, self.started[task])
 
+    def record_run(self, run: Run) -> None:
+        """Record that a run goes on, until record_gone is called."""
+        # A start of a later attempt replaces the run.
+        self.record_gone(run.task, run.runner, run.began_at)
+        self.runs.append(run)
+        self._current[run.task, run.runner] = run
+
+    def record_gone(self, task: str, runner: str, now: float) -> None:
+        """Record when the run of a task on a runner has ended."""
+        run = self._current.pop((task, runner), None)
+        if run is not None:
+            run.ended_at = now
+
     def record_end(self, task: str, end: EndedRun) -> None:
         """Record the end of a run."""
         self.running.pop(task, None)
