--- a/tests/platform/test_kept_logs.py
+++ b/tests/platform/test_kept_logs.py
@@ -14,7 +14,12 @@
     error: Exception | None = None
 
     def __init__(
-        self, seed: int, folder: pathlib.Path, schedulers: int, agents: int
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        schedulers: int,
+        agents: int,
+        only: str = '',
     ) -> None:
         self.seed = seed
         (folder / 's1.log').write_text('line of s1')
@@ -23,7 +28,7 @@
         """Return the violations, or raise the error."""
         if self.error is not None:
             raise self.error
-        return fault_soak.Result(self.seed, self.wrong, {}, {}, 1)
+        return fault_soak.Result(self.seed, self.wrong, {}, {}, 1, {})
 
 
 @pytest.fixture(autouse=True)
--- a/tests/platform/test_platform_settings.py
+++ b/tests/platform/test_platform_settings.py
@@ -43,7 +43,7 @@
 ) -> None:
     """Guard against appends that a store with other limits refuses."""
     path = tmp_path / 'settings.toml'
-    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    monkeypatch.setenv(settings_file.PATH_VARIABLE, str(path))
     text = TEXT.format(bounds='')
     found = []
     names = ('max_record_bytes', 'max_call_bytes', 'keep_s')
