Keep cancels that come before a scheduler has a configuration

What callers see: a cancel got 503 while schedulers were restarted and the store was away; the caller did not try again, and its job ran on. Evidence: test_cancel_without_a_configuration_is_carried_out_later fails without the change.

--- a/packages/scheduler/src/kcr_scheduler/events.py
+++ b/packages/scheduler/src/kcr_scheduler/events.py
@@ -134,6 +134,13 @@
     route: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepCancel:
+    """Carry out a cancel that the front end has refused for now."""
+
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelsKept:
     """Report the number of cancels that the owner has still to confirm."""
--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -167,7 +167,7 @@
             elif self._submissions.may_be_accepted(msg.job_id, self.now()):
                 outcome = 'unknown'
         elif msg.verb == 'cancel':
-            self._keep_cancel(msg)
+            self._keep_cancel(msg.job_id, msg.queue)
         self.log.info(
             'call refused' if outcome == 'refused' else 'call not refused',
             verb=msg.verb, job=msg.job_id, reason=detail, outcome=outcome,
@@ -175,12 +175,16 @@
         )  # fmt: skip
         self._reply(pending.caller_query, outcome, detail, number)
 
-    def _keep_cancel(self, msg: messages.JobCall) -> None:
+    @task.handles(events.KeepCancel)
+    def _on_keep_cancel(self, event: events.KeepCancel) -> None:
+        self._keep_cancel(event.job_id, '')
+
+    def _keep_cancel(self, job_id: str, queue: str) -> None:
         """Send a cancel until the owner confirms it, without its caller."""
-        kept = self._cancels.add(msg.job_id, msg.queue, self.now())
+        kept = self._cancels.add(job_id, queue, self.now())
         self.ctx.metrics.count('unconfirmed_cancel')
         if not kept:
-            self.log.warning('cancel dropped', job=msg.job_id)
+            self.log.warning('cancel dropped', job=job_id)
         self._report_kept()
 
     def _report_kept(self) -> None:
@@ -314,7 +318,7 @@
                 job=pending.msg.job_id, route=pending.route,
             )  # fmt: skip
             if pending.msg.verb == 'cancel':
-                self._keep_cancel(pending.msg)
+                self._keep_cancel(pending.msg.job_id, pending.msg.queue)
             self._reply(pending.caller_query, 'unknown', 'owner is silent')
             return
         if self._route and now - pending.sent_at >= RESEND_AFTER_S:
--- a/tests/platform/test_cancels.py
+++ b/tests/platform/test_cancels.py
@@ -103,6 +103,46 @@
         made.close()
 
 
+def test_cancel_without_a_configuration_is_carried_out_later(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guard against a job that runs on after a cancel was refused (503).
+
+    The schedulers were restarted while the store was away (fault soak, seed
+    201); the caller tries once.
+    """
+    made = deployments.Deployment(tmp_path)
+    step = {'Count': 1, 'Cpu': 500, 'MemMb': 10, 'LongRunning': True}
+    body = {'Spec': 'x', 'Phases': [step]}
+    job = 'a' * 16
+    try:
+        made.wait(lambda: made.call('POST', f'/q/{job}', body)[0] == 200)
+        made.store.down = True
+        for name in made.fronts:
+            made.processes[name].kill()
+            made.processes[name].wait()
+            made.start(name)
+        made.wait(
+            lambda: (
+                http_calls.call_once(made.fronts['s1'], 'GET', f'/q/{job}')[0]
+                == 503
+            )
+        )
+        status, _ = http_calls.call_once(
+            made.fronts['s1'], 'DELETE', f'/q/{job}'
+        )
+        assert status == 503, made.read_logs()
+        made.store.down = False
+        made.wait(
+            lambda: (
+                made.call('GET', f'/q/{job}')[1].get('State') == 'cancelled'
+            )
+        )
+        made.wait(lambda: not made.checker.running)
+    finally:
+        made.close()
+
+
 def test_run_is_stopped_after_sessions_fell_silent(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
