--- a/review/8/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Case 8: the only runner with a label fails its starts for some seconds.
+"""Case 10: the only runner with a label fails its starts for some seconds.
 
 Seven runners; one has the label `b`, and holds one task of a job that lasts.
 With TROUBLE all that is started on it fails for 6.5 s (`srv_grey`, errors),
--- a/review/7/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 7: a job that fills without `Cpu` waits while serving tasks are busy.
+"""Case 9: a job that fills without `Cpu` waits while serving tasks are busy.
 
 Three runners each have a task that serves, with a target of 50 ms. Its tail
 latency is 20 ms, and with TROUBLE 42 ms from some time on, which is still
