--- a/review/stand2/deployment.py
+++ b/review/stand2/deployment.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import subprocess
 import tempfile
@@ -108,6 +109,10 @@
     return ports
 
 
+def _add_seeds(text: str, seeds: list[str]) -> str:
+    return text.replace('{seeds}', ', '.join(f'"{s}"' for s in seeds[:3]))
+
+
 class Deployment:
     """Run schedulers, agents and the stand-ins of their surroundings."""
 
@@ -117,6 +122,7 @@
         schedulers: int,
         labels: list[list[str]],
         routes: list[dict[str, typing.Any]],
+        stale_seeds: bool = False,
     ) -> None:
         self.log = log
         self._folder = tempfile.TemporaryDirectory(prefix='case-')
@@ -170,7 +176,6 @@
                 f'Control = "{host}:{ports[2]}"'
             )
             plans.append((name, 'scheduler', host, listen, ''))
-        seeds = list(control.values())[:3]
         for number, own in enumerate(labels, 1):
             host = next(self._hosts)
             name = f'side-{number}'
@@ -180,20 +185,25 @@
             made.control = address
             app = f'app = "{made.address}"\nService = "{SERVICE}"'
             plans.append((name, 'agent', host, f'Control = "{address}"', app))
+        present = list(control.values())
+        # Stale seeds name addresses that were given to other machines since.
+        stale = [r.control for r in self.runners]
+        # Settings with the present seeds, by path.
+        self._present: dict[pathlib.Path, str] = {}
         for name, role, host, listen, app in plans:
+            seeds = stale if stale_seeds and role == 'agent' else present
             front = role == 'scheduler'
             path = self._path / f'{name}.toml'
-            path.write_text(
-                SETTINGS.format(
-                    name=name, role=role, ip=host, listen=listen, app=app,
-                    machine='frontend' if front else 'side',
-                    serves='"frontend", "control_plane"' if front
-                    else '"side"',
-                    seeds=', '.join(f'"{s}"' for s in seeds),
-                    cpu=0.537 if front else 0.645, cores=2 if front else 1,
-                    memory=300 if front else 168, store=self.store.address,
-                )
+            text = SETTINGS.format(
+                name=name, role=role, ip=host, listen=listen, app=app,
+                machine='frontend' if front else 'side',
+                serves='"frontend", "control_plane"' if front else '"side"',
+                seeds='{seeds}', cpu=0.537 if front else 0.645,
+                cores=2 if front else 1, memory=300 if front else 168,
+                store=self.store.address,
             )
+            path.write_text(_add_seeds(text, seeds))
+            self._present[path] = _add_seeds(text, present)
             self._start(name, role, path)
         for item in self.runners:
             item.begin_heartbeats(item.control)
@@ -232,6 +242,13 @@
 
         threading.Thread(target=watch, daemon=True).start()
 
+    def refresh_seeds(self) -> None:
+        """Write the present seeds to all settings files; send SIGHUP."""
+        for path, text in self._present.items():
+            path.write_text(text)
+            self.processes[path.stem].send_signal(signal.SIGHUP)
+        self.log.say('settings have the present seeds; SIGHUP sent')
+
     def kill(self, name: str) -> None:
         """Kill a process; it is started again as after any end."""
         item = self.processes[name]
