--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,6 @@
 """Case 7: a scheduled job with many overdue occurrences that can't be done.
 
-With TROUBLE a client hands in one job that is due each five minutes since a
+With TROUBLE a client hands in one job that is due each two minutes since a
 year, of one task, which asks for a label that no runner has. Ordinary jobs
 come before and after it. The service is nearly empty all the time.
 """
@@ -15,7 +15,9 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-INTERVAL_MS, COUNT = 300_000, 105_120
+INTERVAL_MS, COUNT = 120_000, 262_800
+# Ordinary jobs before the scheduled one, which is one of 20 (a share of 0.05).
+BEFORE = 20
 # Traffic after the scheduled job, and the pause before jobs are asked for
 # (finish_s), in seconds.
 TRAFFIC_S, FINISH_S = 30.0, 14.0
@@ -38,10 +40,12 @@
             f'/batch/{number:016x}', {'run_s': 0.5, 'cpu': 500}, [step], 3
         )
 
-    if not submit_ordinary():
-        log.say('the first job was not accepted')
-        return 2
-    time.sleep(3.0)
+    for _ in range(BEFORE):
+        if not submit_ordinary():
+            log.say('a job before the disruption was not accepted')
+            return 2
+        time.sleep(0.2)
+    time.sleep(2.0)
     if TROUBLE:
         step = {'Count': 1, 'Cpu': 100, 'MemMb': 10, 'Constraints': 'none'}
         since = int(time.time() * 1000) - COUNT * INTERVAL_MS
