--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,8 +11,8 @@
 import sys
 import time
 
-from stand2 import deployment
-from stand2 import record
+import stand2_deployment as deployment
+import stand2_record as record
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,7 +2,7 @@
 # Builds the stand-ins of cases 6 to 10: plain Python without dependencies, so
 # it only checks that they compile.
 cd "$(dirname "$0")/.." || exit 1
-exec python3 - review/stand2/*.py review/[6-9]*/case.py review/10*/case.py <<'EOF'
+exec python3 - review/stand2_*.py review/[6-9]*/case.py review/10*/case.py <<'EOF'
 import pathlib
 import sys
 
--- a/review/stand2/deployment.py
+++ b/review/stand2_deployment.py
@@ -16,12 +16,12 @@
 import tomllib
 import typing
 
-from stand2 import record
-from stand2 import runner
-from stand2 import store
-from stand2 import web
+import stand2_record as record
+import stand2_runner as runner
+import stand2_store as store
+import stand2_web as web
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 # Delay of the restart of a process that has ended, in seconds.
 RESTART_S = 1.0
 HOST = 'jobs.example'
--- a/review/stand2/runner.py
+++ b/review/stand2_runner.py
@@ -11,8 +11,8 @@
 import time
 import typing
 
-from stand2 import record
-from stand2 import web
+import stand2_record as record
+import stand2_web as web
 
 # Time between heartbeats (HeartbeatMs), and time in which a task that lasts
 # starts up, in seconds.
--- a/review/stand2/store.py
+++ b/review/stand2_store.py
@@ -8,7 +8,7 @@
 import time
 import typing
 
-from stand2 import web
+import stand2_web as web
 
 # Time of one append, in seconds; the answer takes 4 ms on small sites.
 APPEND_S = 0.004
