Let a suspect runner show that it works again

Cause: a suspect runner got a start only while it had no tasks, and its failure rate changed only with ended runs. A task that lasts does not end, so the suspicion had no end.

Change: a suspect runner gets one start in 2 s whatever it holds, and the failure rate decays 3 s after the last failed run (longer if it failed late). Tasks at their last attempt are not tried on it. Both work because either an ended run or the passing of time now changes the rate.

--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -75,6 +75,9 @@
     pressures: list[tuple[job_table.Task, float]]
     # Where tasks may start.
     limits: conditions.Conditions = conditions.Conditions()
+    # Failure rate of the runner, and whether it is suspect (see runners).
+    failure_rate: float = 0.0
+    suspect: bool = False
     # Whether it is slow after its start, and the starts that it may get.
     cold: bool = False
     cold_starts_left: float = math.inf
@@ -182,7 +185,11 @@
     interference: interference_model.InterferenceModel,
     limits: conditions.Conditions = conditions.Conditions(),
 ) -> Candidate:
-    """Return a runner as a candidate; a suspect one gets few starts."""
+    """Return a runner as a candidate; a suspect one gets few starts.
+
+    The tasks that it has don't keep it from a start: one that lasts never
+    ends, so the start that shows whether the runner works would never come.
+    """
     assert runner.info is not None
     capacity = runner.info.capacity
     used = runner.reserved()
@@ -199,6 +206,8 @@
         interference,
         _infer_pressures(runner, interference, now),
         limits,
+        runner.infer_failure_rate(now),
+        suspect,
     )
     for task in runner.tasks.values():
         step = (task.job.spec.job_id, task.occurrence, task.step)
@@ -214,10 +223,19 @@
             )
     if suspect:
         waited = now - runner.last_start_at >= runners.PROBE_INTERVAL_S
-        candidate.starts_left = 1 if waited and not runner.tasks else 0
+        candidate.starts_left = 1 if waited else 0
     return candidate
 
 
+def is_last_attempt(task: job_table.Task) -> bool:
+    """Return whether a task has failed and fails its job if it does again.
+
+    The start that shows whether a suspect runner works is one of another task.
+    """
+    limit = task.job.spec.queue.max_attempts
+    return 0 < task.failures >= limit - 1 and not task.spec.lasts
+
+
 def find_rejection_reason(task: job_table.Task, candidate: Candidate) -> str:
     """Return why a task can't run on a candidate; empty where it fits."""
     spec, info = task.spec, candidate.runner.info
@@ -233,6 +251,8 @@
         return 'region'
     if candidate.starts_left <= 0:
         return 'failing runner'
+    if candidate.suspect and is_last_attempt(task):
+        return 'failing runner'
     if candidate.cold_starts_left < 1.0:
         return 'cold'
     if demand.mem_mb > candidate.mem_mb:
@@ -340,7 +360,7 @@
     left = (
         candidate.cpu - task.spec.demand.cpu
     ) / candidate.runner.info.capacity.cpu
-    score = PACKING_WEIGHT * left + candidate.runner.failure_rate
+    score = PACKING_WEIGHT * left + candidate.failure_rate
     if candidate.cold:
         score += COLD_SCORE
     if task.spec.image not in candidate.serving_images:
@@ -380,7 +400,7 @@
     """Return the part of a score for failures and the location of data."""
     runner, spec = candidate.runner, task.spec
     assert runner.info is not None
-    score = runner.failure_rate
+    score = candidate.failure_rate
     if candidate.cold:
         score += COLD_SCORE
     if runner.name in task.failed_on:
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -96,7 +96,7 @@
         limits: conditions.Conditions = conditions.Conditions(),
     ) -> Plan:
         """Choose starts job by job while runners have capacity."""
-        suspects = runners.find_suspects(schedulable)
+        suspects = runners.find_suspects(schedulable, now)
         candidates = [
             placement.make_candidate(
                 r, now, r in suspects, self._interference, limits
@@ -120,15 +120,19 @@
         plan: Plan,
         rejected: step_choice.RejectedDemands,
     ) -> None:
-        blocked: set[tuple[int, int]] = set()
+        # Steps that can't start, by whether a task is at its last attempt.
+        blocked: set[tuple[int, int, bool]] = set()
         choices = step_choice.JobChoices(job, candidates)
         gangs: dict[tuple[int, int], list[job_table.Task]] = {}
         for task in job.tasks.values():
             key = (task.occurrence, task.step)
-            if task.done or task.instance or key in blocked:
+            if task.done or task.instance:
+                continue
+            kind = (*key, placement.is_last_attempt(task))
+            if kind in blocked:
                 continue
             if not job.is_ready(*key):
-                blocked.add(key)
+                blocked |= {(*key, False), (*key, True)}
                 continue
             if task.spec.gang:
                 gangs.setdefault(key, []).append(task)
@@ -150,7 +154,7 @@
                 choices.clear()
             if candidate is None:
                 # All tasks of a step have the same demand.
-                blocked.add(key)
+                blocked.add(kind)
                 plan.unplaced.append(task)
                 self._log_waiting(task, candidates, now, plan, steps_ahead)
                 continue
@@ -246,7 +250,7 @@
             placement.make_candidate(
                 candidate.runner,
                 now,
-                candidate.starts_left <= 1,
+                candidate.suspect,
                 self._interference,
                 candidate.limits,
             )
@@ -295,7 +299,7 @@
     """Return the best runner for a task, at little cost if it may be."""
     if task.job.spec.queue.ticket_ms:
         return placement.choose(task, allowed, now)
-    if task.failed_on or task.avoided_instance:
+    if task.failures or task.failed_on or task.avoided_instance:
         choices.clear()
         return placement.choose(task, allowed, now)
     if rejected.covers(task):
--- a/packages/jobs/src/kcr_jobs/preemption.py
+++ b/packages/jobs/src/kcr_jobs/preemption.py
@@ -102,7 +102,7 @@
             return None
         self._looked_at = now
         self._limits = limits
-        suspects = runners.find_suspects(schedulable)
+        suspects = runners.find_suspects(schedulable, now)
         usable = [r for r in schedulable if r not in suspects]
         # What waits ahead takes the first places; the longest waits are at the
         # end. Each try rates every runner, so three stand for all.
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -220,7 +220,8 @@
                     end.saved or task.checkpoint,
                 )
             )
-            runner.record_end(end.how)
+            run_s = now - task.ordered_at if task.ordered_at else 0.0
+            runner.record_end(end.how, now, run_s)
             if self._state.overload.moves:
                 self._state.stragglers.record_end(
                     task, end.how, runner.name, now
@@ -299,7 +300,7 @@
                 # In an evacuated zone the start was withdrawn.
                 for task in lost:
                     if self._state.planner.advice.reject_ticket(task, now):
-                        runner.record_end('failed')
+                        runner.record_end('failed', now)
             self._state.record_lost(runner, lost, 'runner does not list it')
         if not runner.reconciled:
             runner.reconciled = True
--- a/packages/jobs/src/kcr_jobs/runners.py
+++ b/packages/jobs/src/kcr_jobs/runners.py
@@ -14,9 +14,17 @@
 
 # Weight of the newest run in the failure rate of a runner.
 FAILURE_WEIGHT = 0.25
-# Failure rate from which a runner is suspect and gets one task at a time; the
-# users' healthy runners fail one run in twenty.
+# Failure rate from which a runner is suspect and gets few starts; the users'
+# healthy runners fail one run in twenty.
 SUSPECT_FAILURE_RATE = 0.55
+# Time after a failed run in which the failure rate of its runner does not
+# decay, in seconds, so that probes of a runner that still fails keep it
+# suspect. A run that fails late prolongs it by its length, up to the maximum.
+FAILURE_HOLD_S = 3.0
+MAX_FAILURE_HOLD_S = 6.0
+# Time in which the failure rate halves after that, in seconds. A runner that
+# has no run to end would be suspect for good otherwise.
+FAILURE_HALF_LIFE_S = 4.0
 # Median failure rate of all runners up to which a runner can be suspect.
 # Above it the jobs are the cause, as they fail on every runner.
 MAX_USUAL_FAILURE_RATE = 0.3
@@ -64,8 +72,10 @@
     acked_seq: int = 0
     # Time of the last report.
     reported_at: float = 0.0
-    # Moving average of failed runs, from 0 to 1.
+    # Moving average of failed runs, from 0 to 1, when the last run ended, and
+    # the time from which it decays (see infer_failure_rate).
     failure_rate: float = 0.0
+    failure_rate_held_until: float = -math.inf
     # Time of the last start order.
     last_start_at: float = 0.0
     # Whether most of its recent runs lag behind their kinds (see stragglers).
@@ -99,11 +109,24 @@
             and not self.unknown_runs
         )
 
-    def record_end(self, how: str) -> None:
+    def record_end(self, how: str, now: float, run_s: float = 0.0) -> None:
         """Update the failure rate with the outcome of a run."""
-        if how in ('done', 'failed'):
-            failed = 1.0 if how == 'failed' else 0.0
-            self.failure_rate += FAILURE_WEIGHT * (failed - self.failure_rate)
+        if how not in ('done', 'failed'):
+            return
+        rate = self.infer_failure_rate(now)
+        held_until = max(now, self.failure_rate_held_until)
+        failed = 0.0
+        if how == 'failed':
+            failed = 1.0
+            hold_s = min(FAILURE_HOLD_S + run_s, MAX_FAILURE_HOLD_S)
+            held_until = max(held_until, now + hold_s)
+        self.failure_rate = rate + FAILURE_WEIGHT * (failed - rate)
+        self.failure_rate_held_until = held_until
+
+    def infer_failure_rate(self, now: float) -> float:
+        """Return the failure rate, which decays without failed runs."""
+        idle_s = max(0.0, now - self.failure_rate_held_until)
+        return self.failure_rate * float(0.5 ** (idle_s / FAILURE_HALF_LIFE_S))
 
     def extend_lease(self, expires_at: float) -> None:
         """Extend the lease until a time."""
@@ -115,13 +138,9 @@
     return now + lease_s * CLOCK_FACTOR + LEASE_MARGIN_S
 
 
-def find_suspects(usable: list[RunnerState]) -> set[RunnerState]:
+def find_suspects(usable: list[RunnerState], now: float) -> set[RunnerState]:
     """Return the runners that fail far more of their runs than the others."""
-    rates = sorted(runner.failure_rate for runner in usable)
-    if rates[len(rates) // 2] > MAX_USUAL_FAILURE_RATE:
+    rates = {runner: runner.infer_failure_rate(now) for runner in usable}
+    if sorted(rates.values())[len(rates) // 2] > MAX_USUAL_FAILURE_RATE:
         return set()
-    return {
-        runner
-        for runner in usable
-        if runner.failure_rate >= SUSPECT_FAILURE_RATE
-    }
+    return {r for r, rate in rates.items() if rate >= SUSPECT_FAILURE_RATE}
--- a/packages/jobs/src/kcr_jobs/stragglers.py
+++ b/packages/jobs/src/kcr_jobs/stragglers.py
@@ -203,7 +203,7 @@
             return []
         # Those that take longest here delay their jobs most.
         lagging.sort(key=lambda row: row[1].whole, reverse=True)
-        suspects = runners.find_suspects(list(known))
+        suspects = runners.find_suspects(list(known), now)
         targets = [
             placement.make_candidate(
                 runner, now, False, self._interference, limits
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -128,7 +128,9 @@
                 runner.name: {
                     'runs': len(runner.tasks),
                     'open': runner.is_schedulable(),
-                    'failure_rate': round(runner.failure_rate, 3),
+                    'failure_rate': round(
+                        runner.infer_failure_rate(self.now()), 3
+                    ),
                     'slow': runner.slow,
                 }
                 for runner in ctl.runners.values()
