Mark the records that restate a part of a job

Change: a record says whether it is a part; a part changes only the tasks that it names. Parts without rows are not written, and the parts follow a list of tasks instead of indexes. The state of the job then depends only on whole records and on rows.

--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -8,7 +8,6 @@
 
 from collections import abc
 import dataclasses
-import itertools
 
 from kcr_jobs import records
 from kcr_jobs import types
@@ -359,9 +358,9 @@
         if job is not None and job.accepted_ms != rec.at_ms:
             # The id was used again after the owner had forgotten the job.
             job = None
-        if rec.tasks and not rec.spec.steps:
+        if rec.part or (rec.tasks and not rec.spec.steps):
             if job is None:
-                # The store has dropped the part with the steps; a later
+                # The store has dropped the record with the steps; a later
                 # snapshot contains the whole job.
                 return
         elif job is None or job.spec != rec.spec:
@@ -405,17 +404,31 @@
     return dataclasses.replace(spec, payload='', steps=(), repeat=0)
 
 
-def restate(
-    job: Job, first: int = 0, count: int | None = None
-) -> records.Restated:
-    """Return the record that contains the state of a job.
+def restate(job: Job) -> records.Restated:
+    """Return the record that contains the state of a job."""
+    return _make_restated(job, job.spec, job.tasks.values(), False)
+
+
+def restate_in_parts(
+    job: Job, tasks: abc.Sequence[Task], first: int, count: int
+) -> records.Restated | None:
+    """Return the record of `count` tasks of a job from index `first` on.
 
-    It has the rows of `count` tasks from the task with index `first` on; all
-    by default. Only the record with the first task has payload and steps.
+    Only the record with the first task has payload and steps. There is none
+    for further tasks of which no one was started.
     """
-    last = None if count is None else first + count
+    rows = tasks[first : first + count]
+    if not first:
+        return _make_restated(job, job.spec, rows, False)
+    rec = _make_restated(job, strip_spec(job.spec), rows, True)
+    return rec if rec.tasks else None
+
+
+def _make_restated(
+    job: Job, spec: types.JobSpec, tasks: abc.Iterable[Task], part: bool
+) -> records.Restated:
     return records.Restated(
-        strip_spec(job.spec) if first else job.spec,
+        spec,
         job.accepted_ms,
         job.cancelled,
         job.failed,
@@ -424,9 +437,10 @@
                 task.name, task.attempt, task.failures, task.done,
                 task.instance, task.incarnation, task.checkpoint,
             )
-            for task in itertools.islice(job.tasks.values(), first, last)
+            for task in tasks
             if task.attempt
         ),
+        part,
     )  # fmt: skip
 
 
--- a/packages/jobs/src/kcr_jobs/record_parts.py
+++ b/packages/jobs/src/kcr_jobs/record_parts.py
@@ -62,5 +62,6 @@
             rec,
             spec=job_table.strip_spec(rec.spec),
             tasks=rec.tasks[middle:],
+            part=True,
         ),
     )
--- a/packages/jobs/src/kcr_jobs/records.py
+++ b/packages/jobs/src/kcr_jobs/records.py
@@ -164,8 +164,9 @@
     """Record the state of a job before its records are trimmed.
 
     A large job is restated in several records. The first one has the payload
-    and the steps. Those that follow have tasks and no steps, and are ignored
-    where the job is unknown.
+    and the steps. Those that follow are parts: they have further tasks and no
+    steps, and are ignored where the job is unknown. A record without steps
+    that is no part is of an ended job.
     """
 
     # The job as submitted.
@@ -176,6 +177,8 @@
     failed: bool
     # Tasks that have been started; only those of this part.
     tasks: tuple[TaskRow, ...]
+    # Whether it is a part. Earlier builds do not mark parts.
+    part: bool = False
 
 
 Record = (
--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -9,6 +9,7 @@
 
 import collections
 from collections import abc
+import dataclasses
 
 from kcr_jobs import job_table
 from kcr_jobs import records
@@ -36,6 +37,18 @@
 MAX_ROWS_PER_RECORD = 1000
 
 
+@dataclasses.dataclass(slots=True)
+class _PartialJob:
+    """Store how far a job was restated."""
+
+    job: job_table.Job
+    # Its tasks when its first record was made. Tasks that are made later are
+    # started, and recorded, after the begin of the snapshot.
+    tasks: list[job_table.Task]
+    # Number of tasks that were restated.
+    restated: int = 0
+
+
 class Snapshots:
     """Choose the records that restate the jobs, a few at each tick."""
 
@@ -55,9 +68,11 @@
         self._due_at = now + keep_s * FIRST_SHARE
         steps = int(MAX_STEPS * keep_s / KEEP_S)
         self._max_steps = min(MAX_STEPS, max(MIN_STEPS, steps))
-        # Ids of the jobs that the snapshot under way has still to restate,
-        # with the index of the first task; none between snapshots.
-        self._remaining: collections.deque[tuple[str, int]] | None = None
+        # Ids of the jobs that the snapshot under way has still to restate;
+        # none between snapshots.
+        self._remaining: collections.deque[str] | None = None
+        # Job of which a part was restated; none between jobs.
+        self._partial: _PartialJob | None = None
         self._rows_per_step = MIN_ROWS_PER_STEP
 
     def record_growth(self, size: int, ended: bool = False) -> None:
@@ -90,8 +105,9 @@
     ) -> abc.Sequence[records.Record]:
         self.number += 1
         self._due_at, self._own_bytes = now + self._interval_s, 0
+        self._partial = None
         self._remaining = collections.deque(
-            (job_id, 0) for job_id in (*table.jobs, *table.early_cancels)
+            (*table.jobs, *table.early_cancels)
         )
         rows = sum(1 + len(job.tasks) for job in table.jobs.values())
         rows += len(table.early_cancels)
@@ -104,30 +120,42 @@
     def _continue(
         self,
         table: job_table.JobTable,
-        remaining: collections.deque[tuple[str, int]],
+        remaining: collections.deque[str],
     ) -> abc.Sequence[records.Record]:
         chosen: list[records.Record] = []
         rows = 0
         while remaining and rows < self._rows_per_step:
-            job_id, first = remaining.popleft()
+            job_id = remaining[0]
             job = table.jobs.get(job_id)
             if job is not None:
-                if not job.tasks:
-                    # Its tasks were dropped after the first part.
-                    first = 0
-                count = max(MAX_ROWS_PER_RECORD, self._rows_per_step - rows)
-                chosen.append(job_table.restate(job, first, count))
-                if job.begun and job.is_open() and not first:
-                    task = next(iter(job.tasks.values()))
-                    chosen.append(job_table.record_begun(task))
-                rows += 1 + min(count, len(job.tasks) - first)
-                if first + count < len(job.tasks):
-                    remaining.appendleft((job_id, first + count))
+                limit = max(MAX_ROWS_PER_RECORD, self._rows_per_step - rows)
+                rows += 1 + self._restate(job, limit, chosen)
+                if self._partial is not None:
+                    continue
             elif job_id in table.early_cancels:
                 chosen.append(records.Cancelled(job_id))
                 rows += 1
+            remaining.popleft()
         if not remaining:
             self._remaining = None
             self._last_bytes = self.growth_bytes = self._own_bytes
             chosen.append(records.SnapshotEnded(self.number))
         return chosen
+
+    def _restate(
+        self, job: job_table.Job, limit: int, chosen: list[records.Record]
+    ) -> int:
+        """Add the next record of a job; return its number of tasks at most."""
+        partial, self._partial = self._partial, None
+        if partial is None or partial.job is not job or not job.tasks:
+            # The first record, or its tasks were dropped after that.
+            partial = _PartialJob(job, list(job.tasks.values()))
+        first, partial.restated = partial.restated, partial.restated + limit
+        rec = job_table.restate_in_parts(job, partial.tasks, first, limit)
+        if rec is not None:
+            chosen.append(rec)
+        if job.begun and job.is_open() and not first:
+            chosen.append(job_table.record_begun(partial.tasks[0]))
+        if partial.restated < len(partial.tasks):
+            self._partial = partial
+        return min(limit, len(partial.tasks) - first)
--- a/tests/jobs/test_large_jobs.py
+++ b/tests/jobs/test_large_jobs.py
@@ -161,3 +161,67 @@
     later.make_occurrence()
     table.apply(job_table.restate(later))
     assert not any(task.done for task in table.jobs['j'].tasks.values())
+
+
+def test_part_without_started_tasks_leaves_the_job_open() -> None:
+    """Guard against a job that counts as completed by its last parts.
+
+    Only some of its tasks were started when the snapshot was written.
+    """
+    names = [f'j.0.0.{index}' for index in range(900)]
+    table = make_table(
+        [
+            records.Accepted(JOBS[0], 1),
+            records.Started(
+                tuple(records.StartRow(name, 1, 'n', 'l') for name in names)
+            ),
+            records.Ended(
+                tuple(records.EndedRow(name, 1, 'done', '') for name in names)
+            ),
+        ]
+    )
+    parts = take_snapshot(table)
+    for reader in (make_table(parts), table):
+        for rec in parts:
+            reader.apply(rec)
+            assert reader.jobs['j'].state == job_table.RUNNING
+            assert reader.jobs['j'].unfinished == {(0, 0): TASKS - 900}
+
+
+@pytest.mark.parametrize('ended', [0, 900, 1100, 2500, TASKS])
+def test_job_that_ends_between_its_parts(ended: int) -> None:
+    """Guard against an end that a reader misses, or sees too early.
+
+    The owner drops the tasks of an ended job, so that their parts are not
+    written any more.
+    """
+    rng = random.Random(ended)
+    names = [f'j.0.0.{index}' for index in range(TASKS)]
+    rng.shuffle(names)
+    owner = make_table([records.Accepted(JOBS[0], 1)])
+    log: list[records.Record] = []
+
+    def end(some: list[str]) -> None:
+        for rec in (
+            records.Started(
+                tuple(records.StartRow(name, 1, 'n', 'l') for name in some)
+            ),
+            records.Ended(
+                tuple(records.EndedRow(name, 1, 'done', '') for name in some)
+            ),
+        ):
+            owner.apply(rec)
+            log.append(rec)
+
+    end(names[:ended])
+    log.clear()
+    chosen = snapshots.Snapshots(snapshots.MIN_GROWTH_BYTES, 0.0)
+    for _ in range(3):
+        log += chosen.choose_records(owner, 0.05)
+    end(names[ended:])
+    job = owner.jobs['j']
+    job.finalized = True
+    assert job.compact()
+    while not isinstance(log[-1], records.SnapshotEnded):
+        log += chosen.choose_records(owner, 0.05)
+    assert make_table(log).jobs['j'].state == job_table.COMPLETED
