Make a few overdue occurrences at a time, and drop ended ones

Cause: all overdue occurrences were made at once, each plan went through all of them, and for each of them looked at all tasks of the job again. The tasks of ended occurrences were kept, planned and restated until the job ended.

Time and memory then depend on what runs and what was accepted, not on the numbers in a request.

--- a/packages/jobs/src/kcr_jobs/advice_planning.py
+++ b/packages/jobs/src/kcr_jobs/advice_planning.py
@@ -52,6 +52,10 @@
             if step.startswith(f'{job.spec.job_id}.'):
                 self._tickets.pop(step)
 
+    def forget_step(self, name: str) -> None:
+        """Discard the tickets of a step."""
+        self._tickets.pop(name, None)
+
     # Tickets.
 
     def _find_tickets(self, task: job_table.Task) -> tickets.StepTickets:
--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -12,6 +12,7 @@
 from kcr_jobs import evacuation
 from kcr_jobs import job_table
 from kcr_jobs import job_work
+from kcr_jobs import occurrences
 from kcr_jobs import records
 from kcr_jobs import types
 
@@ -46,6 +47,10 @@
         if len(self._state.open_jobs) >= MAX_OPEN_JOBS:
             self.refuse(ref, spec.job_id, 'too many open jobs')
             return
+        tasks = sum(step.count for step in spec.steps)
+        if self._state.count_open_tasks() + tasks > occurrences.MAX_OPEN_TASKS:
+            self.refuse(ref, spec.job_id, 'too many open tasks', tasks=tasks)
+            return
         reason = self._find_refusal(spec.queue, now)
         if reason:
             self.refuse(ref, spec.job_id, reason)
@@ -67,7 +72,7 @@
             job=spec.job_id,
             queue=spec.queue.name,
             steps=len(spec.steps),
-            tasks=sum(step.count for step in spec.steps),
+            tasks=tasks,
             open_jobs=len(self._state.open_jobs),
         )
 
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -14,6 +14,7 @@
 from kcr_jobs import filler_shares
 from kcr_jobs import job_ends
 from kcr_jobs import job_table
+from kcr_jobs import occurrences
 from kcr_jobs import runner_reports
 from kcr_jobs import runners
 from kcr_jobs import snapshots
@@ -140,10 +141,10 @@
                 self.stop(task, now)
 
     def _make_due_occurrences(self, wall_ms: float) -> None:
-        for job in self.open_jobs.values():
-            while (
-                job.occurrences < job.spec.repeat
-                and job.due_ms(job.occurrences) <= wall_ms
-            ):
-                self.changed = True
-                job.make_occurrence()
+        due = [
+            job
+            for job in self.open_jobs.values()
+            if occurrences.is_due(job, wall_ms)
+        ]
+        if due and occurrences.make_due(due, wall_ms, self.count_open_tasks()):
+            self.changed = True
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -116,6 +116,16 @@
         # Whether jobs or reservations have changed since the last plan.
         self.changed = True
 
+    def count_open_tasks(self) -> int:
+        """Return the number of tasks of the open jobs.
+
+        A job that has not made any yet counts with those of an occurrence.
+        """
+        return sum(
+            max(len(job.tasks), job.occurrence_tasks)
+            for job in self.open_jobs.values()
+        )
+
     def get_runner(self, name: str, now: float) -> runners.RunnerState:
         """Return a runner; an unknown one may still hold a lease."""
         runner = self.runners.get(name)
@@ -184,18 +194,20 @@
         """Record ends and release what the runs reserved."""
         if not rows:
             return
+        tasks = []
         for row in rows:
             task = self.table.find_task(row.task)
             assert task is not None, row.task
+            tasks.append(task)
             if task.instance:
                 self.runners[task.instance].tasks.pop(row.task, None)
             task.listed = task.stopping = False
             task.percent = task.usage = 0
             task.throttle_percent = 100
         self.append(records.Ended(tuple(rows)))
-        for row in rows:
-            task = self.table.find_task(row.task)
-            assert task is not None
+        for task in tasks:
+            if task.occurrence not in task.job.live:
+                self.planner.forget_occurrence(task.job, task.occurrence)
             self.update_open_jobs(task.job, 0.0)
 
     def record_lost(
--- a/packages/jobs/src/kcr_jobs/job_checks.py
+++ b/packages/jobs/src/kcr_jobs/job_checks.py
@@ -20,6 +20,9 @@
 # Shortest interval of a job that repeats, in milliseconds; a shorter one would
 # make all its occurrences due at once.
 MIN_INTERVAL_MS = 1.0
+# Maximum number of live occurrences in a record. The owner makes far fewer
+# (see occurrences); earlier builds made all that were due.
+MAX_LIVE_OCCURRENCES = 300_000
 # Job id, occurrence, step and index, joined by dots.
 TASK_NAME = re.compile(r'[^.]{1,128}\.\d{1,9}\.\d{1,4}\.\d{1,6}', re.ASCII)
 
@@ -59,12 +62,24 @@
         for row in rec.rows:
             _check_name(row.task)
     if isinstance(rec, records.Restated):
+        _check_occurrences(rec)
         for task in rec.tasks:
             _check_name(task.task)
             if not task.task.startswith(f'{rec.spec.job_id}.'):
                 raise BadJob(f'task {task.task[:80]!r} is of another job')
 
 
+def _check_occurrences(rec: records.Restated) -> None:
+    """Raise BadJob unless the live occurrences are ascending and bounded."""
+    before, total = -1, 0
+    for first, last in rec.live:
+        if not before < first <= last < rec.occurrences:
+            raise BadJob('live occurrences are not in order')
+        before, total = last, total + last - first + 1
+    if total > MAX_LIVE_OCCURRENCES:
+        raise BadJob(f'more than {MAX_LIVE_OCCURRENCES} live occurrences')
+
+
 def _check_name(name: str) -> None:
     if not TASK_NAME.fullmatch(name):
         raise BadJob(f'invalid name of a task: {name[:80]!r}')
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -142,10 +142,13 @@
     cancelled: bool = False
     # Whether a task has used up its attempts.
     failed: bool = False
-    # Tasks by name; those of an occurrence are made when it is due.
+    # Tasks by name. Those of an occurrence of a scheduled job are made when it
+    # is due, and dropped when it has ended.
     tasks: dict[str, Task] = dataclasses.field(default_factory=dict)
     # Number of occurrences whose tasks were made.
     occurrences: int = 0
+    # Occurrences whose tasks were made and not dropped, in ascending order.
+    live: dict[int, None] = dataclasses.field(default_factory=dict)
     # Number of tasks that are not done, by occurrence and step.
     unfinished: dict[tuple[int, int], int] = dataclasses.field(
         default_factory=dict
@@ -202,10 +205,16 @@
         """Return whether its tasks may still be started."""
         return not (self.cancelled or self.failed or self.is_completed())
 
+    @property
+    def occurrence_tasks(self) -> int:
+        """Return the number of tasks of one occurrence."""
+        return sum(step.count for step in self.spec.steps)
+
     def make_occurrence(self) -> list[Task]:
         """Make and return the tasks of the next occurrence."""
         number = self.occurrences
         self.occurrences += 1
+        self.live[number] = None
         made = []
         for step, spec in enumerate(self.spec.steps):
             self.unfinished[number, step] = spec.count
@@ -215,6 +224,43 @@
                 made.append(self.tasks[name])
         return made
 
+    def find_occurrence(self, number: int) -> abc.Iterator[Task]:
+        """Yield the tasks of an occurrence that is live."""
+        for step, spec in enumerate(self.spec.steps):
+            for index in range(spec.count):
+                yield self.tasks[f'{self.spec.job_id}.{number}.{step}.{index}']
+
+    def drop_ended_occurrence(self, number: int) -> bool:
+        """Drop the tasks of an occurrence that has ended; return whether.
+
+        A scheduled job may have any number of occurrences, so the tasks of
+        those that have ended are not kept until the whole job has.
+        """
+        if not self.spec.repeat or number not in self.live:
+            return False
+        steps = range(len(self.spec.steps))
+        if any(self.unfinished[number, step] for step in steps):
+            return False
+        tasks = list(self.find_occurrence(number))
+        if any(task.instance for task in tasks):
+            return False
+        for task in tasks:
+            del self.tasks[task.name]
+        for step in steps:
+            del self.unfinished[number, step]
+        del self.live[number]
+        return True
+
+    def restore_occurrences(
+        self, count: int, live: abc.Iterable[tuple[int, int]]
+    ) -> None:
+        """Make the occurrences of a restatement that are not known."""
+        for first, last in live:
+            for number in range(max(first, self.occurrences), last + 1):
+                self.occurrences = number
+                self.make_occurrence()
+        self.occurrences = max(self.occurrences, count)
+
     def is_ready(self, occurrence: int, step: int) -> bool:
         """Return whether all steps that a step depends on are done."""
         return not any(
@@ -233,6 +279,7 @@
         self.spec = strip_spec(self.spec)
         self.tasks.clear()
         self.unfinished.clear()
+        self.live.clear()
         return True
 
     def due_ms(self, occurrence: int) -> float:
@@ -333,6 +380,8 @@
         # A long-running task is restarted whatever its outcome.
         if row.how == 'done' and not task.spec.lasts:
             _finish(task)
+        if task.done:
+            task.job.drop_ended_occurrence(task.occurrence)
             return
         if row.saved:
             task.checkpoint = row.saved
@@ -343,7 +392,10 @@
                 task.job.failed = True
 
     def _find_or_make(self, name: str) -> Task | None:
-        """Return a task, after making the occurrences up to its own."""
+        """Return a task, after making the occurrences up to its own.
+
+        There is none if its occurrence has ended.
+        """
         job = self.jobs.get(name.partition('.')[0])
         if job is None:
             return None
@@ -369,6 +421,8 @@
                 job.make_occurrence()
         # What is known of other tasks stays, as they may be in other parts.
         job.cancelled, job.failed = rec.cancelled, rec.failed
+        job.begun = job.begun or rec.begun
+        job.restore_occurrences(rec.occurrences, rec.live)
         for row in rec.tasks:
             task = self._find_or_make(row.task)
             if task is None:
@@ -379,24 +433,27 @@
             if row.done or row.failures or row.saved:
                 job.begun = True
             if row.done:
-                _finish(task)
+                # The other members of a gang have rows of their own, which
+                # tell whether they still run.
+                _mark_done(task)
+                job.drop_ended_occurrence(task.occurrence)
 
 
 def _finish(task: Task) -> None:
+    """Mark a task as done; one of a gang completes all its members."""
+    _mark_done(task)
+    if task.spec.gang:
+        for other in task.find_gang():
+            _mark_done(other)
+
+
+def _mark_done(task: Task) -> None:
     if task.done:
         return
     task.done = True
-    job = task.job
     key = (task.occurrence, task.step)
-    job.unfinished[key] -= 1
-    assert job.unfinished[key] >= 0, task.name
-    if not task.spec.gang:
-        return
-    # A member of a gang that is done completes all its members.
-    for other in job.tasks.values():
-        if (other.occurrence, other.step) == key and not other.done:
-            other.done = True
-            job.unfinished[key] -= 1
+    task.job.unfinished[key] -= 1
+    assert task.job.unfinished[key] >= 0, task.name
 
 
 def strip_spec(spec: types.JobSpec) -> types.JobSpec:
@@ -441,9 +498,25 @@
             if task.attempt
         ),
         part,
+        job.begun,
+        job.occurrences if job.spec.repeat and not part else 0,
+        _find_stretches(job.live) if job.spec.repeat and not part else (),
     )  # fmt: skip
 
 
+def _find_stretches(
+    numbers: abc.Iterable[int],
+) -> tuple[tuple[int, int], ...]:
+    """Return first and last number of each stretch of ascending numbers."""
+    stretches: list[tuple[int, int]] = []
+    for number in numbers:
+        if stretches and stretches[-1][1] == number - 1:
+            stretches[-1] = (stretches[-1][0], number)
+        else:
+            stretches.append((number, number))
+    return tuple(stretches)
+
+
 def record_begun(task: Task) -> records.Ended:
     """Return the record that a runner has begun a task of a job."""
     return records.Ended((records.EndedRow(task.name, 0, BEGUN, ''),))
--- a/packages/jobs/src/kcr_jobs/locality.py
+++ b/packages/jobs/src/kcr_jobs/locality.py
@@ -91,6 +91,10 @@
             if step.startswith(f'{job.spec.job_id}.'):
                 self._logged.discard(step)
 
+    def forget_step(self, name: str) -> None:
+        """Discard what is known of a step."""
+        self._logged.discard(name)
+
     def take_counts(self) -> dict[str, int]:
         """Return the numbers of tasks by effect, and reset them."""
         counts, self._counts = dict(self._counts), collections.Counter()
--- a/packages/jobs/src/kcr_jobs/planning.py
+++ b/packages/jobs/src/kcr_jobs/planning.py
@@ -88,6 +88,14 @@
             if step.startswith(f'{job.spec.job_id}.'):
                 self._logged_at.pop(step)
 
+    def forget_occurrence(self, job: job_table.Job, number: int) -> None:
+        """Discard what is known of the steps of an occurrence."""
+        for step in range(len(job.spec.steps)):
+            name = f'{job.spec.job_id}.{number}.{step}'
+            self.advice.forget_step(name)
+            self.locality.forget_step(name)
+            self._logged_at.pop(name, None)
+
     def plan(
         self,
         jobs: abc.Iterable[job_table.Job],
@@ -124,6 +132,9 @@
         blocked: set[tuple[int, int, bool]] = set()
         choices = step_choice.JobChoices(job, candidates)
         gangs: dict[tuple[int, int], list[job_table.Task]] = {}
+        # Whether the job is starved; none before it matters, as it takes a
+        # look at all tasks.
+        starved: bool | None = None
         for task in job.tasks.values():
             key = (task.occurrence, task.step)
             if task.done or task.instance:
@@ -149,7 +160,9 @@
                     # Another task of the step may be placed elsewhere.
                     self._log_waiting(task, candidates, now, plan, steps_ahead)
                     continue
-            if candidate is None and _is_starved(job, now):
+            if candidate is None and starved is None:
+                starved = _is_starved(job, now)
+            if candidate is None and starved:
                 candidate = placement.choose_least_disturbed(task, allowed)
                 choices.clear()
             if candidate is None:
@@ -159,6 +172,7 @@
                 self._log_waiting(task, candidates, now, plan, steps_ahead)
                 continue
             _assign(task, candidate, plan)
+            starved, job.starved_since = False, None
             self.locality.record_start(task, candidate, now)
         for members in gangs.values():
             self._plan_gang(members, candidates, now, plan)
--- a/packages/jobs/src/kcr_jobs/records.py
+++ b/packages/jobs/src/kcr_jobs/records.py
@@ -179,6 +179,13 @@
     tasks: tuple[TaskRow, ...]
     # Whether it is a part. Earlier builds do not mark parts.
     part: bool = False
+    # Whether a runner has begun any task.
+    begun: bool = False
+    # Number of occurrences of a scheduled job that were made, and first and
+    # last number of each stretch of them that has not ended. Those that have
+    # ended have no tasks any more.
+    occurrences: types.Count = 0
+    live: tuple[tuple[types.Count, types.Count], ...] = ()
 
 
 Record = (
--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -154,8 +154,6 @@
         rec = job_table.restate_in_parts(job, partial.tasks, first, limit)
         if rec is not None:
             chosen.append(rec)
-        if job.begun and job.is_open() and not first:
-            chosen.append(job_table.record_begun(partial.tasks[0]))
         if partial.restated < len(partial.tasks):
             self._partial = partial
         return min(limit, len(partial.tasks) - first)
