Place fillers that add nothing to serving tasks

Cause: the share at which a filler starts beside a serving task under pressure was divided by what the filler adds to the pressure, which is 0 without processors. Shown on by the traceback in "task failed" of work/owner: ZeroDivisionError in infer_start_percent. Each next owner planned the same job.

Change: a filler that adds nothing is neither throttled nor kept away by the pressure. The score of a serving task no longer divides by the processors of a runner that has none.

--- a/packages/jobs/src/kcr_jobs/placement.py
+++ b/packages/jobs/src/kcr_jobs/placement.py
@@ -145,11 +145,16 @@
         return added * cores / serving.spec.target_ms
 
     def infer_pressure(self, filler: job_table.Task) -> float:
-        """Return the highest pressure once a filler runs here as well."""
+        """Return the highest pressure that a filler raises, and how far.
+
+        The pressure on tasks to which it adds nothing is no reason to keep it
+        away; a filler that asks for no processors adds nothing to any.
+        """
         return max(
             (
-                p + self._infer_added_pressure(s, filler)
-                for s, p in self.pressures
+                pressure + added
+                for serving, pressure in self.pressures
+                if (added := self._infer_added_pressure(serving, filler)) > 0.0
             ),
             default=0.0,
         )
@@ -163,7 +168,7 @@
             ):
                 share = min(share, PROBE_PERCENT)
             added = self._infer_added_pressure(serving, filler)
-            if pressure + added > MAX_PRESSURE:
+            if added > 0.0 and pressure + added > MAX_PRESSURE:
                 headroom = max(0.0, MAX_PRESSURE - pressure)
                 share = min(share, 100.0 * headroom / added)
         percent = (
@@ -357,9 +362,8 @@
     so far; the more images it has already, the fewer are excluded.
     """
     assert candidate.runner.info is not None
-    left = (
-        candidate.cpu - task.spec.demand.cpu
-    ) / candidate.runner.info.capacity.cpu
+    total_cpu = max(1, candidate.runner.info.capacity.cpu)
+    left = (candidate.cpu - task.spec.demand.cpu) / total_cpu
     score = PACKING_WEIGHT * left + candidate.failure_rate
     if candidate.cold:
         score += COLD_SCORE
--- a/tests/jobs/test_fillers.py
+++ b/tests/jobs/test_fillers.py
@@ -228,3 +228,46 @@
     shared.step()
     shared.harness.submit(job_harness.make_job('f', FILLER))
     assert max(shared.step() for _ in range(4)) < 50.0
+
+
+def make_pressed_harness() -> job_harness.Harness:
+    """Return a runner with a serving task at 84% of its target."""
+    harness = job_harness.Harness(job_harness.FakeRunner('a'))
+    serving = types.Step(
+        1, types.Demand(2000, 100), lasts=True, target_ms=50.0, image='web'
+    )
+    harness.submit(job_harness.make_job('s', serving))
+    harness.step()
+    run = harness.runners['a'].runs['s.0.0.0']
+    run.percent, run.usage = 100, 42
+    harness.step()
+    return harness
+
+
+def test_filler_without_processors_starts_beside_a_loaded_task() -> None:
+    """Guard against a division by what such a filler adds: nothing."""
+    harness = make_pressed_harness()
+    filler = types.Step(2, types.Demand(0, 100), fills=True, image='heavy')
+    harness.submit(job_harness.make_job('f', filler))
+    for _ in range(6):
+        harness.step()
+    assert len(harness.find_placements('f')) == 2
+
+
+def test_filler_with_processors_waits_beside_a_loaded_task() -> None:
+    """Guard against a filler that takes a serving task over its target."""
+    harness = make_pressed_harness()
+    filler = types.Step(1, types.Demand(2000, 100), fills=True, image='heavy')
+    harness.submit(job_harness.make_job('f', filler))
+    harness.step()
+    assert not harness.find_placements('f')
+
+
+def test_serving_task_without_processors_on_a_runner_without() -> None:
+    """Guard against a division by the processors of a runner."""
+    runner = job_harness.FakeRunner('a', cpu=0)
+    harness = job_harness.Harness(runner)
+    lasting = types.Step(1, types.Demand(0, 100), lasts=True)
+    harness.submit(job_harness.make_job('s', lasting))
+    harness.step()
+    assert harness.find_placements('s') == {'s.0.0.0': 'a'}
