Bound the lists of places of preemption and rack waits

Random jobs and runners with values at the borders of what is valid ended the owner of the jobs in three more places, all with optional decisions on: admission took the minimum over the tasks of a job without steps, and preemption and the forecast of a rack made a list entry for each task that a runner has room for, however few wait (MemoryError for a task of one thousandth of a core on a very large runner). Read beside them: the number of runners of a request to the adviser may exceed the largest float.

Change: a job without steps needs no estimate; the lists are as long as tasks wait; the number is bounded before it is rounded.

--- a/packages/jobs/src/kcr_jobs/admission.py
+++ b/packages/jobs/src/kcr_jobs/admission.py
@@ -183,6 +183,8 @@
         spec = draft.spec
         if ordering.is_long_running(draft) or spec.repeat or spec.start_at_ms:
             return Verdict(EXEMPT)
+        if not draft.tasks:
+            return Verdict(FREE)
         if min(map(self._run_times.samples, draft.tasks.values())) < (
             MIN_SAMPLES
         ):
--- a/packages/jobs/src/kcr_jobs/preemption.py
+++ b/packages/jobs/src/kcr_jobs/preemption.py
@@ -204,7 +204,9 @@
             candidate = candidates[running.instance]
             before = _count_fits(task, candidate)
             _release(candidate, running)
-            waits_s += [left_s] * (_count_fits(task, candidate) - before)
+            places = _count_fits(task, candidate) - before
+            # A runner may have room for far more tasks than wait.
+            waits_s += [left_s] * min(places, waiting - len(waits_s))
             if len(waits_s) >= waiting:
                 return waits_s[:waiting]
         return waits_s + [math.inf] * (waiting - len(waits_s))
--- a/packages/jobs/src/kcr_jobs/rack_forecast.py
+++ b/packages/jobs/src/kcr_jobs/rack_forecast.py
@@ -187,4 +187,5 @@
             self._free[index].change(freed, 1)
             if index in slots:
                 slots[index] = self._free[index].count_slots(task)
-        return [n for n in sorted(slots) for _ in range(slots[n])]
+        # A runner may have room for far more tasks than are asked for.
+        return [n for n in sorted(slots) for _ in range(min(slots[n], count))]
--- a/packages/jobs/src/kcr_jobs/tickets.py
+++ b/packages/jobs/src/kcr_jobs/tickets.py
@@ -83,8 +83,8 @@
     if not queue.advice_runner_ms:
         return MAX_RUNNERS_PER_REQUEST
     left_ms = queue.ticket_ms * MAX_HANDLING_SHARE - queue.advice_ms
-    number = math.floor(left_ms / queue.advice_runner_ms)
-    return max(1, min(MAX_RUNNERS_PER_REQUEST, number))
+    number = min(MAX_RUNNERS_PER_REQUEST, left_ms / queue.advice_runner_ms)
+    return max(1, math.floor(number))
 
 
 @dataclasses.dataclass(slots=True)
