Lead only the claimed epoch, and end beliefs about the owner

Cause: the epoch that a process knows and whether it leads were two values in its pulses. An owner that heard of the next epoch before its own append failed said that it led that epoch; a reader took the epoch from it and the owner from the sender, and each leading pulse of the epoch, whoever sent it, renewed the belief.

Change: a process leads the epoch that it has claimed and steps down when it hears of a higher one; only the owner's pulses renew its time; two owners of one epoch, and an owner whose calls go unanswered, are compared with the published claim. A deposed owner that stops resigns no epoch of another. Sessions have TCP keep-alives, as who only receives never ended a silent connection.

--- a/packages/emulator/src/kcr_emulator/capacity_net.py
+++ b/packages/emulator/src/kcr_emulator/capacity_net.py
@@ -217,6 +217,13 @@
         self._net.ports.pop(self._port, None)
 
 
+class Socket:
+    """Stand for the socket of a transport."""
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Do nothing; a transport in memory is never silent."""
+
+
 @zope.interface.implementer(interfaces.ITransport, interfaces.IPushProducer)
 class Transport:
     """Implement one end of a connection."""
@@ -293,6 +300,10 @@
     def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
         """Do nothing."""
 
+    def getHandle(self) -> Socket:  # noqa: N802
+        """Return the socket, for its options."""
+        return Socket()
+
     def registerProducer(  # noqa: N802
         self, producer: typing.Any, streaming: bool
     ) -> None:
--- a/packages/runtime/src/kcr_runtime/wire/connection.py
+++ b/packages/runtime/src/kcr_runtime/wire/connection.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections import abc
+import socket
 import typing
 
 from twisted.internet import error
@@ -30,6 +31,13 @@
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
 # Bytes that a peer may send without a hello: the handshake and one message.
 MAX_GREETING_BYTES = 16 * 1024
+# Time without bytes after which the kernel probes a connection, time between
+# its probes, and number of unanswered ones that end it, in seconds. Who only
+# receives finds a silent connection in no other way. A cut path of 30 s ends
+# no connection.
+KEEPALIVE_IDLE_S = 10
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 5
 # Bytes of pongs that may wait for a peer that does not read.
 MAX_UNREAD_BYTES = 64 * 1024
 
@@ -77,6 +85,7 @@
         """Start the WebSocket handshake if this side has dialed."""
         transport = typing.cast(typing.Any, self.transport)
         transport.setTcpNoDelay(True)
+        _enable_keepalive(transport)
         transport.registerProducer(self, True)
         if isinstance(self._ws, client.ClientProtocol):
             self._ws.send_request(self._ws.connect())
@@ -214,6 +223,17 @@
                 transport.loseConnection()
 
 
+def _enable_keepalive(transport: typing.Any) -> None:
+    transport.setTcpKeepAlive(True)
+    sock = transport.getHandle()
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class ConnectionFactory(protocol.Factory):
     """Create connections for a listening port or a dialed address."""
 
--- a/packages/scheduler/src/kcr_scheduler/events.py
+++ b/packages/scheduler/src/kcr_scheduler/events.py
@@ -110,6 +110,28 @@
     was_own: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimQuery:
+    """Query the owner task for the claim that was published last."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishedClaim:
+    """Report the claim that was published last."""
+
+    epoch: int
+    # Address of the owner.
+    owner: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteUnanswered:
+    """Report that a call to the owner got no reply, and no later one did."""
+
+    # Address of the session task that leads to the owner.
+    route: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerStalled:
     """Report that the owner can't write and looks for a successor."""
--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -38,6 +38,9 @@
 # Time between scans that shows that this process itself was suspended, in
 # seconds.
 SUSPENDED_S = 0.5
+# Time between two reads of the published claim because of a doubt about the
+# owner, in seconds.
+VERIFY_INTERVAL_S = 1.0
 # Pulses on a session between those that repeat unchanged addresses.
 PULSES_PER_LIST = 20
 # Maximum number of schedulers that are dialed at the same time.
@@ -67,11 +70,12 @@
         )
         # Peers by the address of the session task.
         self.peers: dict[str, election.Peer] = {}
-        # Highest epoch and its owner.
+        # Highest epoch and its owner, always from one source.
         self.epoch = 0
         self.owner = ''
-        # Whether this process owns the jobs.
-        self.is_owner = False
+        # Epoch that this process has claimed and leads; none while it does
+        # not own the jobs, or once a higher epoch is known.
+        self._led_epoch: int | None = None
         # Number of records read for the own claim; none without a claim.
         self._claim_progress: int | None = None
         # Whether this process reads the log while a peer owns the jobs.
@@ -101,10 +105,16 @@
         # Time of the owner's last pulse.
         self._owner_pulse_at = 0.0
         self._next_campaign_at = 0.0
-        self._route: str | None = None
+        # Time of the last doubt about the owner that was sent to the store.
+        self._verified_at = -VERIFY_INTERVAL_S
         # Readiness that the front end was last informed of; none before.
         self._ready: bool | None = None
 
+    @property
+    def is_owner(self) -> bool:
+        """Return whether this process owns the jobs."""
+        return self._led_epoch is not None
+
     def started(self) -> None:
         """Dial the seeds and start the pulses."""
         self._owner_lost_at = self.now() + election.PEER_DISCOVERY_S
@@ -163,11 +173,8 @@
         if address is None or address != self.owner:
             return
         if self._find_route() == '' and self._owner_lost_at is None:
-            self._owner_lost_at = self.now()
-            self.log.warning(
-                'owner lost', owner=address, epoch=self.epoch,
-                reason=event.reason,
-            )  # fmt: skip
+            self._lose_owner(self.now(), event.reason)
+            return
         self._publish_owner()
 
     @task.handles(session.DialFailed)
@@ -283,14 +290,69 @@
         )  # fmt: skip
         for target in msg.entries:
             self._dialer.dial(target)
-        if msg.leading and msg.epoch >= self.epoch:
-            self._owner_pulse_at = now
-            if self._owner_lost_at is not None or msg.epoch > self.epoch:
-                self._set_owner(msg.epoch, event.hello.address)
+        self._record_leading(msg, event.hello.address, now)
         self._pass_on_evacuation(msg)
         self._relay.record_pulse(event.session, msg.version, now)
         self._request_config(now)
 
+    def _record_leading(
+        self, msg: messages.Pulse, sender: str, now: float
+    ) -> None:
+        """Update the owner with what a pulse says of its own sender.
+
+        What a sender believes of others changes nothing here, and only the
+        owner itself renews its time.
+        """
+        if not msg.leading or msg.epoch < self.epoch:
+            return
+        if msg.epoch > self.epoch or (
+            self._owner_lost_at is not None and not self.is_owner
+        ):
+            self._owner_pulse_at = now
+            self._set_owner(msg.epoch, sender)
+        elif sender == self.owner:
+            self._owner_pulse_at = now
+        else:
+            self._verify_owner(now, f'{sender} leads the same epoch')
+
+    def _lose_owner(self, now: float, reason: str) -> None:
+        self._owner_lost_at = now
+        self.log.warning(
+            'owner lost', owner=self.owner, epoch=self.epoch, reason=reason
+        )
+        self._publish_owner()
+
+    def _verify_owner(self, now: float, reason: str) -> None:
+        """Compare the owner with the published claim."""
+        if now - self._verified_at < VERIFY_INTERVAL_S or self.is_owner:
+            return
+        self._verified_at = now
+        self.log.warning(
+            'owner in doubt', owner=self.owner, epoch=self.epoch, reason=reason
+        )
+        self.ctx.metrics.count('owner_in_doubt')
+        self.send(addresses.OWNER, events.ClaimQuery())
+
+    @task.handles(events.PublishedClaim)
+    def _on_published_claim(self, event: events.PublishedClaim) -> None:
+        known = (self.epoch, self.owner)
+        found = (event.epoch, event.owner)
+        if self.is_owner or event.epoch < self.epoch or found == known:
+            return
+        self.epoch, self.owner = found
+        self._next_campaign_at = self.now() + OWNER_DISCOVERY_S
+        # The owner of the claim regains its place with its next pulse.
+        self._lose_owner(self.now(), 'published claim is of another owner')
+
+    @task.handles(events.RouteUnanswered)
+    def _on_route_unanswered(self, event: events.RouteUnanswered) -> None:
+        """Doubt an owner that sends pulses and does not reply to calls.
+
+        The session is kept: an owner whose store stalls replies to none.
+        """
+        if event.route == self._find_route():
+            self._verify_owner(self.now(), 'calls are unanswered')
+
     def _pass_on_evacuation(self, msg: messages.Pulse) -> None:
         found, known = evacuation.from_pulse(msg), self._evacuation
         if found is not None and (
@@ -416,6 +478,11 @@
         self.log.info('owner changed', epoch=epoch, owner=owner)
         self.epoch, self.owner = epoch, owner
         self._owner_lost_at = None
+        if self._led_epoch is not None and epoch > self._led_epoch:
+            # The claim of the higher epoch is durable, so nothing that this
+            # process decides can be stored any more.
+            self._led_epoch = None
+            self.send(addresses.OWNER, events.StepDown())
         self._publish_owner()
 
     @task.handles(events.ClaimProgress)
@@ -428,8 +495,12 @@
 
     @task.handles(events.OwnershipGained)
     def _on_ownership_gained(self, event: events.OwnershipGained) -> None:
-        self.is_owner = True
         self._claim_progress = None
+        if event.epoch < self.epoch:
+            # A higher epoch became known while the claim was made.
+            self.send(addresses.OWNER, events.StepDown())
+            return
+        self._led_epoch = event.epoch
         self.epoch, self.owner = event.epoch, self.ctx.cfg.address
         self._owner_lost_at = None
         for name in self._open_sessions:
@@ -439,13 +510,17 @@
     @task.handles(events.NotOwner)
     def _on_not_owner(self, event: events.NotOwner) -> None:
         """Store the newest claim as the owner task has read it."""
-        was_owner, self.is_owner = self.is_owner, False
+        was_owner, self._led_epoch = self.is_owner, None
         self._claim_progress = None
         # An owner task that was restarted has to be told again.
         self._follows = False
-        if event.epoch >= self.epoch:
-            self.epoch, self.owner = event.epoch, event.owner
-        if was_owner or self._owner_lost_at is None:
+        if event.epoch < self.epoch:
+            # The owner of a higher epoch has been heard of meanwhile.
+            self._publish_owner()
+            return
+        known = (event.epoch, event.owner) == (self.epoch, self.owner)
+        self.epoch, self.owner = event.epoch, event.owner
+        if was_owner or (self._owner_lost_at is None and not known):
             self._owner_lost_at = self.now()
         if event.was_own:
             # The owner of the newest claim was an earlier incarnation of
@@ -479,8 +554,8 @@
 
     @task.handles(events.Stopping)
     def _on_stopping(self, event: events.Stopping) -> None:
-        if self.is_owner:
-            self.post(events.OwnerStalled(self.epoch))
+        if self._led_epoch is not None:
+            self.post(events.OwnerStalled(self._led_epoch))
 
     def _find_route(self) -> str:
         """Return where calls for the owner go; empty for nowhere."""
--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -93,6 +93,8 @@
         self._cancels = unconfirmed_cancels.UnconfirmedCancels()
         # Their number that was last reported.
         self._reported_kept = 0
+        # Time of the last reply of an owner.
+        self._replied_at = 0.0
         # Limits the copies to an owner that does not reply.
         self._budget = retry_budget.RetryBudget(RESEND_SHARE)
         self._count = 0
@@ -228,6 +230,8 @@
         self._handle_reply(event.msg)
 
     def _handle_reply(self, msg: messages.JobReply) -> None:
+        if msg.outcome != 'not_owner':
+            self._replied_at = self.now()
         if msg.token.startswith(CANCEL_TOKEN_PREFIX):
             job_id = msg.token.removeprefix(CANCEL_TOKEN_PREFIX)
             self._confirm_cancel(job_id, msg.outcome)
@@ -319,6 +323,12 @@
             )  # fmt: skip
             if pending.msg.verb == 'cancel':
                 self._keep_cancel(pending.msg.job_id, pending.msg.queue)
+            if pending.route == self._route and (
+                self._replied_at < pending.sent_at
+            ):
+                self.send(
+                    addresses.MESH, events.RouteUnanswered(pending.route)
+                )
             self._reply(pending.caller_query, 'unknown', 'owner is silent')
             return
         if self._route and now - pending.sent_at >= RESEND_AFTER_S:
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -152,6 +152,22 @@
                 events.NotOwner(claim.epoch, claim.address, was_own),
             )
 
+    @task.handles(events.ClaimQuery)
+    def _on_claim_query(self, msg: events.ClaimQuery) -> None:
+        if self.controller is None:
+            self.spawn(self._read_claim())
+
+    async def _read_claim(self) -> None:
+        """Tell the mesh task which claim was published last."""
+        try:
+            claim = await self._jobs.read_published_claim()
+        except job_log.Unreachable as exc:
+            self.log.info('claim not read', reason=str(exc))
+            return
+        if claim is not None and self._running:
+            event = events.PublishedClaim(claim.epoch, claim.address)
+            self.send(addresses.MESH, event)
+
     @task.handles(events.Follow)
     def _on_follow_changed(self, event: events.Follow) -> None:
         self._follows = event.follows
--- a/tests/runtime/test_session.py
+++ b/tests/runtime/test_session.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+import socket
 import typing
 
 import pytest
@@ -42,6 +43,7 @@
     def __init__(self) -> None:
         self.written = b''
         self.aborted = False
+        self.options: dict[int, int] = {}
 
     def write(self, data: bytes) -> None:
         """Record the bytes."""
@@ -55,6 +57,18 @@
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
         """Ignore the option."""
 
+    def setTcpKeepAlive(self, enabled: bool) -> None:  # noqa: N802
+        """Record the option."""
+        self.options[socket.SO_KEEPALIVE] = int(enabled)
+
+    def getHandle(self) -> 'FakeTransport':  # noqa: N802
+        """Return the socket, for its options."""
+        return self
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Record an option of the socket."""
+        self.options[option] = value
+
     def registerProducer(  # noqa: N802
         self, producer: typing.Any, streaming: bool
     ) -> None:
@@ -286,3 +300,17 @@
     pair.clock.advance(session.DIAL_TIMEOUT_S)
     pair.clock.advance(0)
     assert pair.ends[0][1].aborted
+
+
+def test_connection_that_only_receives_is_probed() -> None:
+    """Guard against a silent connection that an accepting side never ends."""
+    pair = Pair()
+    for _, transport in pair.ends:
+        assert transport.options[socket.SO_KEEPALIVE] == 1
+        bound_s = (
+            transport.options[socket.TCP_KEEPIDLE]
+            + transport.options[socket.TCP_KEEPINTVL]
+            * transport.options[socket.TCP_KEEPCNT]
+        )
+        # A cut of half a minute ends no session.
+        assert 30 <= bound_s <= 60
