Handle SIGTERM before SIGHUP is ignored

A process that was sent SIGTERM as soon as it ignored SIGHUP ended with -15 (KNOWN-RED: test_signals_while_starting, seen once).

Cause: handle_early_signals ignored SIGHUP one line before it handled SIGTERM, so a sender that waits for the first could be faster than the second.

Change: SIGTERM is handled first.

--- a/packages/daemon/src/kcr_daemon/main.py
+++ b/packages/daemon/src/kcr_daemon/main.py
@@ -40,11 +40,12 @@
     """Ignore SIGHUP and exit on SIGTERM until the role handles them.
 
     Imports take up to a second on a slow instance. The default action of
-    both signals would report the process as killed.
+    both signals would report the process as killed. SIGTERM is handled
+    first: who sees that SIGHUP is ignored may send it.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # No work has been accepted yet, so there is nothing to finish.
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 def defer_garbage_collection() -> None:
