Count a connection without a hello as a failed dial

Cause: an agent looks for the owner at three schedulers at a time and gives a place up if a dial fails or an open session does not reply. A connection that was accepted and ended without a hello did neither and was dialed again for ever. On no agent logs "owner found" or "scheduler silent" in the case.

Change: such a connection is reported as a failed dial, so the place goes to the next address.

--- a/packages/runtime/src/kcr_runtime/wire/session.py
+++ b/packages/runtime/src/kcr_runtime/wire/session.py
@@ -70,7 +70,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DialFailed:
-    """Notify subscribers that dialing an address has failed."""
+    """Notify subscribers that dialing an address has failed.
+
+    A connection that ends without a hello counts as well: what accepts it
+    may be no process of the system.
+    """
 
     # Address that was dialed.
     target: str
@@ -307,10 +311,13 @@
     @task.handles(_DialError)
     def _on_dial_error(self, msg: _DialError) -> None:
         self._conn = None
-        event = DialFailed(self.target or '', msg.refused)
+        self._notify_dial_failed(msg.refused)
+        self._redial()
+
+    def _notify_dial_failed(self, refused: bool) -> None:
+        event = DialFailed(self.target or '', refused)
         for subscriber in self.routes.subscribers:
             self.send(subscriber, event)
-        self._redial()
 
     def _redial(self) -> None:
         delay = self._redial_s * self.ctx.rng.uniform(0.5, 1.5)
@@ -412,8 +419,11 @@
     def _on_lost(self, msg: _Lost) -> None:
         self._lifecycle.lost()
         self._conn = None
+        greeted = self._hello is not None
         self._notify_closed(msg.reason)
         if self.target is not None:
+            if not greeted:
+                self._notify_dial_failed(False)
             self._redial()
         else:
             parent, _, name = self.address.rpartition('/')
--- a/tests/agent/test_link.py
+++ b/tests/agent/test_link.py
@@ -115,3 +115,16 @@
             harness.reply(target, messages.OwnerReply(0, ''))
     assert harness.sessions.pop_all(supervisor.StopChild) == []
     assert harness.take_dialed() == []
+
+
+def test_addresses_without_a_hello_do_not_keep_an_agent_from_the_owner() -> (
+    None
+):
+    """Guard against seeds at which others accept connections."""
+    harness = Harness()
+    harness.advance(0.3)
+    first = harness.take_dialed()
+    for target in first:
+        harness.link.post(session.DialFailed(target, False))
+    harness.advance(0.3)
+    assert 'h:4' in harness.take_dialed()
--- a/tests/runtime/test_session.py
+++ b/tests/runtime/test_session.py
@@ -33,6 +33,7 @@
     @task.handles(session.Closed)
     @task.handles(session.Received)
     @task.handles(session.SendRefused)
+    @task.handles(session.DialFailed)
     def _on_any(self, msg: typing.Any) -> None:
         self.recorded.append(msg)
 
@@ -314,3 +315,32 @@
         )
         # A cut of half a minute ends no session.
         assert 30 <= bound_s <= 60
+
+
+@pytest.mark.parametrize('end', ['silent', 'closed'])
+def test_connection_without_a_hello_is_a_failed_dial(end: str) -> None:
+    """Guard against an address that is dialed for ever and tells nobody.
+
+    Sessions to such addresses took all places of an agent, which never found
+    the owner of the jobs.
+    """
+    pair = Pair()
+    made = session.Session(pair.session.ctx, 'dialing', pair.session.routes)
+    made.begin()
+    made.target = '127.0.0.1:1'
+    conn = made.build_connection()
+    transport = FakeTransport()
+    conn.transport = typing.cast(typing.Any, transport)
+    conn.connectionMade()
+    if end == 'silent':
+        pair.clock.advance(session.DIAL_TIMEOUT_S)
+        pair.clock.advance(0)
+        assert transport.aborted
+    conn.connectionLost()
+    pair.clock.advance(0)
+    failed = [
+        msg
+        for msg in pair.recorder.recorded
+        if isinstance(msg, session.DialFailed)
+    ]
+    assert failed == [session.DialFailed('127.0.0.1:1', False)]
