--- a/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
+++ b/packages/scheduler/src/kcr_scheduler/fleet/mesh.py
@@ -515,7 +515,9 @@
         # An owner task that was restarted has to be told again.
         self._follows = False
         if event.epoch < self.epoch:
-            # The owner of a higher epoch has been heard of meanwhile.
+            # The owner of a higher epoch has been heard of meanwhile, or the
+            # log could not be read that far.
+            self._next_campaign_at = self.now() + OWNER_DISCOVERY_S
             self._publish_owner()
             return
         known = (event.epoch, event.owner) == (self.epoch, self.owner)
