--- a/tests/platform/order_faults.py
+++ b/tests/platform/order_faults.py
@@ -25,6 +25,10 @@
 # Delays of the lists of a runner that has just restarted, in seconds; short
 # tasks end while the longest ones are on their way.
 LIST_DELAYS_S = (0.0, 0.4, 0.9, 0.9)
+# Number of times that connections fall silent in a row, and the pause after
+# each, in seconds; four missed pulses make an owner count as failed.
+SILENT_TIMES = (2, 4)
+SILENT_PAUSE_S = (0.1, 1.3)
 # Longest wait for a caller that waits for the answer to a cancel, in seconds.
 CANCEL_WAIT_S = 1.0
 
@@ -159,6 +163,28 @@
     return heal
 
 
+# Its weight is 0, so that the draws of older seeds stay the same; it is played
+# alone (`only` of fault_soak.py).
+@_register('silent_series', 0.0)
+def silence_in_series(
+    deployment: deployments.Deployment, rng: random.Random
+) -> faults.Heal:
+    """Let connections fall silent for good in a row; replace the owner.
+
+    No connection is reset afterwards, so only timeouts end them.
+    """
+    names = [n for n in sorted(deployment.links) if 'store' not in n]
+    for _ in range(rng.randint(*SILENT_TIMES)):
+        for name in rng.sample(names, k=rng.randint(1, len(names))):
+            deployment.links[name].silence()
+        time.sleep(rng.uniform(*SILENT_PAUSE_S))
+    if rng.random() < 0.5:
+        return _do_nothing
+    process = deployment.processes[deployment.find_owner()]
+    process.send_signal(signal.SIGSTOP)
+    return lambda: process.send_signal(signal.SIGCONT)
+
+
 @_register('held_submissions', 3.0)
 def hold_submissions(
     deployment: deployments.Deployment, rng: random.Random
