Let a publication wait for records that are not read yet

Cause: an entry decides from what it has read of the log, and another may have read further.

Change: a publication that would be refused for that waits for further records, for 1 s at most, and is decided anew with each read. An entry whose reads lag by more still refuses, which writes nothing.

--- a/packages/entry/src/kcr_entry/configuration/in_force.py
+++ b/packages/entry/src/kcr_entry/configuration/in_force.py
@@ -32,6 +32,9 @@
 # Delay before a message that arrived while the floor was unknown is handled
 # again, in seconds.
 FLOOR_RETRY_S = 0.05
+# Time for which a publication waits for records that this entry may not have
+# read yet, in seconds. Another entry may just have confirmed a trial.
+READ_DELAY_S = 1.0
 # Interval between deliveries of the same settings, in seconds; a restarted
 # task has lost them. A document that did not arrive is requested again at the
 # same interval.
@@ -55,6 +58,13 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _EndWait:
+    """End the wait of a publication for records."""
+
+    req: query.Query
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Expire:
     token: str
@@ -77,6 +87,8 @@
         # peer may have a newer one.
         self._held: configuration.DocumentInForce | None = None
         self._publications = publishing.Publications(self._reply)
+        # Publications that would be refused by what this entry has read.
+        self._waiting: list[query.Query] = []
         self._last_token = 0
         self._unreadable = ''
         self._ready = False
@@ -142,6 +154,7 @@
             for verdict in self._fold.apply(record):
                 self._publications.apply_verdict(verdict)
         self._fold.advance(read.position)
+        self._retry_waiting()
         if read.caught_up and self._fold.is_complete:
             self._bootstrap.log_read = True
             doc = self._fold.in_force.get(self.ctx.cfg.environment)
@@ -382,7 +395,8 @@
     def _start_publication(
         self, req: query.Query, body: queries.Publish
     ) -> None:
-        if len(self._publications.pending) >= publishing.MAX_PENDING:
+        under_way = len(self._publications.pending) + len(self._waiting)
+        if under_way >= publishing.MAX_PENDING:
             refused = queries.Refused('too many publications are under way')
             self._reply(req, refused)
             return
@@ -391,6 +405,31 @@
             self._reply(req, refused)
             return
         item = publishing.make_record(body, self._fold)
+        if isinstance(item, queries.Refused):
+            self._waiting.append(req)
+            self.after(READ_DELAY_S, _EndWait(req))
+            return
+        self._decide_publication(req, item)
+
+    def _retry_waiting(self) -> None:
+        """Decide the waiting publications that are no longer refused."""
+        for req in list(self._waiting):
+            item = publishing.make_record(req.body, self._fold)
+            if not isinstance(item, queries.Refused):
+                self._waiting.remove(req)
+                self._decide_publication(req, item)
+
+    @task.handles(_EndWait)
+    def _on_end_wait(self, msg: _EndWait) -> None:
+        if msg.req in self._waiting:
+            self._waiting.remove(msg.req)
+            item = publishing.make_record(msg.req.body, self._fold)
+            self._decide_publication(msg.req, item)
+
+    def _decide_publication(
+        self, req: query.Query, item: publishing.Decision
+    ) -> None:
+        """Append the record of a publication, or reply why there is none."""
         if not isinstance(item, records.Tried | records.Promoted):
             self._reply(req, item)
             return
--- a/packages/entry/src/kcr_entry/configuration/publishing.py
+++ b/packages/entry/src/kcr_entry/configuration/publishing.py
@@ -31,6 +31,8 @@
 RESTATE_TOKEN = 'restate'
 
 Record = records.Tried | records.Promoted
+# Record of a publication, or the reply if none is needed.
+Decision = Record | queries.InForceNow | queries.Lost | queries.Refused
 
 
 @dataclasses.dataclass(slots=True)
@@ -45,9 +47,7 @@
     offset: int = 0
 
 
-def make_record(
-    req: queries.Publish, fold: configuration.Fold
-) -> Record | queries.InForceNow | queries.Lost | queries.Refused:
+def make_record(req: queries.Publish, fold: configuration.Fold) -> Decision:
     """Return the record to append, or the reply if none is needed."""
     in_force = fold.in_force.get(req.environment)
     current = in_force.revision if in_force is not None else 0
--- a/tests/entry/test_in_force.py
+++ b/tests/entry/test_in_force.py
@@ -323,3 +323,22 @@
         ('first', False),
         ('second', True),
     ]
+
+
+def test_promotion_waits_for_a_trial_that_is_not_read_yet(
+    harness: log_harness.Harness,
+) -> None:
+    """Guard against a refusal right after another entry confirmed the trial.
+
+    The entry that is asked to promote reads the record an instant later.
+    """
+    entry = config_harness.Entry(harness, 'a')
+    harness.run(1.5)
+    file = config_harness.read_file()
+    entry.publish('x', file, 'production')
+    harness.run(0.1)
+    assert entry.find_reply('x') is None
+    entry.publish('t', file)
+    harness.run(1.5)
+    assert isinstance(entry.find_reply('t'), queries.InForceNow)
+    assert isinstance(entry.find_reply('x'), queries.InForceNow)
