Wait for the other scheduler in the tests of cancels

Traced: the log of the other scheduler was empty, so it was still starting; the test waited for "owner lost" in any log, and the agents log that as well. Once in three plays beside load another test of the file got a refused connection; the first one suspends that scheduler without such a wait.

Change: the tests wait until the other scheduler knows the owner, and until it has lost it, before they go on. What is checked is the same.

--- a/tests/platform/test_cancels.py
+++ b/tests/platform/test_cancels.py
@@ -33,6 +33,12 @@
     return conn
 
 
+def wait_logged(made: deployments.Deployment, name: str, event: str) -> None:
+    """Wait until a process, which may still be starting, logs an event."""
+    log = made.folder / f'{name}.log'
+    made.wait(lambda: f'"{event}"' in log.read_text())
+
+
 def test_submission_in_a_suspended_scheduler_never_runs_after_its_cancel(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -47,6 +53,7 @@
         made.wait_completed('f' * 16)
         owner = made.find_owner()
         other = next(name for name in made.fronts if name != owner)
+        wait_logged(made, other, 'owner changed')
         job = 'a' * 16
         made.processes[other].send_signal(signal.SIGSTOP)
         conn = send_submission(made.fronts[other], job)
@@ -83,10 +90,11 @@
         made.wait(lambda: f'{job}.0.0.1' in made.checker.started)
         owner = made.find_owner()
         other = next(name for name in made.fronts if name != owner)
+        wait_logged(made, other, 'owner changed')
         made.store.down = True
         made.processes[owner].kill()
         made.processes[owner].wait()
-        made.wait(lambda: '"owner lost"' in made.read_logs())
+        wait_logged(made, other, 'owner lost')
         status, _ = http_calls.call_once(
             made.fronts[other], 'DELETE', f'/q/{job}'
         )
