Wait for the other scheduler before the job of a test starts

Suspected: since the test waits for another scheduler while its tasks run, and the fake runs end meanwhile. The wait comes before the job now.

--- a/tests/platform/test_cancels.py
+++ b/tests/platform/test_cancels.py
@@ -86,11 +86,14 @@
     body = {'Spec': 'x', 'Phases': [step]}
     job = 'a' * 16
     try:
-        made.wait(lambda: made.call('POST', f'/q/{job}', body)[0] == 200)
-        made.wait(lambda: f'{job}.0.0.1' in made.checker.started)
+        # Before the job begins, as its fake runs end after a while.
+        made.submit('f' * 16, count=1)
+        made.wait_completed('f' * 16)
         owner = made.find_owner()
         other = next(name for name in made.fronts if name != owner)
         wait_logged(made, other, 'owner changed')
+        made.wait(lambda: made.call('POST', f'/q/{job}', body)[0] == 200)
+        made.wait(lambda: f'{job}.0.0.1' in made.checker.started)
         made.store.down = True
         made.processes[owner].kill()
         made.processes[owner].wait()
