--- a/packages/jobs/src/kcr_jobs/occurrences.py
+++ b/packages/jobs/src/kcr_jobs/occurrences.py
@@ -17,7 +17,7 @@
 # bytes in the record that restates the job.
 MAX_LIVE = 2000
 # Maximum number of tasks of all open jobs; each takes about 510 bytes, and a
-# scheduler has 200 MB.
+# scheduler has 200 MB at least.
 MAX_OPEN_TASKS = 150_000
 
 
@@ -55,7 +55,10 @@
 
 
 def _count_waiting(job: job_table.Job) -> int:
-    """Return the number of live occurrences of which no task runs."""
+    """Return the number of live occurrences of which no task runs.
+
+    It is at most MAX_WAITING, and that for a job that gets no more anyway.
+    """
     if len(job.live) >= MAX_LIVE:
         return MAX_WAITING
     running = {task.occurrence for task in job.tasks.values() if task.instance}
