Agent: refute a late deregistration by the next heartbeat

The runner had drained, deregistered itself and restarted; the deregistration was delayed and arrived after the first heartbeat of the next incarnation.

Cause: a deregistration names the id of a runner only, which the next incarnation keeps. The agent applied it to whatever incarnation it knew, until a further one started, and reported that runner as draining. The owner keeps a drain until the incarnation ends.

Change: a heartbeat of the incarnation with a higher `Seq` refutes the deregistration, as a runner that has deregistered itself sends none. Until then the runner gets no starts, as before, and is reported as `deregistered`: its tasks are neither stopped nor moved. Only a runner that says so itself is reported as draining.

Ruled out: a drain that the owner keeps from the earlier incarnation (`runner ready` came 0.1 s after `runner incarnation started`), and an unknown label (`step waits` counts `label` for the two other runners only).

--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -126,8 +126,15 @@
                 # What has answered was of an older incarnation.
                 self._state.answered_born_ms = 0
             self._state.info, self._heartbeat_seq = new, event.seq
-            if new.draining and not old.draining:
+            refuted = self._state.deregistered
+            if refuted:
+                # A runner that has deregistered itself sends no heartbeats.
+                self._state.deregistered = False
+                self.log.info('deregistration refuted', life=new.incarnation)
+            drains = new.draining and not old.draining
+            if drains:
                 self.log.info('runner draining', left_ms=new.remaining_ms)
+            if drains or refuted:
                 self._lists.report((), (), self.now())
 
     def _begin_incarnation(self, event: events.RunnerHeartbeat) -> None:
@@ -138,7 +145,7 @@
             before=state.info.incarnation if state.info else '',
         )
         state.info, self._heartbeat_seq = event.info, event.seq
-        state.runner_left, state.answered_born_ms = False, 0
+        state.deregistered, state.answered_born_ms = False, 0
         state.lease.forget_clock()
         state.drop_lease()
         state.attach()
@@ -173,9 +180,18 @@
 
     @task.handles(events.RunnerLeft)
     def _on_runner_left(self, event: events.RunnerLeft) -> None:
-        if self.info is not None and self.info.runner_id == event.runner_id:
-            self.log.info('runner left', life=self.info.incarnation)
-            self._state.runner_left = True
+        """Send no starts until a later heartbeat shows that the runner serves.
+
+        A deregistration names the id only, which the next incarnation keeps,
+        and may arrive after that one has started.
+        """
+        info = self.info
+        if info is not None and info.runner_id == event.runner_id:
+            self.log.info(
+                'runner left', life=info.incarnation, draining=info.draining
+            )
+            self._state.deregistered = True
+            self._lists.report((), (), self.now())
 
     # The owner.
 
--- a/packages/agent/src/kcr_agent/runner/control_state.py
+++ b/packages/agent/src/kcr_agent/runner/control_state.py
@@ -43,8 +43,9 @@
         # Start of the incarnation that has answered last, if `info` is of
         # another one, until the next heartbeat; 0 if not.
         self.answered_born_ms = 0
-        # Whether the runner has deregistered itself.
-        self.runner_left = False
+        # Whether a deregistration with the id of the runner has arrived after
+        # the last heartbeat of the incarnation.
+        self.deregistered = False
         # Whether the task has ended.
         self.ended = False
 
@@ -66,7 +67,7 @@
 
     def is_leaving(self) -> bool:
         """Return whether the runner takes no new tasks."""
-        return self.runner_left or (
+        return self.deregistered or (
             self.info is not None and self.info.draining
         )
 
--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -220,13 +220,13 @@
         lease, info = state.lease, state.info
         if not lease.token or not state.owner_session or info is None:
             return
-        if state.runner_left:
-            info = dataclasses.replace(info, draining=True, remaining_ms=0)
+        if state.deregistered and info.draining:
+            info = dataclasses.replace(info, remaining_ms=0)
         self._last_end_sent = max(
             self._last_end_sent, *(e.number for e in ended), 0
         )
         report = messages.RunnerReport(
             lease.token, lease.next_report(now), info, complete, running,
-            ended, lease.last_order, unanswered, part,
+            ended, lease.last_order, unanswered, part, state.deregistered,
         )  # fmt: skip
         state.send_to_owner(report)
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -175,6 +175,10 @@
     # Number of this part of a complete list, from 1; 0 if the list is not in
     # parts. Only the last part is complete.
     part: Count = 0
+    # Whether a deregistration arrived after the last heartbeat. It may be that
+    # of an earlier incarnation, so the running tasks stay, but the runner gets
+    # no starts.
+    deregistered: bool = False
 
 
 @message_base.message('runner_report_ack')
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -94,6 +94,7 @@
             return
         runner.reported_at = now
         self._update_info(runner, msg.info, now)
+        self._update_deregistered(runner, msg.deregistered)
         self._record_ends(runner, msg.ended, now)
         running = runner.parts.join(msg)
         if running is not None:
@@ -161,6 +162,17 @@
         runner.info = info
         self._update_cold(runner, old, info, now)
 
+    def _update_deregistered(
+        self, runner: runners.RunnerState, deregistered: bool
+    ) -> None:
+        if deregistered != runner.deregistered:
+            runner.deregistered = deregistered
+            self._state.changed = True
+            self._state.log_event(
+                'runner deregistered' if deregistered else 'runner serves',
+                node=runner.name,
+            )  # fmt: skip
+
     def _update_cold(
         self,
         runner: runners.RunnerState,
--- a/packages/jobs/src/kcr_jobs/runners.py
+++ b/packages/jobs/src/kcr_jobs/runners.py
@@ -82,6 +82,9 @@
     slow: bool = False
     # Time since which it has been draining; none if it is not.
     draining_since: float | None = None
+    # Whether the last report shows a deregistration that no heartbeat has
+    # refuted.
+    deregistered: bool = False
     # Time until which it is slow after its start, and the starts that it may
     # get until then.
     cold_until: float = -math.inf
@@ -105,10 +108,16 @@
             bool(self.session)
             and self.reconciled
             and self.info is not None
-            and not self.info.draining
+            and not self.is_leaving()
             and not self.unknown_runs
         )
 
+    def is_leaving(self) -> bool:
+        """Return whether it takes no new tasks, as it has or may have left."""
+        return self.deregistered or (
+            self.info is not None and self.info.draining
+        )
+
     def record_end(self, how: str, now: float, run_s: float = 0.0) -> None:
         """Update the failure rate with the outcome of a run."""
         if how not in ('done', 'failed'):
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -175,7 +175,7 @@
         """Return the session to which a message is sent; empty for none.
 
         The owner task calls it when it sends the message. A start is withdrawn
-        if, while it waited for the log, its runner has begun to drain, its
+        if, while it waited for the log, its runner has begun to leave, its
         zone was evacuated, its region is not allowed any more, its job has
         ended, its ticket may have expired, or another member of its gang was
         lost.
@@ -186,7 +186,6 @@
         if not isinstance(effect.msg, messages.StartRun):
             return runner.session
         task = self._state.table.find_task(effect.msg.task)
-        draining = runner.info is not None and runner.info.draining
         evacuated = self._state.is_evacuated(runner)
         broken = task is not None and not task.is_gang_complete()
         expired = task is not None and self._state.planner.advice.has_expired(
@@ -195,7 +194,8 @@
         abroad = task is not None and not self._state.is_in_region(
             task, runner
         )
-        closed = draining or evacuated or abroad
+        leaving = runner.is_leaving()
+        closed = leaving or evacuated or abroad
         if task is None or task.stopping or closed or broken or expired:
             if evacuated:
                 self._state.count('zone_evacuations', 'start_withdrawn')
@@ -204,7 +204,7 @@
                 task.ordered_number = 0
             self._state.log_event(
                 'start withdrawn', task=effect.msg.task, node=runner.name,
-                draining=draining, zone_evacuated=evacuated, region=abroad,
+                leaving=leaving, zone_evacuated=evacuated, region=abroad,
                 gang_broken=broken, ticket_expired=expired,
             )  # fmt: skip
             return ''
