Cancel a job on the path of its submission after its route is removed

Cause: the front end took a path without a route in force for one without jobs, before it looked at the method. A job outlives the route on which it was accepted, and nothing in the job said which path that was.

Change: an accepted job keeps the base URL of its submission, in the job log. A DELETE whose path ends in a job id and has no route is forwarded with its base URL, and the owner cancels the job only if the two are equal. Other paths get 404 or 400 as before and end nothing. The cancel is kept with its base URL while there is no owner, and for submissions with this base URL that arrive later.

The same cause on related paths, mended with it: a queue that was moved to another path or host, a removed route below a shorter prefix that is left (400), schedulers that were restarted since, and one that the version with the route has not reached.

A test of admission passed a dict of mixed fields to JobSpec, which the type checker refuses with the new field; it passes `repeat` by name now.

--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -4,6 +4,7 @@
 reply that depends on a record is deferred until the record is durable.
 """
 
+import dataclasses
 import typing
 
 from kcr_jobs import admission
@@ -41,7 +42,8 @@
             self._state.log_event('job repeated', job=spec.job_id)
             self._state.deferred.append(effects.Reply(ref, 'accepted'))
             return
-        if spec.job_id in self._state.table.early_cancels:
+        early = self._state.table.early_cancels.get(spec.job_id)
+        if early is not None and spec.is_below(early.base_url):
             self._accept_cancelled(ref, spec, now, wall_ms)
             return
         if len(self._state.open_jobs) >= MAX_OPEN_JOBS:
@@ -155,12 +157,29 @@
         )  # fmt: skip
         return True
 
-    def cancel(self, ref: typing.Any, job_id: str, now: float) -> None:
-        """Cancel a job and stop its runs."""
+    def cancel(
+        self, ref: typing.Any, job_id: str, now: float, base_url: str = ''
+    ) -> None:
+        """Cancel a job and stop its runs.
+
+        A call for which no route is known has its base URL. It cancels the job
+        only if the job was submitted with the same one: the route was removed
+        or moved since, or its version has not reached the scheduler.
+        """
         job = self._state.table.jobs.get(job_id)
+        if job is None and base_url:
+            self._cancel_unrouted(ref, job_id, now, base_url)
+            return
         if job is None:
             self._cancel_unknown(ref, job_id, now)
             return
+        if not job.spec.is_below(base_url):
+            self._state.log_event(
+                'cancel with another base URL', job=job_id, called=base_url,
+                submitted=job.spec.base_url,
+            )  # fmt: skip
+            self._state.immediate.append(effects.Reply(ref, 'no_route'))
+            return
         if job.is_open():
             self._state.append(records.Cancelled(job_id))
             self._state.log_event('job cancelled', job=job_id)
@@ -185,11 +204,40 @@
             reply = effects.Reply(ref, 'refused', detail, retry_ms)
             self._state.immediate.append(reply)
             return
-        # A repeated cancel begins its retention anew.
-        self._state.append(records.Cancelled(job_id))
-        early[job_id] = now
+        self._record_early_cancel(job_id, now, '')
         self._state.deferred.append(effects.Reply(ref, 'unknown_job'))
 
+    def _cancel_unrouted(
+        self, ref: typing.Any, job_id: str, now: float, base_url: str
+    ) -> None:
+        """Cancel a job that may be submitted later with a base URL.
+
+        The caller is told that there is no such route, as there may never
+        have been one. It gets that reply also if there is no room for the
+        cancel, and only once an append has proved that the job is unknown.
+        """
+        early = self._state.table.early_cancels
+        self._state.log_event(
+            'cancel without route', job=job_id, called=base_url,
+            early_cancels=len(early),
+        )  # fmt: skip
+        known = early.get(job_id)
+        room = known is not None or len(early) < job_table.MAX_EARLY_CANCELS
+        # One without a base URL applies to every submission.
+        if room and (known is None or known.base_url):
+            self._record_early_cancel(job_id, now, base_url)
+        else:
+            self._state.pending_records.append(records.Renewed())
+        self._state.deferred.append(effects.Reply(ref, 'no_route'))
+
+    def _record_early_cancel(
+        self, job_id: str, now: float, base_url: str
+    ) -> None:
+        # A repeated cancel begins its retention anew.
+        self._state.append(records.Cancelled(job_id, base_url))
+        early = self._state.table.early_cancels
+        early[job_id] = dataclasses.replace(early[job_id], at=now)
+
     def _reply_unknown(self, ref: typing.Any) -> None:
         """Reply that a job does not exist, once an append has proved it.
 
--- a/packages/jobs/src/kcr_jobs/config.py
+++ b/packages/jobs/src/kcr_jobs/config.py
@@ -9,6 +9,12 @@
 from kcr_jobs import types
 
 
+def make_base_url(host: str, prefix: str) -> str:
+    """Return the base URL of calls with a prefix; empty if it is too long."""
+    base_url = f'{host}{prefix}'
+    return base_url if len(base_url) <= types.MAX_BASE_URL_CHARS else ''
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """Describe which requests go to which queue."""
@@ -22,6 +28,11 @@
     # Timeout of an answer, in milliseconds.
     timeout_ms: int = 3000
 
+    @property
+    def base_url(self) -> str:
+        """Return the base URL of its jobs."""
+        return make_base_url(self.host, self.prefix)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
@@ -69,3 +80,11 @@
             if path.startswith(route.prefix)
         ]
         return max(fitting, key=lambda r: len(r.prefix), default=None)
+
+    def has_route(self, base_url: str) -> bool:
+        """Return whether a route has this base URL."""
+        return any(
+            route.base_url == base_url
+            for routes in self.routes.values()
+            for route in routes
+        )
--- a/packages/jobs/src/kcr_jobs/controller.py
+++ b/packages/jobs/src/kcr_jobs/controller.py
@@ -9,6 +9,8 @@
 are in modules by subject, which share the state.
 """
 
+import dataclasses
+
 from kcr_jobs import caller_requests
 from kcr_jobs import controller_state
 from kcr_jobs import filler_shares
@@ -72,8 +74,10 @@
         A run may go on until a complete report of its runner omits it or the
         lease of the runner has expired; until then its task is not restarted.
         """
-        for job_id in self.table.early_cancels:
-            self.table.early_cancels[job_id] = now
+        for job_id, cancel in self.table.early_cancels.items():
+            self.table.early_cancels[job_id] = dataclasses.replace(
+                cancel, at=now
+            )
         for job in self.table.jobs.values():
             job.accepted_at = now
             for task in job.tasks.values():
--- a/packages/jobs/src/kcr_jobs/job_ends.py
+++ b/packages/jobs/src/kcr_jobs/job_ends.py
@@ -82,8 +82,8 @@
     def _forget_early_cancels(self, now: float) -> None:
         early = self._state.table.early_cancels
         while early:
-            job_id, cancelled_at = next(iter(early.items()))
-            if now - cancelled_at <= job_table.ENDED_RETENTION_S:
+            job_id, cancel = next(iter(early.items()))
+            if now - cancel.at <= job_table.ENDED_RETENTION_S:
                 return
             del early[job_id]
 
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -131,6 +131,17 @@
         ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EarlyCancel:
+    """Describe the cancel of a job that was not submitted."""
+
+    # As in records.Cancelled.
+    base_url: str = ''
+    # Monotonic time at which this owner recorded it or took it over. Not
+    # durable.
+    at: float = 0.0
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Job:
     """Store one job and its tasks."""
@@ -295,10 +306,8 @@
     def __init__(self) -> None:
         # Jobs by id.
         self.jobs: dict[str, Job] = {}
-        # Ids of jobs that were cancelled before they were submitted, and the
-        # monotonic time at which this owner recorded or took over the cancel,
-        # which is not durable; the oldest first.
-        self.early_cancels: dict[str, float] = {}
+        # Cancels of jobs that were not submitted, by id; the oldest first.
+        self.early_cancels: dict[str, EarlyCancel] = {}
         # Claim with the highest epoch so far; none before the first.
         self.claim: records.Claim | None = None
 
@@ -326,7 +335,7 @@
             for end in rec.rows:
                 self._end(end)
         elif isinstance(rec, records.Cancelled):
-            self._cancel(rec.job_id)
+            self._cancel(rec)
         elif isinstance(rec, records.Restated):
             self._restate(rec)
 
@@ -345,16 +354,17 @@
         if not rec.spec.repeat:
             job.make_occurrence()
 
-    def _cancel(self, job_id: str) -> None:
-        job = self.jobs.get(job_id)
+    def _cancel(self, rec: records.Cancelled) -> None:
+        job = self.jobs.get(rec.job_id)
         if job is not None:
             # An ended one may be forgotten by the owner, see above.
-            job.cancelled = job.cancelled or job.is_open()
+            if job.spec.is_below(rec.base_url):
+                job.cancelled = job.cancelled or job.is_open()
             return
-        self.early_cancels.pop(job_id, None)
+        self.early_cancels.pop(rec.job_id, None)
         while len(self.early_cancels) >= MAX_EARLY_CANCELS:
             del self.early_cancels[next(iter(self.early_cancels))]
-        self.early_cancels[job_id] = 0.0
+        self.early_cancels[rec.job_id] = EarlyCancel(rec.base_url)
 
     def _start(self, row: records.StartRow) -> None:
         task = self._find_or_make(row.task)
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -92,6 +92,8 @@
     job_id: Text = ''
     # The job to submit; none for other verbs.
     spec: types.JobSpec | None = None
+    # Base URL of a cancel for which the scheduler has no route; else empty.
+    base_url: types.BaseUrl = ''
 
 
 @message_base.message('job_reply')
@@ -101,7 +103,7 @@
 
     # Token of the call.
     token: Text
-    # accepted, refused, known, unknown_job, cancelled or not_owner.
+    # accepted, refused, known, unknown_job, cancelled, no_route or not_owner.
     outcome: Text
     # State of the job, or the reason of a refusal.
     detail: Text = ''
--- a/packages/jobs/src/kcr_jobs/records.py
+++ b/packages/jobs/src/kcr_jobs/records.py
@@ -116,6 +116,9 @@
     """Record the cancellation of a job, which may be submitted later."""
 
     job_id: str
+    # Base URL of the call if no route has it; a job that was submitted with
+    # another one is not cancelled.
+    base_url: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/jobs/src/kcr_jobs/snapshots.py
+++ b/packages/jobs/src/kcr_jobs/snapshots.py
@@ -133,7 +133,8 @@
                 if self._partial is not None:
                     continue
             elif job_id in table.early_cancels:
-                chosen.append(records.Cancelled(job_id))
+                early = table.early_cancels[job_id]
+                chosen.append(records.Cancelled(job_id, early.base_url))
                 rows += 1
             remaining.popleft()
         if not remaining:
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -20,6 +20,10 @@
 Number = types.Number
 # Text with which the tasks of a job are started.
 Payload = typing.Annotated[str, annotated_types.MaxLen(64 * 1024)]
+# Host and path of a request without the id of its job, as in
+# config.make_base_url; empty if it is not known.
+MAX_BASE_URL_CHARS = 2048
+BaseUrl = typing.Annotated[str, annotated_types.MaxLen(MAX_BASE_URL_CHARS)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,6 +120,12 @@
     repeat: Count = 0
     # Time between occurrences.
     interval_ms: Number = 0.0
+    # Base URL of its submission; empty in jobs of earlier builds.
+    base_url: BaseUrl = ''
+
+    def is_below(self, base_url: str) -> bool:
+        """Return whether a call with a base URL may be for this job."""
+        return not base_url or self.base_url in ('', base_url)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/jobs/src/kcr_jobs/unconfirmed_cancels.py
+++ b/packages/jobs/src/kcr_jobs/unconfirmed_cancels.py
@@ -29,6 +29,8 @@
     # Job that it cancels, and the queue of the job.
     job_id: str
     queue: str
+    # Base URL of the call, as in messages.JobCall.
+    base_url: str
     # Time of the caller's last try.
     received_at: float
     # Time from which it is sent, and the time after that until the next copy.
@@ -40,27 +42,31 @@
     """Store the cancels that the owner has still to confirm."""
 
     def __init__(self) -> None:
-        # By job; the one that was sent longest ago first.
-        self._cancels: dict[str, Cancel] = {}
+        # By job and base URL; the one that was sent longest ago first.
+        self._cancels: dict[tuple[str, str], Cancel] = {}
 
     def __len__(self) -> int:
         """Return the number of cancels that are kept."""
         return len(self._cancels)
 
-    def add(self, job_id: str, queue: str, now: float) -> bool:
+    def add(
+        self, job_id: str, queue: str, now: float, base_url: str = ''
+    ) -> bool:
         """Keep a cancel; return whether there was room for it."""
-        known = self._cancels.get(job_id)
+        known = self._cancels.get((job_id, base_url))
         if known is not None:
             known.received_at = now
             return True
         if len(self._cancels) >= MAX_CANCELS:
             return False
-        self._cancels[job_id] = Cancel(job_id, queue, now, now)
+        self._cancels[job_id, base_url] = Cancel(
+            job_id, queue, base_url, now, now
+        )
         return True
 
-    def confirm(self, job_id: str) -> bool:
+    def confirm(self, job_id: str, base_url: str = '') -> bool:
         """Drop a confirmed cancel; return whether it was kept."""
-        return self._cancels.pop(job_id, None) is not None
+        return self._cancels.pop((job_id, base_url), None) is not None
 
     def make_due(self, now: float) -> None:
         """Send all cancels anew, as the owner has changed."""
@@ -70,13 +76,13 @@
     def choose_due(self, now: float) -> list[Cancel]:
         """Return the cancels to send now, and record that they are sent."""
         due: list[Cancel] = []
-        for cancel in list(self._cancels.values()):
+        for key, cancel in list(self._cancels.items()):
             if now - cancel.received_at >= RETENTION_S:
-                del self._cancels[cancel.job_id]
+                del self._cancels[key]
             elif now >= cancel.due_at and len(due) < MAX_BATCH:
                 due.append(cancel)
                 cancel.due_at = now + cancel.resend_s
                 cancel.resend_s = min(MAX_RESEND_S, 2 * cancel.resend_s)
                 # The others go first the next time.
-                self._cancels[cancel.job_id] = self._cancels.pop(cancel.job_id)
+                self._cancels[key] = self._cancels.pop(key)
         return due
--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -38,7 +38,7 @@
 # Maximum number of calls that may wait for a reply.
 MAX_CALLS = 5000
 # Begins the token of a cancel that is sent without its caller; the id of the
-# job follows.
+# job, a slash and the base URL of the call follow.
 CANCEL_TOKEN_PREFIX = 'cancel/'
 
 
@@ -56,6 +56,8 @@
     spec: types.JobSpec | None
     # Timeout of the caller, in seconds.
     timeout_s: float
+    # Base URL of a cancel without a route, as in messages.JobCall.
+    base_url: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -119,8 +121,9 @@
         self._count += 1
         token = f'{self._token_prefix}:{self._count}'
         sent = messages.JobCall(
-            token, call.verb, call.queue, call.job_id, call.spec
-        )
+            token, call.verb, call.queue, call.job_id, call.spec,
+            call.base_url,
+        )  # fmt: skip
         pending = _Pending(msg, sent, now, now + call.timeout_s)
         if len(self._pending) >= MAX_CALLS:
             self._refuse_for_now(pending, 'too many calls')
@@ -169,7 +172,7 @@
             elif self._submissions.may_be_accepted(msg.job_id, self.now()):
                 outcome = 'unknown'
         elif msg.verb == 'cancel':
-            self._keep_cancel(msg.job_id, msg.queue)
+            self._keep_cancel(msg.job_id, msg.queue, msg.base_url)
         self.log.info(
             'call refused' if outcome == 'refused' else 'call not refused',
             verb=msg.verb, job=msg.job_id, reason=detail, outcome=outcome,
@@ -179,11 +182,11 @@
 
     @task.handles(events.KeepCancel)
     def _on_keep_cancel(self, event: events.KeepCancel) -> None:
-        self._keep_cancel(event.job_id, '')
+        self._keep_cancel(event.job_id, '', '')
 
-    def _keep_cancel(self, job_id: str, queue: str) -> None:
+    def _keep_cancel(self, job_id: str, queue: str, base_url: str) -> None:
         """Send a cancel until the owner confirms it, without its caller."""
-        kept = self._cancels.add(job_id, queue, self.now())
+        kept = self._cancels.add(job_id, queue, self.now(), base_url)
         self.ctx.metrics.count('unconfirmed_cancel')
         if not kept:
             self.log.warning('cancel dropped', job=job_id)
@@ -201,15 +204,24 @@
         if not self._route:
             return
         for cancel in self._cancels.choose_due(now):
-            token = f'{CANCEL_TOKEN_PREFIX}{cancel.job_id}'
             self._send_to_owner(
-                messages.JobCall(token, 'cancel', cancel.queue, cancel.job_id)
+                messages.JobCall(
+                    f'{CANCEL_TOKEN_PREFIX}{cancel.job_id}/{cancel.base_url}',
+                    'cancel',
+                    cancel.queue,
+                    cancel.job_id,
+                    base_url=cancel.base_url,
+                )  # fmt: skip
             )
 
-    def _confirm_cancel(self, job_id: str, outcome: str) -> None:
-        if outcome in ('cancelled', 'unknown_job'):
-            if self._cancels.confirm(job_id):
-                self.log.info('kept cancel confirmed', job=job_id)
+    def _confirm_cancel(
+        self, job_id: str, base_url: str, outcome: str
+    ) -> None:
+        if outcome in ('cancelled', 'unknown_job', 'no_route'):
+            if self._cancels.confirm(job_id, base_url):
+                self.log.info(
+                    'kept cancel confirmed', job=job_id, outcome=outcome
+                )
 
     def _reply(
         self,
@@ -233,8 +245,9 @@
         if msg.outcome != 'not_owner':
             self._replied_at = self.now()
         if msg.token.startswith(CANCEL_TOKEN_PREFIX):
-            job_id = msg.token.removeprefix(CANCEL_TOKEN_PREFIX)
-            self._confirm_cancel(job_id, msg.outcome)
+            key = msg.token.removeprefix(CANCEL_TOKEN_PREFIX)
+            job_id, _, base_url = key.partition('/')
+            self._confirm_cancel(job_id, base_url, msg.outcome)
             return
         if msg.outcome == 'not_owner':
             # The call is sent again once the owner is known.
@@ -266,7 +279,9 @@
             self._refuse(pending, msg.detail, msg.number)
             return
         if pending.msg.verb == 'cancel':
-            self._confirm_cancel(pending.msg.job_id, msg.outcome)
+            self._confirm_cancel(
+                pending.msg.job_id, pending.msg.base_url, msg.outcome
+            )
         self._reply(pending.caller_query, msg.outcome, msg.detail, msg.number)
 
     @task.handles(events.OwnerRouteChanged)
@@ -322,7 +337,9 @@
                 job=pending.msg.job_id, route=pending.route,
             )  # fmt: skip
             if pending.msg.verb == 'cancel':
-                self._keep_cancel(pending.msg.job_id, pending.msg.queue)
+                self._keep_cancel(
+                    pending.msg.job_id, pending.msg.queue, pending.msg.base_url
+                )
             if pending.route == self._route and (
                 self._replied_at < pending.sent_at
             ):
--- a/packages/scheduler/src/kcr_scheduler/work/operator_rules.py
+++ b/packages/scheduler/src/kcr_scheduler/work/operator_rules.py
@@ -26,6 +26,8 @@
         self._evacuation: evacuation.View | None = None
         self._source = ''
         self._changed_at = 0.0
+        # Configuration in force; none before it is known.
+        self._config: config.Config | None = None
         # Regions of zones and routes.
         self._zone_regions = regions.parse_zones(zone_regions)
         self._regions = regions.make_rules(self._zone_regions, None)
@@ -36,6 +38,7 @@
         self, cfg: config.Config, ctl: controller.Controller | None
     ) -> None:
         """Take over a configuration."""
+        self._config = cfg
         self._regions = regions.make_rules(self._zone_regions, cfg)
         self._cold_rules = dataclasses.replace(
             self._cold_rules, services=cfg.services
@@ -43,6 +46,10 @@
         if ctl is not None:
             self._apply_config(ctl)
 
+    def has_route(self, base_url: str) -> bool:
+        """Return whether the configuration in force has a route."""
+        return self._config is not None and self._config.has_route(base_url)
+
     def set_evacuation(
         self,
         event: events.EvacuationInForce,
--- a/packages/scheduler/src/kcr_scheduler/work/owner.py
+++ b/packages/scheduler/src/kcr_scheduler/work/owner.py
@@ -348,7 +348,10 @@
         if msg.verb == 'submit' and msg.spec is not None:
             self._submit(ctl, ref, msg)
         elif msg.verb == 'cancel':
-            ctl.cancel(ref, msg.job_id, self.now())
+            # The route may not have reached the scheduler of the caller.
+            routed = self._rules.has_route(msg.base_url)
+            base_url = '' if routed else msg.base_url
+            ctl.cancel(ref, msg.job_id, self.now(), base_url)
         elif msg.verb == 'state':
             ctl.report_state(ref, msg.job_id)
         elif msg.verb == 'pending':
--- a/tests/jobs/test_overload.py
+++ b/tests/jobs/test_overload.py
@@ -183,10 +183,10 @@
     harness = overload_harness.play(ON, lambda at: 1.0, 3.0, seconds=30.0)
     serving = types.Step(1, types.Demand(640, 100), lasts=True)
     later = dataclasses.replace(overload_harness.STEP, estimate_ms=1360.0)
-    for step, fields in ((serving, {}), (later, {'repeat': 2})):
+    for step, repeat in ((serving, 0), (later, 2)):
         draft = job_work.make_draft(
             types.JobSpec(
-                'f' * 16, overload_harness.SHORT, '', (step,), **fields
+                'f' * 16, overload_harness.SHORT, '', (step,), repeat=repeat
             ),
             harness.now,
         )
--- a/tests/scheduler/test_calls.py
+++ b/tests/scheduler/test_calls.py
@@ -9,6 +9,7 @@
 from kcr_jobs import types
 from kcr_jobs import unconfirmed_cancels
 from kcr_runtime import query
+from kcr_runtime.wire import codec
 from kcr_runtime.wire import session
 from kcr_scheduler import addresses
 from kcr_scheduler import events
@@ -352,3 +353,65 @@
     harness.post(addresses.CALLS, session.Closed('p1', HELLO, 'lost'))
     harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
     assert len(find_cancels(harness, 'p1')) == 1
+
+
+def cancel_unrouted(
+    harness: scheduler_harness.Harness, base_url: str = 'h/old/'
+) -> None:
+    """Cancel a job over a path without a route; the owner is not known."""
+    call = calls.Call('cancel', '', 'j', None, 3.0, base_url)
+    harness.post(addresses.CALLS, query.Query('t', 'front', call))
+    harness.advance(0.25)
+    assert answers(harness) == ['refused']
+
+
+def find_cancel_urls(
+    harness: scheduler_harness.Harness, route: str
+) -> dict[str, str]:
+    """Return the tokens of the cancels sent over a route, by base URL."""
+    sent = harness.recorders[route].pop_all(session.Send)
+    return {item.msg.base_url: item.msg.token for item in sent}
+
+
+@pytest.mark.parametrize('outcome', ['cancelled', 'no_route'])
+def test_kept_cancel_has_the_url_of_its_call(outcome: str) -> None:
+    """Guard against a kept cancel that ends a job of another queue.
+
+    It is dropped as soon as the owner has replied that it is for no job.
+    """
+    harness, _ = make()
+    cancel_unrouted(harness)
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    harness.advance(0.1)
+    sent = find_cancel_urls(harness, 'p1')
+    assert list(sent) == ['h/old/']
+    reply = messages.JobReply(sent['h/old/'], outcome)
+    harness.post(addresses.CALLS, reply)
+    harness.advance(3.0)
+    assert find_cancel_urls(harness, 'p1') == {}
+
+
+def test_reply_to_a_wrong_path_does_not_drop_the_cancel_of_the_job() -> None:
+    """Guard against a cancel that is lost as another path has no route."""
+    harness, _ = make()
+    cancel_unrouted(harness, 'h/wrong/')
+    cancel_unrouted(harness)
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    harness.advance(0.1)
+    sent = find_cancel_urls(harness, 'p1')
+    assert sorted(sent) == ['h/old/', 'h/wrong/']
+    reply = messages.JobReply(sent['h/wrong/'], 'no_route')
+    harness.post(addresses.CALLS, reply)
+    harness.advance(3.0)
+    assert list(find_cancel_urls(harness, 'p1')) == ['h/old/']
+
+
+def test_longest_url_fits_into_the_token_of_a_kept_cancel() -> None:
+    """Guard against a kept cancel that can't be sent for its length."""
+    harness, _ = make()
+    base_url = 'h/'.ljust(types.MAX_BASE_URL_CHARS, 'x')
+    cancel_unrouted(harness, base_url)
+    harness.post(addresses.CALLS, events.OwnerRouteChanged(1, 'p1'))
+    harness.advance(0.1)
+    (sent,) = harness.recorders['p1'].pop_all(session.Send)
+    assert codec.decode(codec.encode(sent.msg)) == sent.msg
--- a/tests/scheduler/test_owner.py
+++ b/tests/scheduler/test_owner.py
@@ -1,5 +1,7 @@
 """Check that the owner writes before it acts and steps down when replaced."""
 
+import dataclasses
+
 import scheduler_harness
 
 from kcr_core import message_base
@@ -313,3 +315,28 @@
         assert running.controller is not None
         rules = running.controller.conditions.cold_rules
         assert rules.find_rate('svc') == version
+
+
+def test_cancel_has_a_route_if_the_owner_knows_it() -> None:
+    """Guard against a cancel that gets 404 from a scheduler behind others.
+
+    The queue has moved since the submission, and the version with its new
+    path has reached the owner only.
+    """
+    harness, _ = make()
+    queue = SPEC.queue
+    route = config.Route('h', '/new/', queue)
+    cfg = config.Config(4, {'h': (route,)})
+    spec = dataclasses.replace(SPEC, base_url='h/old/')
+    call = messages.JobCall('t', 'submit', 'q', 'j', spec)
+    harness.post(addresses.OWNER, events.LocalCall(call))
+    harness.advance(0.1)
+    assert replies(harness) == ['accepted']
+    call = messages.JobCall('t', 'cancel', '', 'j', base_url='h/new/')
+    harness.post(addresses.OWNER, events.LocalCall(call))
+    harness.advance(0.1)
+    assert replies(harness) == ['no_route']
+    harness.post(addresses.OWNER, events.ConfigInForce(cfg, b''))
+    harness.post(addresses.OWNER, events.LocalCall(call))
+    harness.advance(0.1)
+    assert replies(harness) == ['cancelled']
