Report to a new owner that the lease of a silent runner has expired

Cause: a new owner does not know how far earlier owners extended the lease of a runner, and waits a whole one from its take-over. A lost runner lists nothing, so its agent, which gave it each deadline, reported nothing. Restarts in a row put the tasks off for as long as they went on.

Change: the agent records by when each deadline that it gave has passed, by the slowest clock allowed, and starts with a whole lease for what an earlier process may have given. When that time has come and the runner has not answered under the present lease, it reports `lapsed`, and the owner records the tasks as lost. It is a report of what has happened and no forecast: an owner that was replaced without noticing could extend a lease through a restarted agent, but it can't extend runs that have ended.

Mended with it: the loss of power or the kill of an owner after the loss of a runner, and an agent whose connection breaks again and again.

--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -226,6 +226,8 @@
                     state.attach_sent_at = attach_sent_at
         elif state.lease.infer_unconfirmed_s(now) >= OWNER_TIMEOUT_S:
             self._owner_silent()
+        else:
+            self._lists.report_lapse(now)
 
     def _owner_silent(self) -> None:
         state = self._state
--- a/packages/agent/src/kcr_agent/runner/control_state.py
+++ b/packages/agent/src/kcr_agent/runner/control_state.py
@@ -31,7 +31,10 @@
         # Content of the last heartbeat; none before the first.
         self.info: types.RunnerInfo | None = None
         # Lease and the start orders under it.
-        self.lease = runner_lease.RunnerLease()
+        # An earlier process may have extended a lease until this one started.
+        self.lease = runner_lease.RunnerLease(
+            runner_lease.infer_expiry(self.now(), self.ctx.cfg.lease_s)
+        )
         # Address of the session task that leads to the owner; empty for none.
         self.owner_session = ''
         # Time of the first unanswered request for a lease; none without one.
--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -40,6 +40,8 @@
         # Time of the last report of a whole list under the lease; none before
         # it.
         self._reported_at: float | None = None
+        # Whether it was reported that the older leases have expired.
+        self._reported_lapse = False
         # Number of the last ended run that was reported under the lease.
         self._last_end_sent = 0
         # Number of the end whose confirmation is awaited; fired with it.
@@ -60,8 +62,23 @@
         """Begin to extend a lease that was granted."""
         self._last_end_sent = 0
         self._reported_at = None
+        self._reported_lapse = False
         self._state.spawn(self._extend_loop(self._state.term))
 
+    def report_lapse(self, now: float) -> None:
+        """Report once that a silent runner has ended all its runs.
+
+        A new owner does not know how far the lease was extended. It would wait
+        a whole lease from its take-over, however often the owner is replaced.
+        """
+        lease = self._state.lease
+        listed = self._reported_at is not None
+        if listed or self._reported_lapse or not lease.has_lapsed(now):
+            return
+        self._reported_lapse = True
+        self._state.log.info('lease lapsed', token=lease.token)
+        self.report((), (), now, lapsed=True)
+
     def query(
         self, queried_at: float, wait_ms: int
     ) -> defer.Deferred[client.RunList | client.Refused | client.NoAnswer]:
@@ -214,6 +231,7 @@
         complete: bool = False,
         unanswered: tuple[str, ...] = (),
         part: int = 0,
+        lapsed: bool = False,
     ) -> None:
         """Report runs to the owner, if there is a lease."""
         state = self._state
@@ -228,5 +246,6 @@
         report = messages.RunnerReport(
             lease.token, lease.next_report(now), info, complete, running,
             ended, lease.last_order, unanswered, part, state.deregistered,
+            lapsed,
         )  # fmt: skip
         state.send_to_owner(report)
--- a/packages/agent/src/kcr_agent/settings.py
+++ b/packages/agent/src/kcr_agent/settings.py
@@ -20,6 +20,9 @@
         description='service of the runner; empty to learn it from the first'
         ' heartbeat',
     )
+    lease_s: float = pydantic.Field(
+        6.0, description='longest lease of a runner, in seconds', gt=0.5
+    )
     grace_s: float = pydantic.Field(
         6.0, description='time between SIGTERM and SIGKILL, in seconds', gt=0
     )
--- a/packages/jobs/src/kcr_jobs/controller_state.py
+++ b/packages/jobs/src/kcr_jobs/controller_state.py
@@ -23,6 +23,7 @@
 from kcr_jobs import preemption
 from kcr_jobs import records
 from kcr_jobs import regions
+from kcr_jobs import runner_lease
 from kcr_jobs import runners
 from kcr_jobs import shares
 from kcr_jobs import stragglers
@@ -131,7 +132,7 @@
         runner = self.runners.get(name)
         if runner is None:
             runner = self.runners[name] = runners.RunnerState(name)
-            runner.extend_lease(runners.infer_expiry(now, self.lease_s))
+            runner.extend_lease(runner_lease.infer_expiry(now, self.lease_s))
         return runner
 
     def log_event(self, event: str, **fields: typing.Any) -> None:
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -181,6 +181,9 @@
     # of an earlier incarnation, so the running tasks stay, but the runner gets
     # no starts.
     deregistered: bool = False
+    # Whether the runner has not answered under this lease, and each deadline
+    # that it was given under older ones has passed: it has ended all its runs.
+    lapsed: bool = False
 
 
 @message_base.message('runner_report_ack')
--- a/packages/jobs/src/kcr_jobs/runner_lease.py
+++ b/packages/jobs/src/kcr_jobs/runner_lease.py
@@ -10,6 +10,15 @@
 
 # Maximum number of reports whose confirmation is awaited.
 MAX_UNCONFIRMED_REPORTS = 64
+# Largest ratio of the clock rate of an owner or agent to a runner's.
+CLOCK_FACTOR = 1.03
+# Time that is added to a lease for messages in flight, in seconds.
+LEASE_MARGIN_S = 0.3
+
+
+def infer_expiry(now: float, lease_s: float) -> float:
+    """Return the time by which a lease granted now has expired for sure."""
+    return now + lease_s * CLOCK_FACTOR + LEASE_MARGIN_S
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,7 +38,7 @@
 class RunnerLease:
     """Store one lease and the start orders under it."""
 
-    def __init__(self) -> None:
+    def __init__(self, lapses_by: float = 0.0) -> None:
         # Token of the lease; 0 for none.
         self.token = 0
         # Number of the last report.
@@ -47,6 +56,9 @@
         self._sent: dict[int, float] = {}
         # The runner's clock in milliseconds, and the time of receipt.
         self._clock: tuple[int, float] | None = None
+        # Time by which each deadline that the runner may have been given has
+        # passed for sure, under this lease or an older one.
+        self._lapses_by = lapses_by
 
     def start(self, token: int) -> None:
         """Start a new lease and drop the older one; token 0 is no lease."""
@@ -98,7 +110,15 @@
         if self._clock is None or now >= self.expires_at:
             return None
         clock_ms, received_at = self._clock
-        return clock_ms + int((self.expires_at - received_at) * 1000.0)
+        left_s = self.expires_at - received_at
+        self._lapses_by = max(
+            self._lapses_by, infer_expiry(received_at, left_s)
+        )
+        return clock_ms + int(left_s * 1000.0)
+
+    def has_lapsed(self, now: float) -> bool:
+        """Return whether no deadline that the runner was given is left."""
+        return now >= self._lapses_by
 
     def list_unconfirmed_starts(self, queried_at: float) -> tuple[str, ...]:
         """Return the tasks whose start a list queried then may not show."""
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -18,6 +18,7 @@
 from kcr_jobs import messages
 from kcr_jobs import records
 from kcr_jobs import report_parts
+from kcr_jobs import runner_lease
 from kcr_jobs import runners
 from kcr_jobs import types
 
@@ -57,7 +58,9 @@
             # Orders of the older lease can no longer arrive.
             task.ordered_number = 0
         runner.reported_at = now
-        runner.extend_lease(runners.infer_expiry(now, self._state.lease_s))
+        runner.extend_lease(
+            runner_lease.infer_expiry(now, self._state.lease_s)
+        )
         lease = messages.Lease(self._state.epoch, runner.token)
         self._state.immediate.append(
             effects.SendToAgent(name, runner.token, lease)
@@ -96,6 +99,9 @@
         self._update_info(runner, msg.info, now)
         self._update_deregistered(runner, msg.deregistered)
         self._record_ends(runner, msg.ended, now)
+        if msg.lapsed and not runner.reconciled:
+            lost = list(runner.tasks.values())
+            self._state.record_lost(runner, lost, 'lease lapsed')
         running = runner.parts.join(msg)
         if running is not None:
             self._reconcile(runner, msg, running, now)
@@ -105,7 +111,9 @@
             for run in unknown:
                 self._stop_unknown_run(runner, run)
         if lease_ms > 0:
-            runner.extend_lease(runners.infer_expiry(now, lease_ms / 1000.0))
+            runner.extend_lease(
+                runner_lease.infer_expiry(now, lease_ms / 1000.0)
+            )
         runner.acked_seq = msg.seq
         self._acknowledge(runner, lease_ms)
         if running is not None or (msg.running and not msg.part):
--- a/packages/jobs/src/kcr_jobs/runners.py
+++ b/packages/jobs/src/kcr_jobs/runners.py
@@ -30,10 +30,6 @@
 MAX_USUAL_FAILURE_RATE = 0.3
 # Time between starts on a suspect runner, in seconds.
 PROBE_INTERVAL_S = 2.0
-# Largest ratio of the owner's clock rate to a runner's.
-CLOCK_FACTOR = 1.03
-# Time that is added to a lease for messages in flight, in seconds.
-LEASE_MARGIN_S = 0.3
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -142,11 +138,6 @@
         self.expires_at = max(self.expires_at, expires_at)
 
 
-def infer_expiry(now: float, lease_s: float) -> float:
-    """Return the time by which a lease granted now has expired for sure."""
-    return now + lease_s * CLOCK_FACTOR + LEASE_MARGIN_S
-
-
 def find_suspects(usable: list[RunnerState], now: float) -> set[RunnerState]:
     """Return the runners that fail far more of their runs than the others."""
     rates = {runner: runner.infer_failure_rate(now) for runner in usable}
--- a/tests/agent/test_runner_control.py
+++ b/tests/agent/test_runner_control.py
@@ -34,6 +34,7 @@
     process = 'n'
     runner = 'model'
     service = ''
+    lease_s = 6.0
     grace_s = 6.0
 
 
--- a/tests/jobs/test_random_faults.py
+++ b/tests/jobs/test_random_faults.py
@@ -51,6 +51,7 @@
 
     # Weight of each event.
     events = EVENTS
+    runner_type = LeasedRunner
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
@@ -65,7 +66,7 @@
         # step and attempt.
         self.disturbed: set[tuple[str, int]] = set()
         super().__init__()
-        self.runners = {n: LeasedRunner(n, self) for n in 'abcd'}
+        self.runners = {n: self.runner_type(n, self) for n in 'abcd'}
         self.attach_all()
 
     def check_start(self, runner: LeasedRunner, task: str) -> None:
