Tests: let the lasting tasks of two tests of cancels run until stopped

Cause, from the logs of a red play: the stand-in of the runner ended the lasting tasks as done after 0.3 s. The owner starts a lasting task again whatever its end, by design, and the checker, which knows no lasting tasks, reports "started after it was done". No rule of the product was broken.

Change: the tasks run until they are stopped, as lasting tasks do. The test now also checks that the cancel has stopped both; before, they could end on their own. The same for the test without a configuration.

--- a/tests/platform/test_cancels.py
+++ b/tests/platform/test_cancels.py
@@ -83,10 +83,10 @@
     """
     made = deployments.Deployment(tmp_path)
     step = {'Count': 2, 'Cpu': 500, 'MemMb': 10, 'LongRunning': True}
-    body = {'Spec': 'x', 'Phases': [step]}
+    # Lasting tasks don't end on their own.
+    body = {'Spec': 'inf', 'Phases': [step]}
     job = 'a' * 16
     try:
-        # Before the job begins, as its fake runs end after a while.
         made.submit('f' * 16, count=1)
         made.wait_completed('f' * 16)
         owner = made.find_owner()
@@ -109,6 +109,8 @@
             )
         )
         made.wait(lambda: not made.checker.running)
+        for task in (f'{job}.0.0.0', f'{job}.0.0.1'):
+            assert made.checker.list_outcomes(task) == ['stopped']
         assert made.checker.violations == []
     finally:
         made.close()
@@ -124,7 +126,8 @@
     """
     made = deployments.Deployment(tmp_path)
     step = {'Count': 1, 'Cpu': 500, 'MemMb': 10, 'LongRunning': True}
-    body = {'Spec': 'x', 'Phases': [step]}
+    # A lasting task doesn't end on its own.
+    body = {'Spec': 'inf', 'Phases': [step]}
     job = 'a' * 16
     try:
         made.wait(lambda: made.call('POST', f'/q/{job}', body)[0] == 200)
