Agent: let a runner answer before its lapsed lease is reported

By reading: if no owner was there for longer than a lease, the leases of all runners have ended when the next owner grants new ones. The agent would report `lapsed` within 0.1 s, often before the first list of its runner arrives. The owner would then start work again that the list shows as done.

Change: the lapse is reported only if the runner has not answered for 1.5 s under the new lease: its calls fail, and none has given a list.

Two tests guard the wait. `is_below` of a job is `matches_base_url` now.

--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -30,6 +30,9 @@
 STALLED_WAIT_S = 0.1
 # Pause after a list has failed, in seconds.
 LIST_RETRY_S = 0.2
+# Time in which a runner may answer under a new lease before its older leases
+# are reported as expired, in seconds; what it lists as done is not repeated.
+ANSWER_WAIT_S = 1.5
 
 
 class RunLists:
@@ -40,7 +43,9 @@
         # Time of the last report of a whole list under the lease; none before
         # it.
         self._reported_at: float | None = None
-        # Whether it was reported that the older leases have expired.
+        # Time at which the lease was granted, and whether it was reported that
+        # the older ones have expired.
+        self._began_at = 0.0
         self._reported_lapse = False
         # Number of the last ended run that was reported under the lease.
         self._last_end_sent = 0
@@ -62,7 +67,7 @@
         """Begin to extend a lease that was granted."""
         self._last_end_sent = 0
         self._reported_at = None
-        self._reported_lapse = False
+        self._began_at, self._reported_lapse = self._state.now(), False
         self._state.spawn(self._extend_loop(self._state.term))
 
     def report_lapse(self, now: float) -> None:
@@ -72,12 +77,14 @@
         a whole lease from its take-over, however often the owner is replaced.
         """
         lease = self._state.lease
-        listed = self._reported_at is not None
-        if listed or self._reported_lapse or not lease.has_lapsed(now):
+        if self._reported_lapse or not lease.has_lapsed(now):
             return
-        self._reported_lapse = True
-        self._state.log.info('lease lapsed', token=lease.token)
-        self.report((), (), now, lapsed=True)
+        listed = self._reported_at is not None
+        silent = not listed and not self._runner_answers
+        if silent and now - self._began_at >= ANSWER_WAIT_S:
+            self._reported_lapse = True
+            self._state.log.info('lease lapsed', token=lease.token)
+            self.report((), (), now, lapsed=True)
 
     def query(
         self, queried_at: float, wait_ms: int
--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -43,7 +43,7 @@
             self._state.deferred.append(effects.Reply(ref, 'accepted'))
             return
         early = self._state.table.early_cancels.get(spec.job_id)
-        if early is not None and spec.is_below(early.base_url):
+        if early is not None and spec.matches_base_url(early.base_url):
             self._accept_cancelled(ref, spec, now, wall_ms)
             return
         if len(self._state.open_jobs) >= MAX_OPEN_JOBS:
@@ -173,7 +173,7 @@
         if job is None:
             self._cancel_unknown(ref, job_id, now)
             return
-        if not job.spec.is_below(base_url):
+        if not job.spec.matches_base_url(base_url):
             self._state.log_event(
                 'cancel with another base URL', job=job_id, called=base_url,
                 submitted=job.spec.base_url,
--- a/packages/jobs/src/kcr_jobs/job_table.py
+++ b/packages/jobs/src/kcr_jobs/job_table.py
@@ -358,7 +358,7 @@
         job = self.jobs.get(rec.job_id)
         if job is not None:
             # An ended one may be forgotten by the owner, see above.
-            if job.spec.is_below(rec.base_url):
+            if job.spec.matches_base_url(rec.base_url):
                 job.cancelled = job.cancelled or job.is_open()
             return
         self.early_cancels.pop(rec.job_id, None)
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -123,7 +123,7 @@
     # Base URL of its submission; empty in jobs of earlier builds.
     base_url: BaseUrl = ''
 
-    def is_below(self, base_url: str) -> bool:
+    def matches_base_url(self, base_url: str) -> bool:
         """Return whether a call with a base URL may be for this job."""
         return not base_url or self.base_url in ('', base_url)
 
--- a/packages/scheduler/src/kcr_scheduler/work/calls.py
+++ b/packages/scheduler/src/kcr_scheduler/work/calls.py
@@ -204,15 +204,12 @@
         if not self._route:
             return
         for cancel in self._cancels.choose_due(now):
-            self._send_to_owner(
-                messages.JobCall(
-                    f'{CANCEL_TOKEN_PREFIX}{cancel.job_id}/{cancel.base_url}',
-                    'cancel',
-                    cancel.queue,
-                    cancel.job_id,
-                    base_url=cancel.base_url,
-                )  # fmt: skip
-            )
+            token = f'{CANCEL_TOKEN_PREFIX}{cancel.job_id}/{cancel.base_url}'
+            msg = messages.JobCall(
+                token, 'cancel', cancel.queue, cancel.job_id, None,
+                cancel.base_url,
+            )  # fmt: skip
+            self._send_to_owner(msg)
 
     def _confirm_cancel(
         self, job_id: str, base_url: str, outcome: str
--- a/tests/agent/test_lapsed_leases_reported.py
+++ b/tests/agent/test_lapsed_leases_reported.py
@@ -7,6 +7,8 @@
 import test_runner_control as control_harness
 
 from kcr_agent import events
+from kcr_agent.runner import client
+from kcr_agent.runner import run_lists
 from kcr_jobs import messages
 
 LEASE_S = control_harness.Config.lease_s
@@ -14,6 +16,13 @@
 LAPSE_S = LEASE_S * 1.03 + 0.3
 
 
+def fail_lists(runner: control_harness.FakeRunner) -> None:
+    """Let the lists that wait get no answer."""
+    for call in list(runner.lease_calls):
+        if not call.called:
+            call.callback(client.NoAnswer('refused'))
+
+
 class Agent(control_harness.Harness):
     """Run an agent whose owner is replaced while its runner is silent."""
 
@@ -50,9 +59,13 @@
         self.receive(messages.Lease(self.token, self.token))
 
     def find_lapse(self, longest_s: float) -> float | None:
-        """Return when the lapse is reported, none if not within a time."""
+        """Return when the lapse is reported, none if not within a time.
+
+        The runner does not answer.
+        """
         until = self.clock.rightNow + longest_s
         while self.clock.rightNow < until:
+            fail_lists(self.runner)
             self.advance(0.05)
             if self.confirm_all():
                 return float(self.clock.rightNow)
@@ -98,8 +111,38 @@
     agent.post(events.RunnerHeartbeat(control_harness.INFO, 1))
     agent.post(events.OwnerSessionChanged('s'))
     agent.receive(messages.Lease(1, 7))
+    fail_lists(agent.runner)
     agent.advance(LEASE_S / 0.98)
     assert agent.owner.pop_all(messages.RunnerReport) == []
     agent.advance(1.0)
     (report,) = agent.owner.pop_all(messages.RunnerReport)
     assert report.lapsed and not report.complete
+
+
+def test_runner_may_answer_before_an_ended_lease_is_reported() -> None:
+    """Guard against work that is repeated though the runner has done it.
+
+    The agent had no owner for longer than a lease; the runner has ended runs
+    that nobody knows, and its first list takes a while.
+    """
+    agent = Agent()
+    agent.post(events.OwnerSessionChanged(''))
+    agent.advance(3 * LEASE_S)
+    agent.replace_owner()
+    assert agent.find_lapse(run_lists.ANSWER_WAIT_S - 0.5) is None
+    agent.advance(run_lists.LIST_RETRY_S)
+    agent.runner.answer_all()
+    agent.advance(0.0)
+    reports = agent.owner.pop_all(messages.RunnerReport)
+    assert [r.complete for r in reports] == [True]
+    assert agent.find_lapse(2 * LEASE_S) is None
+
+
+def test_list_that_takes_long_is_no_silence() -> None:
+    """Guard against a lapse that overtakes the list of a slow runner."""
+    agent = Agent()
+    agent.post(events.OwnerSessionChanged(''))
+    agent.advance(3 * LEASE_S)
+    agent.replace_owner()
+    agent.advance(2 * run_lists.ANSWER_WAIT_S)
+    assert not agent.confirm_all()
