--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -131,8 +131,11 @@
         self.ownerless = False
         self.cancelling = 0
         # Each process has its own loopback address, as the port of the metrics
-        # page is the same for all.
-        self._hosts = (f'127.0.{os.getpid() % 250}.{n}' for n in range(2, 250))
+        # page is the same for all. Other test runs may go on beside this one.
+        group, number = divmod(os.getpid(), 250)
+        self._hosts = (
+            f'127.{1 + group % 250}.{number}.{n}' for n in range(2, 250)
+        )
         ports = find_ports(3)
         hosts = {f's{n}': next(self._hosts) for n in range(1, schedulers + 1)}
         self.seeds = [
