Use the glossary's word for the end of a lease

docs/glossary.md has `expiry` for the end of a lease that was not renewed, and sets `lapse` aside. The new field of reports is `expired`, the new log event of agents `lease expired`. The owner's reason `lease lapsed` is an external name and stays. Names and texts only.

--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -227,7 +227,7 @@
         elif state.lease.infer_unconfirmed_s(now) >= OWNER_TIMEOUT_S:
             self._owner_silent()
         else:
-            self._lists.report_lapse(now)
+            self._lists.report_expiry(now)
 
     def _owner_silent(self) -> None:
         state = self._state
--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -46,7 +46,7 @@
         # Time at which the lease was granted, and whether it was reported that
         # the older ones have expired.
         self._began_at = 0.0
-        self._reported_lapse = False
+        self._reported_expiry = False
         # Number of the last ended run that was reported under the lease.
         self._last_end_sent = 0
         # Number of the end whose confirmation is awaited; fired with it.
@@ -67,24 +67,24 @@
         """Begin to extend a lease that was granted."""
         self._last_end_sent = 0
         self._reported_at = None
-        self._began_at, self._reported_lapse = self._state.now(), False
+        self._began_at, self._reported_expiry = self._state.now(), False
         self._state.spawn(self._extend_loop(self._state.term))
 
-    def report_lapse(self, now: float) -> None:
+    def report_expiry(self, now: float) -> None:
         """Report once that a silent runner has ended all its runs.
 
         A new owner does not know how far the lease was extended. It would wait
         a whole lease from its take-over, however often the owner is replaced.
         """
         lease = self._state.lease
-        if self._reported_lapse or not lease.has_lapsed(now):
+        if self._reported_expiry or not lease.has_expired(now):
             return
         listed = self._reported_at is not None
         silent = not listed and not self._runner_answers
         if silent and now - self._began_at >= ANSWER_WAIT_S:
-            self._reported_lapse = True
-            self._state.log.info('lease lapsed', token=lease.token)
-            self.report((), (), now, lapsed=True)
+            self._reported_expiry = True
+            self._state.log.info('lease expired', token=lease.token)
+            self.report((), (), now, expired=True)
 
     def query(
         self, queried_at: float, wait_ms: int
@@ -238,7 +238,7 @@
         complete: bool = False,
         unanswered: tuple[str, ...] = (),
         part: int = 0,
-        lapsed: bool = False,
+        expired: bool = False,
     ) -> None:
         """Report runs to the owner, if there is a lease."""
         state = self._state
@@ -253,6 +253,6 @@
         report = messages.RunnerReport(
             lease.token, lease.next_report(now), info, complete, running,
             ended, lease.last_order, unanswered, part, state.deregistered,
-            lapsed,
+            expired,
         )  # fmt: skip
         state.send_to_owner(report)
--- a/packages/jobs/src/kcr_jobs/messages.py
+++ b/packages/jobs/src/kcr_jobs/messages.py
@@ -183,7 +183,7 @@
     deregistered: bool = False
     # Whether the runner has not answered under this lease, and each deadline
     # that it was given under older ones has passed: it has ended all its runs.
-    lapsed: bool = False
+    expired: bool = False
 
 
 @message_base.message('runner_report_ack')
--- a/packages/jobs/src/kcr_jobs/runner_lease.py
+++ b/packages/jobs/src/kcr_jobs/runner_lease.py
@@ -38,7 +38,7 @@
 class RunnerLease:
     """Store one lease and the start orders under it."""
 
-    def __init__(self, lapses_by: float = 0.0) -> None:
+    def __init__(self, expired_by: float = 0.0) -> None:
         # Token of the lease; 0 for none.
         self.token = 0
         # Number of the last report.
@@ -58,7 +58,7 @@
         self._clock: tuple[int, float] | None = None
         # Time by which each deadline that the runner may have been given has
         # passed for sure, under this lease or an older one.
-        self._lapses_by = lapses_by
+        self._expired_by = expired_by
 
     def start(self, token: int) -> None:
         """Start a new lease and drop the older one; token 0 is no lease."""
@@ -111,14 +111,14 @@
             return None
         clock_ms, received_at = self._clock
         left_s = self.expires_at - received_at
-        self._lapses_by = max(
-            self._lapses_by, infer_expiry(received_at, left_s)
+        self._expired_by = max(
+            self._expired_by, infer_expiry(received_at, left_s)
         )
         return clock_ms + int(left_s * 1000.0)
 
-    def has_lapsed(self, now: float) -> bool:
+    def has_expired(self, now: float) -> bool:
         """Return whether no deadline that the runner was given is left."""
-        return now >= self._lapses_by
+        return now >= self._expired_by
 
     def list_unconfirmed_starts(self, queried_at: float) -> tuple[str, ...]:
         """Return the tasks whose start a list queried then may not show."""
--- a/packages/jobs/src/kcr_jobs/runner_reports.py
+++ b/packages/jobs/src/kcr_jobs/runner_reports.py
@@ -99,7 +99,7 @@
         self._update_info(runner, msg.info, now)
         self._update_deregistered(runner, msg.deregistered)
         self._record_ends(runner, msg.ended, now)
-        if msg.lapsed and not runner.reconciled:
+        if msg.expired and not runner.reconciled:
             lost = list(runner.tasks.values())
             self._state.record_lost(runner, lost, 'lease lapsed')
         running = runner.parts.join(msg)
--- a/tests/agent/test_expired_leases_reported.py
+++ b/tests/agent/test_expired_leases_reported.py
@@ -41,15 +41,15 @@
         self.owner.pop_all(messages.RunnerReport)
 
     def confirm_all(self) -> bool:
-        """Confirm all reports; return whether one shows the lapse."""
+        """Confirm all reports; return whether one shows the expiry."""
         self.advance(0.0)
-        lapsed = False
+        expired = False
         for report in self.owner.pop_all(messages.RunnerReport):
-            lapsed = lapsed or report.lapsed
+            expired = expired or report.expired
             self.receive(
                 messages.RunnerReportAck(self.token, report.seq, 6000, 0)
             )
-        return lapsed
+        return expired
 
     def replace_owner(self) -> None:
         """Attach the agent to a new owner."""
@@ -58,8 +58,8 @@
         self.post(events.OwnerSessionChanged('s'))
         self.receive(messages.Lease(self.token, self.token))
 
-    def find_lapse(self, longest_s: float) -> float | None:
-        """Return when the lapse is reported, none if not within a time.
+    def find_expiry(self, longest_s: float) -> float | None:
+        """Return when the expiry is reported, none if not within a time.
 
         The runner does not answer.
         """
@@ -72,37 +72,39 @@
         return None
 
 
-def test_lapse_is_reported_to_the_new_owner_when_the_lease_has_ended() -> None:
+def test_expiry_is_reported_to_the_new_owner_when_the_lease_has_ended() -> (
+    None
+):
     """Guard against an owner that waits a whole lease from its take-over.
 
     It is neither reported earlier, as the runner may still have runs.
     """
     agent = Agent()
     agent.replace_owner()
-    at = agent.find_lapse(2 * LEASE_S)
+    at = agent.find_expiry(2 * LEASE_S)
     assert at is not None
     assert LEASE_S / 0.98 < at - agent.listed_at < LAPSE_S + 1.0
 
 
-def test_change_of_the_owner_does_not_put_the_lapse_off() -> None:
+def test_change_of_the_owner_does_not_put_the_expiry_off() -> None:
     """Guard against restarts in a row that keep tasks from starting."""
     agent = Agent()
     ats = []
     for _ in range(5):
         agent.replace_owner()
-        ats.append(agent.find_lapse(2.0))
+        ats.append(agent.find_expiry(2.0))
     found = [at for at in ats if at is not None]
     assert found and found[0] - agent.listed_at < LAPSE_S + 1.0
 
 
-def test_no_lapse_is_reported_of_a_runner_that_lists_its_runs() -> None:
+def test_no_expiry_is_reported_of_a_runner_that_lists_its_runs() -> None:
     """Guard against runs that are given up though they are listed."""
     agent = Agent()
     agent.replace_owner()
     agent.runner.answer_all()
     agent.advance(0.0)
     agent.runner.answer_all()
-    assert agent.find_lapse(3 * LEASE_S) is None
+    assert agent.find_expiry(3 * LEASE_S) is None
 
 
 def test_restarted_agent_waits_for_what_its_predecessor_extended() -> None:
@@ -116,7 +118,7 @@
     assert agent.owner.pop_all(messages.RunnerReport) == []
     agent.advance(1.0)
     (report,) = agent.owner.pop_all(messages.RunnerReport)
-    assert report.lapsed and not report.complete
+    assert report.expired and not report.complete
 
 
 def test_runner_may_answer_before_an_ended_lease_is_reported() -> None:
@@ -129,17 +131,17 @@
     agent.post(events.OwnerSessionChanged(''))
     agent.advance(3 * LEASE_S)
     agent.replace_owner()
-    assert agent.find_lapse(run_lists.ANSWER_WAIT_S - 0.5) is None
+    assert agent.find_expiry(run_lists.ANSWER_WAIT_S - 0.5) is None
     agent.advance(run_lists.LIST_RETRY_S)
     agent.runner.answer_all()
     agent.advance(0.0)
     reports = agent.owner.pop_all(messages.RunnerReport)
     assert [r.complete for r in reports] == [True]
-    assert agent.find_lapse(2 * LEASE_S) is None
+    assert agent.find_expiry(2 * LEASE_S) is None
 
 
 def test_list_that_takes_long_is_no_silence() -> None:
-    """Guard against a lapse that overtakes the list of a slow runner."""
+    """Guard against a expiry that overtakes the list of a slow runner."""
     agent = Agent()
     agent.post(events.OwnerSessionChanged(''))
     agent.advance(3 * LEASE_S)
--- a/tests/jobs/test_expired_leases.py
+++ b/tests/jobs/test_expired_leases.py
@@ -33,7 +33,7 @@
         self.last_report += 1
         return messages.RunnerReport(
             self.token, self.last_report, self.info, False, (), (),
-            self.last_order, lapsed=True,
+            self.last_order, expired=True,
         )  # fmt: skip
 
 
@@ -95,12 +95,12 @@
     """Guard against a second run beside one whose lease has not expired."""
     scenario = SilentScenario(seed)
     random_faults.check_rules(scenario)
-    lapsed = [
+    expired = [
         event
         for event in scenario.log_events
         if event.fields.get('reason') == 'lease lapsed'
     ]
-    assert lapsed
+    assert expired
 
 
 def make() -> tuple[job_harness.Harness, str]:
@@ -127,12 +127,12 @@
     runner.connected = False
 
 
-def report_lapse(harness: job_harness.Harness, lost: str) -> None:
+def report_expiry(harness: job_harness.Harness, lost: str) -> None:
     """Report that the older leases of a silent runner have expired."""
     runner = harness.runners[lost]
     runner.connected = True
     report = dataclasses.replace(
-        runner.report(), complete=False, running=(), lapsed=True
+        runner.report(), complete=False, running=(), expired=True
     )
     harness.ctl.report(f's-{lost}', report, harness.now, 6000)
     runner.connected = False
@@ -147,14 +147,14 @@
         for _ in range(4):
             harness.step()
             assert harness.find_placements('j') == {}
-    report_lapse(harness, lost)
+    report_expiry(harness, lost)
     harness.step()
     assert list(harness.find_placements('j').values()) == [
         'b' if lost == 'a' else 'a'
     ]
 
 
-def test_lapse_under_an_older_token_moves_no_task() -> None:
+def test_expiry_under_an_older_token_moves_no_task() -> None:
     """Guard against a report that a later lease has overtaken."""
     harness, lost = make()
     replace_owner(harness, lost)
@@ -163,12 +163,12 @@
     harness.ctl.attach(lost, f's-{lost}', harness.runners[lost].info, 1.0)
     harness.flush()
     harness.runners[lost].token = older
-    report_lapse(harness, lost)
+    report_expiry(harness, lost)
     harness.step()
     assert harness.find_placements('j') == {}
 
 
-def test_lapse_after_a_complete_report_moves_no_task() -> None:
+def test_expiry_after_a_complete_report_moves_no_task() -> None:
     """Guard against a run that is given up though the runner lists it."""
     harness = job_harness.Harness(
         job_harness.FakeRunner('a'), job_harness.FakeRunner('b')
@@ -176,7 +176,7 @@
     harness.submit(JOB)
     harness.step()
     ((_, name),) = harness.find_placements('j').items()
-    report_lapse(harness, name)
+    report_expiry(harness, name)
     harness.runners[name].connected = True
     harness.step()
     assert list(harness.find_placements('j').values()) == [name]
--- a/tests/jobs/test_runner_lease.py
+++ b/tests/jobs/test_runner_lease.py
@@ -63,7 +63,7 @@
     assert lease.infer_unconfirmed_s(101.5) == 1.0
 
 
-def test_lease_has_lapsed_only_after_each_deadline_given() -> None:
+def test_lease_has_expired_only_after_each_deadline_given() -> None:
     """Guard against a run that is taken as ended on a runner that goes on.
 
     Deadlines of older leases hold, and the runner's clock may be slow.
@@ -71,17 +71,17 @@
     lease = make_lease()
     lease.confirm(lease.next_report(102.0), 6000, 0)
     # 108 is confirmed, and no deadline was given to the runner yet.
-    assert lease.has_lapsed(100.0)
+    assert lease.has_expired(100.0)
     assert lease.deadline_ms(103.0) == 13000
     lease.start(8)
     slow_end = 100.0 + 8.0 / 0.98
-    assert not lease.has_lapsed(slow_end)
-    assert lease.has_lapsed(100.0 + 8.0 * 1.03 + 0.3)
+    assert not lease.has_expired(slow_end)
+    assert lease.has_expired(100.0 + 8.0 * 1.03 + 0.3)
 
 
 def test_lease_of_an_earlier_process_has_not_lapsed() -> None:
     """Guard against an agent that ignores what the one before it extended."""
     lease = runner_lease.RunnerLease(106.0)
     lease.start(7)
-    assert not lease.has_lapsed(105.9)
-    assert lease.has_lapsed(106.0)
+    assert not lease.has_expired(105.9)
+    assert lease.has_expired(106.0)
