Tests: send early signals to processes with the default action of SIGHUP

The test waits until SIGHUP is ignored before it sends SIGTERM. Under nohup a process inherits that from its start on, so that SIGTERM came before the program had run its first line.

Change: the test gives the processes the default action of SIGHUP to inherit.

--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -96,6 +96,16 @@
 def test_signals_while_starting(deployment: deployments.Deployment) -> None:
     """Guard against a SIGHUP that kills a process during its imports."""
     deployment.submit('1' * 16)
+    # The tests may run under nohup, and processes inherit ignored signals.
+    inherited = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    try:
+        check_signals_while_starting(deployment)
+    finally:
+        signal.signal(signal.SIGHUP, inherited)
+
+
+def check_signals_while_starting(deployment: deployments.Deployment) -> None:
+    """Send SIGHUP and SIGTERM to processes that have just been started."""
     for name in ('s1', 'a1'):
         deployment.processes[name].send_signal(signal.SIGKILL)
         deployment.processes[name].wait()
