--- a/tests/agent/test_expired_leases_reported.py
+++ b/tests/agent/test_expired_leases_reported.py
@@ -13,7 +13,7 @@
 
 LEASE_S = control_harness.Config.lease_s
 # Time by which a lease that began at 0 has ended on a slow clock as well.
-LAPSE_S = LEASE_S * 1.03 + 0.3
+EXPIRY_S = LEASE_S * 1.03 + 0.3
 
 
 def fail_lists(runner: control_harness.FakeRunner) -> None:
@@ -72,9 +72,7 @@
         return None
 
 
-def test_expiry_is_reported_to_the_new_owner_when_the_lease_has_ended() -> (
-    None
-):
+def test_expiry_is_reported_to_the_next_owner() -> None:
     """Guard against an owner that waits a whole lease from its take-over.
 
     It is neither reported earlier, as the runner may still have runs.
@@ -83,7 +81,7 @@
     agent.replace_owner()
     at = agent.find_expiry(2 * LEASE_S)
     assert at is not None
-    assert LEASE_S / 0.98 < at - agent.listed_at < LAPSE_S + 1.0
+    assert LEASE_S / 0.98 < at - agent.listed_at < EXPIRY_S + 1.0
 
 
 def test_change_of_the_owner_does_not_put_the_expiry_off() -> None:
@@ -94,7 +92,7 @@
         agent.replace_owner()
         ats.append(agent.find_expiry(2.0))
     found = [at for at in ats if at is not None]
-    assert found and found[0] - agent.listed_at < LAPSE_S + 1.0
+    assert found and found[0] - agent.listed_at < EXPIRY_S + 1.0
 
 
 def test_no_expiry_is_reported_of_a_runner_that_lists_its_runs() -> None:
