--- a/packages/agent/src/kcr_agent/runner/control.py
+++ b/packages/agent/src/kcr_agent/runner/control.py
@@ -180,11 +180,9 @@
 
     @task.handles(events.RunnerLeft)
     def _on_runner_left(self, event: events.RunnerLeft) -> None:
-        """Send no starts until a later heartbeat shows that the runner serves.
-
-        A deregistration names the id only, which the next incarnation keeps,
-        and may arrive after that one has started.
-        """
+        """Send no starts until a later heartbeat shows that it serves."""
+        # A deregistration names the id only, which the next incarnation keeps,
+        # and may arrive after that one has started.
         info = self.info
         if info is not None and info.runner_id == event.runner_id:
             self.log.info(
--- a/packages/agent/src/kcr_agent/runner/run_lists.py
+++ b/packages/agent/src/kcr_agent/runner/run_lists.py
@@ -31,7 +31,8 @@
 # Pause after a list has failed, in seconds.
 LIST_RETRY_S = 0.2
 # Time in which a runner may answer under a new lease before its older leases
-# are reported as expired, in seconds; what it lists as done is not repeated.
+# are reported as expired, in seconds. Its first list may show work as done
+# that the owner would start again otherwise.
 ANSWER_WAIT_S = 1.5
 
 
@@ -71,11 +72,9 @@
         self._state.spawn(self._extend_loop(self._state.term))
 
     def report_expiry(self, now: float) -> None:
-        """Report once that a silent runner has ended all its runs.
-
-        A new owner does not know how far the lease was extended. It would wait
-        a whole lease from its take-over, however often the owner is replaced.
-        """
+        """Report once that a silent runner has ended all its runs."""
+        # A new owner does not know how far the lease was extended. It would
+        # wait a whole lease from its take-over, however often it is replaced.
         lease = self._state.lease
         if self._reported_expiry or not lease.has_expired(now):
             return
--- a/packages/jobs/src/kcr_jobs/caller_requests.py
+++ b/packages/jobs/src/kcr_jobs/caller_requests.py
@@ -160,12 +160,10 @@
     def cancel(
         self, ref: typing.Any, job_id: str, now: float, base_url: str = ''
     ) -> None:
-        """Cancel a job and stop its runs.
-
-        A call for which no route is known has its base URL. It cancels the job
-        only if the job was submitted with the same one: the route was removed
-        or moved since, or its version has not reached the scheduler.
-        """
+        """Cancel a job and stop its runs."""
+        # A call for which no route is known has its base URL. It cancels the
+        # job only if the job was submitted with the same one: the route was
+        # removed or moved since, or has not reached the scheduler.
         job = self._state.table.jobs.get(job_id)
         if job is None and base_url:
             self._cancel_unrouted(ref, job_id, now, base_url)
@@ -210,12 +208,10 @@
     def _cancel_unrouted(
         self, ref: typing.Any, job_id: str, now: float, base_url: str
     ) -> None:
-        """Cancel a job that may be submitted later with a base URL.
-
-        The caller is told that there is no such route, as there may never
-        have been one. It gets that reply also if there is no room for the
-        cancel, and only once an append has proved that the job is unknown.
-        """
+        """Cancel a job that may be submitted later with a base URL."""
+        # The caller is told that there is no such route, as there may never
+        # have been one. It gets that reply also if there is no room for the
+        # cancel, and only once an append has proved that the job is unknown.
         early = self._state.table.early_cancels
         self._state.log_event(
             'cancel without route', job=job_id, called=base_url,
--- a/packages/jobs/src/kcr_jobs/starts.py
+++ b/packages/jobs/src/kcr_jobs/starts.py
@@ -194,8 +194,7 @@
         abroad = task is not None and not self._state.is_in_region(
             task, runner
         )
-        leaving = runner.is_leaving()
-        closed = leaving or evacuated or abroad
+        closed = runner.is_leaving() or evacuated or abroad
         if task is None or task.stopping or closed or broken or expired:
             if evacuated:
                 self._state.count('zone_evacuations', 'start_withdrawn')
@@ -204,7 +203,9 @@
                 task.ordered_number = 0
             self._state.log_event(
                 'start withdrawn', task=effect.msg.task, node=runner.name,
-                leaving=leaving, zone_evacuated=evacuated, region=abroad,
+                draining=runner.info is not None and runner.info.draining,
+                deregistered=runner.deregistered,
+                zone_evacuated=evacuated, region=abroad,
                 gang_broken=broken, ticket_expired=expired,
             )  # fmt: skip
             return ''
--- a/packages/jobs/src/kcr_jobs/types.py
+++ b/packages/jobs/src/kcr_jobs/types.py
@@ -20,9 +20,10 @@
 Number = types.Number
 # Text with which the tasks of a job are started.
 Payload = typing.Annotated[str, annotated_types.MaxLen(64 * 1024)]
+# Longest base URL; the token of a kept cancel has room for it.
+MAX_BASE_URL_CHARS = 2048
 # Host and path of a request without the id of its job, as in
 # config.make_base_url; empty if it is not known.
-MAX_BASE_URL_CHARS = 2048
 BaseUrl = typing.Annotated[str, annotated_types.MaxLen(MAX_BASE_URL_CHARS)]
 
 
--- a/tests/jobs/test_expired_leases.py
+++ b/tests/jobs/test_expired_leases.py
@@ -160,7 +160,9 @@
     replace_owner(harness, lost)
     older = harness.runners[lost].token
     harness.runners[lost].connected = True
-    harness.ctl.attach(lost, f's-{lost}', harness.runners[lost].info, 1.0)
+    harness.ctl.attach(
+        lost, f's-{lost}', harness.runners[lost].info, harness.now
+    )
     harness.flush()
     harness.runners[lost].token = older
     report_expiry(harness, lost)
--- a/tests/jobs/test_runner_lease.py
+++ b/tests/jobs/test_runner_lease.py
@@ -79,7 +79,7 @@
     assert lease.has_expired(100.0 + 8.0 * 1.03 + 0.3)
 
 
-def test_lease_of_an_earlier_process_has_not_lapsed() -> None:
+def test_lease_of_an_earlier_process_has_not_expired() -> None:
     """Guard against an agent that ignores what the one before it extended."""
     lease = runner_lease.RunnerLease(106.0)
     lease.start(7)
